--- /dev/null
+++ b/jest.config.mjs
@@ -0,0 +1,19 @@
+/** Jest runs the TypeScript sources as ES modules, compiled by swc. */
+export default {
+  testEnvironment: "node",
+  roots: ["<rootDir>/packages"],
+  testMatch: ["**/src/**/*_test.ts"],
+  extensionsToTreatAsEsm: [".ts"],
+  transform: {
+    "^.+\\.ts$": ["@swc/jest", {
+      jsc: { parser: { syntax: "typescript" }, target: "es2022" },
+      module: { type: "es6" },
+    }],
+  },
+  moduleNameMapper: {
+    "^@coltsfootford/(.*)$": "<rootDir>/packages/$1/src/index.ts",
+  },
+  testTimeout: 60_000,
+  maxWorkers: 4,
+  reporters: ["default", "<rootDir>/scripts/summary-reporter.mjs"],
+};
--- /dev/null
+++ b/packages/core/src/errors/index.ts
@@ -0,0 +1,1 @@
+export * from "./step_error.ts";
--- /dev/null
+++ b/packages/core/src/hash/index.ts
@@ -0,0 +1,2 @@
+export * from "./hash32.ts";
+export * from "./rendezvous.ts";
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * The decisions of the fleet, free of sockets, clocks and randomness of their
+ * own, so that a recorded trace replays to the same decisions.
+ */
+export * from "./errors/index.ts";
+export * from "./hash/index.ts";
+export * from "./objects/index.ts";
+export * from "./outcome/index.ts";
+export * from "./timer/index.ts";
--- /dev/null
+++ b/packages/core/src/objects/index.ts
@@ -0,0 +1,2 @@
+export * from "./schemas.ts";
+export * from "./object_set.ts";
--- /dev/null
+++ b/packages/core/src/objects/schemas.ts
@@ -0,0 +1,102 @@
+import { z } from "zod";
+
+/**
+ * The schemas of the objects that operators write. A pool's targets are not
+ * listed here: they come from the platform's VM list, which names the pool of
+ * every target VM.
+ */
+
+const NAME_PATTERN = /^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$/;
+
+/** The name of an object: lower case letters, digits and hyphens. */
+export const objectNameSchema = z.string().regex(
+  NAME_PATTERN,
+  "use 1 to 63 lower case letters, digits and inner hyphens",
+);
+
+const sha256Schema = z.string().regex(
+  /^[0-9a-f]{64}$/,
+  "use the SHA-256 digest in 64 lower case hex digits",
+);
+
+/** A customer of the fleet, with its share of the capacity. */
+export const teamSchema = z.strictObject({
+  kind: z.literal("team"),
+  name: objectNameSchema,
+  /** SHA-256 digests of the API keys that prove a caller is of this team. */
+  apiKeySha256: z.array(sha256Schema).default([]),
+  /** Weight of the team's share where several teams compete. */
+  shareWeight: z.number().positive().max(1000).default(1),
+  /** Most requests the team may have running at a time in a zone. */
+  maxConcurrentRequests: z.int().positive().max(1_000_000).default(10_000),
+});
+
+/** A model that engines serve. */
+export const modelSchema = z.strictObject({
+  kind: z.literal("model"),
+  name: objectNameSchema,
+  version: z.string().min(1).max(64),
+  /** Names of adapters that may be asked for as `model:adapter`. */
+  adapters: z.array(objectNameSchema).default([]),
+});
+
+/** A plain application beside the engines. */
+export const serviceSchema = z.strictObject({
+  kind: z.literal("service"),
+  name: objectNameSchema,
+});
+
+/** A set of interchangeable targets and the rules of their load. */
+export const poolSchema = z.strictObject({
+  kind: z.literal("pool"),
+  name: objectNameSchema,
+  /** Name of the model or service that the targets run. */
+  model: objectNameSchema.optional(),
+  service: objectNameSchema.optional(),
+  /** No target carries more than this multiple of the mean load. */
+  loadFactor: z.number().min(1.05).max(10).default(1.25),
+  /** Most requests a target may run at a time, whatever the mean. */
+  maxConcurrentPerTarget: z.int().positive().max(100_000).default(64),
+  /** Requests that may wait in one daemon for a place in the pool. */
+  maxQueuedRequests: z.int().nonnegative().max(1_000_000).default(1_000),
+});
+
+/** How callers reach a pool, and how their requests are treated. */
+export const routeSchema = z.strictObject({
+  kind: z.literal("route"),
+  name: objectNameSchema,
+  /** `chat` is reached at /v1/chat/completions, `service` at /services/NAME. */
+  protocol: z.enum(["chat", "service"]),
+  pool: objectNameSchema,
+  /** Teams that may use the route; empty means every team. */
+  teams: z.array(objectNameSchema).default([]),
+  /** 1 favours cache reuse alone, 0 even load alone. */
+  reuseWeight: z.number().min(0).max(1).default(0.5),
+  /** How much a target of another zone costs against one of the own zone. */
+  crossZonePenalty: z.number().min(0).max(1).default(0.1),
+  /** Whether a request may be run again after a failure. */
+  idempotent: z.boolean().default(false),
+  /** Share of requests that may be retried, for example 0.1. */
+  retryBudgetRatio: z.number().min(0).max(1).default(0.1),
+  maxAttempts: z.int().min(1).max(10).default(3),
+  deadlineMs: z.int().positive().max(86_400_000).default(60_000),
+  maxBodyBytes: z.int().positive().max(64 * 1024 * 1024).default(1024 * 1024),
+});
+
+/** Any object that operators write. */
+export const objectSchema = z.discriminatedUnion("kind", [
+  teamSchema,
+  modelSchema,
+  serviceSchema,
+  poolSchema,
+  routeSchema,
+]);
+
+/** The types of the objects, inferred from their schemas. */
+export type Team = z.infer<typeof teamSchema>;
+export type Model = z.infer<typeof modelSchema>;
+export type Service = z.infer<typeof serviceSchema>;
+export type Pool = z.infer<typeof poolSchema>;
+export type Route = z.infer<typeof routeSchema>;
+export type FleetObject = z.infer<typeof objectSchema>;
+export type ObjectKind = FleetObject["kind"];
--- /dev/null
+++ b/packages/core/src/outcome/index.ts
@@ -0,0 +1,1 @@
+export * from "./outcome.ts";
--- /dev/null
+++ b/scripts/prepare.mjs
@@ -0,0 +1,30 @@
+/**
+ * Installs the locked packages where they are missing or out of date, then
+ * builds every workspace package. Called before the test, demo and bench
+ * scripts, so that each works on a fresh machine.
+ */
+import { execFileSync } from "node:child_process";
+import { existsSync, statSync } from "node:fs";
+
+const INSTALL_MARKER = "node_modules/.package-lock.json";
+
+/** Tells whether the installed packages are older than the lock file. */
+function isInstallStale() {
+  if (!existsSync(INSTALL_MARKER)) return true;
+  return statSync(INSTALL_MARKER).mtimeMs <
+    statSync("package-lock.json").mtimeMs;
+}
+
+function run(command, args) {
+  execFileSync(command, args, { stdio: ["ignore", "ignore", "inherit"] });
+}
+
+if (isInstallStale()) run("npm", ["ci", "--no-audit", "--no-fund"]);
+try {
+  execFileSync("node_modules/.bin/tsc", ["-b"], {
+    stdio: ["ignore", "inherit", "inherit"],
+  });
+} catch {
+  console.error("The build failed; the compiler's messages stand above.");
+  process.exit(1);
+}
