Add stand-ins for engines, services and the platform

Nothing could be measured or tested without something that plays the platform and the targets and knows what really happened. A library of fakes inside one test process was ruled out as the only form, because a killed or stopped process is part of what has to be shown; so each stand-in is a module that runs in-process or behind one executable with a settings file, port 0 and a control port.

--- /dev/null
+++ b/packages/standins/src/control/control_port.ts
@@ -0,0 +1,83 @@
+import { type Context, Hono } from "hono";
+import { z, ZodError } from "zod";
+import { HttpListener, type NodeEnv, readJsonBody } from "../http/index.ts";
+import type { StandIn } from "../stand_in.ts";
+import { type SharedTruth, summarizeRuns } from "../truth/index.ts";
+
+/** The stand-in that faults go to; all other fields are its faults. */
+const faultsBodySchema = z.looseObject({ standIn: z.string().min(1) });
+
+/** What a control port serves. */
+export interface ControlledProcess {
+  readonly truth: SharedTruth;
+  readonly standIns: ReadonlyMap<string, StandIn>;
+}
+
+/** Where the control port listens. */
+export interface ControlAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/**
+ * Starts the control port: `GET /truth` (also `?part=runs`, `admissions` or
+ * `standIns`), `POST /faults` and `POST /reset`.
+ */
+export function startControlPort(
+  controlled: ControlledProcess,
+  address: ControlAddress,
+): Promise<HttpListener> {
+  const app = new Hono<NodeEnv>();
+  app.get("/truth", (context) => answerTruth(context, controlled));
+  app.post("/faults", (context) => changeFaults(context, controlled));
+  app.post("/reset", async (context) => {
+    controlled.truth.reset();
+    for (const standIn of controlled.standIns.values()) await standIn.reset();
+    return context.json({ reset: true });
+  });
+  return HttpListener.start({ app, ...address });
+}
+
+function answerTruth(
+  context: Context<NodeEnv>,
+  { truth, standIns }: ControlledProcess,
+): Response {
+  const parts: Record<string, () => unknown> = {
+    runs: () => truth.runs.list(),
+    admissions: () => truth.admissions.list(),
+    summary: () => summarizeRuns(truth.runs.list()),
+    standIns: () =>
+      Object.fromEntries(
+        [...standIns].map(([name, standIn]) => [name, standIn.describeTruth()]),
+      ),
+  };
+  const part = context.req.query("part");
+  const names = part === undefined ? Object.keys(parts) : part.split(",");
+  const unknownName = names.find((name) => !(name in parts));
+  if (unknownName !== undefined) {
+    return context.json({ error: `part: ${unknownName} is unknown` }, 400);
+  }
+  return Response.json(
+    Object.fromEntries(names.map((name) => [name, parts[name]?.()])),
+  );
+}
+
+async function changeFaults(
+  context: Context<NodeEnv>,
+  { standIns }: ControlledProcess,
+): Promise<Response> {
+  const body = await readJsonBody(context, faultsBodySchema);
+  if (!body.ok) return context.json({ error: body.message }, 400);
+  const { standIn: name, ...faults } = body.value;
+  const standIn = standIns.get(name);
+  if (!standIn) {
+    return context.json({ error: `standIn: ${name} is not here` }, 404);
+  }
+  try {
+    await standIn.applyFaults(faults);
+  } catch (error) {
+    if (!(error instanceof ZodError)) throw error;
+    return context.json({ error: z.prettifyError(error) }, 400);
+  }
+  return Response.json(standIn.describeTruth());
+}
--- /dev/null
+++ b/packages/standins/src/engine/engine_faults.ts
@@ -0,0 +1,22 @@
+import { z } from "zod";
+import { targetFaultsSchema } from "../target/index.ts";
+
+/** The faults of a model engine, all off by default. */
+export const engineFaultsSchema = targetFaultsSchema.extend({
+  /** Answers with the answer and the id of another request. */
+  crossedAnswers: z.boolean().default(false),
+  /** Sends every token's event twice. */
+  doubledChunks: z.boolean().default(false),
+  /** Sends all tokens a second time before the end. */
+  doubledAnswers: z.boolean().default(false),
+  /** Ends the answer after so many tokens, without its terminal events. */
+  truncateAfterTokens: z.int().nonnegative().nullable().default(null),
+  /** Whether a truncated answer ends its HTTP body as if it were whole. */
+  truncateCleanly: z.boolean().default(false),
+  /** Gives the answer an id of another request, with the right tokens. */
+  wrongId: z.boolean().default(false),
+  /** Crashes once it has sent so many tokens of an answer. */
+  killAfterTokens: z.int().nonnegative().nullable().default(null),
+});
+
+export type EngineFaults = z.infer<typeof engineFaultsSchema>;
--- /dev/null
+++ b/packages/standins/src/engine/orders.ts
@@ -0,0 +1,68 @@
+import { z } from "zod";
+import { monotonicMs } from "../truth/index.ts";
+
+/** An order of a placement controller to an engine. */
+export const orderSchema = z.strictObject({
+  name: z.string().min(1),
+  fence: z.int().nonnegative(),
+  kind: z.enum(["load_model", "load_adapter", "set_role", "unload_model"]),
+  model: z.string().optional(),
+  version: z.string().optional(),
+  adapter: z.string().optional(),
+  role: z.string().optional(),
+});
+
+export type Order = z.infer<typeof orderSchema>;
+
+/** An order that took effect, with the highest number known at that time. */
+export interface ExecutedOrder {
+  readonly order: Order;
+  readonly atMonotonicMs: number;
+  /** Highest fencing number seen before this order. */
+  readonly highestFence: number;
+}
+
+/** What became of an order. */
+export type OrderVerdict = "done" | "repeated" | "stale_fence";
+
+/** The orders of one engine: idempotent by name, fenced where it checks. */
+export class OrderBook {
+  readonly #checksFences: boolean;
+  #highestFence = 0;
+  #executed: ExecutedOrder[] = [];
+  #refused: Order[] = [];
+
+  constructor(checksFences: boolean) {
+    this.#checksFences = checksFences;
+  }
+
+  get executed(): readonly ExecutedOrder[] {
+    return this.#executed;
+  }
+
+  get refused(): readonly Order[] {
+    return this.#refused;
+  }
+
+  accept(order: Order): OrderVerdict {
+    if (this.#checksFences && order.fence < this.#highestFence) {
+      this.#refused.push(order);
+      return "stale_fence";
+    }
+    if (this.#executed.some((done) => done.order.name === order.name)) {
+      return "repeated";
+    }
+    this.#executed.push({
+      order,
+      atMonotonicMs: monotonicMs(),
+      highestFence: this.#highestFence,
+    });
+    this.#highestFence = Math.max(this.#highestFence, order.fence);
+    return "done";
+  }
+
+  reset(): void {
+    this.#executed = [];
+    this.#refused = [];
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/prompt.ts
@@ -0,0 +1,47 @@
+import { createHash } from "node:crypto";
+import { z } from "zod";
+
+const CHARACTERS_PER_TOKEN = 4;
+const HASH_HEX_DIGITS = 16;
+
+/** One message of a chat; unknown fields are kept out of the prompt. */
+export const messageSchema = z.object({
+  role: z.string().min(1),
+  content: z.union([z.string(), z.array(z.unknown()), z.null()]).optional(),
+});
+
+export type Message = z.infer<typeof messageSchema>;
+
+/** A prefix of a chat that ends with one of its messages. */
+export interface Prefix {
+  readonly hash: string;
+  /** Hash of the prefix one message shorter; empty for the first message. */
+  readonly parentHash: string;
+  /** Tokens of the last message alone. */
+  readonly tokens: number;
+}
+
+/** The text of a message, as the prompt and its digest see it. */
+function textOf(message: Message): string {
+  if (typeof message.content === "string") return message.content;
+  return JSON.stringify(message.content ?? "");
+}
+
+/** Tokens of one message. */
+export function countTokens(message: Message): number {
+  return Math.max(1, Math.ceil(textOf(message).length / CHARACTERS_PER_TOKEN));
+}
+
+/** The prefixes of a chat, shortest first, each hashed over its parent. */
+export function listPrefixes(messages: readonly Message[]): Prefix[] {
+  let parentHash = "";
+  return messages.map((message) => {
+    const hash = createHash("sha256")
+      .update(`${parentHash}\n${message.role}\n${textOf(message)}`)
+      .digest("hex")
+      .slice(0, HASH_HEX_DIGITS);
+    const prefix = { hash, parentHash, tokens: countTokens(message) };
+    parentHash = hash;
+    return prefix;
+  });
+}
--- /dev/null
+++ b/packages/standins/src/http/index.ts
@@ -0,0 +1,3 @@
+export * from "./http_listener.ts";
+export * from "./json_body.ts";
+export * from "./not_run_response.ts";
--- /dev/null
+++ b/packages/standins/src/platform/call_counts.ts
@@ -0,0 +1,44 @@
+import { monotonicMs } from "../truth/index.ts";
+
+const MS_PER_SECOND = 1000;
+
+/** The kinds of calls; a watch counts once as it opens. */
+export type CallKind = "read" | "write" | "lease" | "watch";
+
+/** Counts calls in all and in the present second. */
+export class CallCounts {
+  readonly #totals: Record<CallKind, number> = {
+    read: 0,
+    write: 0,
+    lease: 0,
+    watch: 0,
+  };
+  readonly #peaks: Record<CallKind, number> = { ...this.#totals };
+  #second = 0;
+  #inSecond: Record<CallKind, number> = { ...this.#totals };
+
+  /** Counts a call and returns how many of its kind this second has seen. */
+  count(kind: CallKind): number {
+    const second = Math.floor(monotonicMs() / MS_PER_SECOND);
+    if (second !== this.#second) {
+      this.#second = second;
+      this.#inSecond = { read: 0, write: 0, lease: 0, watch: 0 };
+    }
+    this.#totals[kind] += 1;
+    this.#inSecond[kind] += 1;
+    this.#peaks[kind] = Math.max(this.#peaks[kind], this.#inSecond[kind]);
+    return this.#inSecond[kind];
+  }
+
+  describe(): Record<string, unknown> {
+    return { totals: this.#totals, peaksPerSecond: this.#peaks };
+  }
+
+  reset(): void {
+    for (const kind of ["read", "write", "lease", "watch"] as const) {
+      this.#totals[kind] = 0;
+      this.#peaks[kind] = 0;
+      this.#inSecond[kind] = 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/platform/index.ts
@@ -0,0 +1,2 @@
+export * from "./key_value_service.ts";
+export * from "./platform_options.ts";
--- /dev/null
+++ b/packages/standins/src/platform/leases.ts
@@ -0,0 +1,70 @@
+import { monotonicMs } from "../truth/index.ts";
+
+const MS_PER_SECOND = 1000;
+const FIRST_LEASE_ID = 7_587_000_000_000_001n;
+
+/** A lease in force. */
+export interface Lease {
+  readonly id: string;
+  readonly ttlSeconds: number;
+  expiresAtMs: number;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Leases that end by themselves unless they are kept alive. */
+export class Leases {
+  readonly #leases = new Map<string, Lease>();
+  readonly #onEnd: (leaseId: string) => void;
+  #nextId = FIRST_LEASE_ID;
+
+  /** `onEnd` is called after a lease has expired or was revoked. */
+  constructor(onEnd: (leaseId: string) => void) {
+    this.#onEnd = onEnd;
+  }
+
+  /** Grants a lease; undefined where the wanted id is taken. */
+  grant(ttlSeconds: number, wantedId: string): Lease | undefined {
+    const id = wantedId === "0" ? String(this.#nextId++) : wantedId;
+    if (this.#leases.has(id)) return undefined;
+    const timer = setTimeout(() => this.revoke(id), ttlSeconds * MS_PER_SECOND);
+    timer.unref();
+    const expiresAtMs = monotonicMs() + ttlSeconds * MS_PER_SECOND;
+    const lease: Lease = { id, ttlSeconds, expiresAtMs, timer };
+    this.#leases.set(id, lease);
+    return lease;
+  }
+
+  get(id: string): Lease | undefined {
+    return this.#leases.get(id);
+  }
+
+  /** Starts the lease's time anew. */
+  keepAlive(id: string): Lease | undefined {
+    const lease = this.#leases.get(id);
+    if (!lease) return undefined;
+    lease.expiresAtMs = monotonicMs() + lease.ttlSeconds * MS_PER_SECOND;
+    lease.timer.refresh();
+    return lease;
+  }
+
+  revoke(id: string): boolean {
+    const lease = this.#leases.get(id);
+    if (!lease) return false;
+    clearTimeout(lease.timer);
+    this.#leases.delete(id);
+    this.#onEnd(id);
+    return true;
+  }
+
+  /** Whole seconds left. */
+  remainingSeconds(lease: Lease): number {
+    const remainingMs = Math.max(0, lease.expiresAtMs - monotonicMs());
+    return Math.ceil(remainingMs / MS_PER_SECOND);
+  }
+
+  /** Drops all leases without touching their keys. */
+  clear(): void {
+    for (const lease of this.#leases.values()) clearTimeout(lease.timer);
+    this.#leases.clear();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/platform/transactions.ts
@@ -0,0 +1,137 @@
+import type { KeyValueStore, StoredValue } from "./key_value_store.ts";
+import type {
+  Compare,
+  DeleteRangeRequest,
+  Operation,
+  PutRequest,
+  RangeRequest,
+  TransactionRequest,
+} from "./messages.ts";
+
+/** A JSON object as the gateway writes it. */
+export type GatewayObject = Record<string, unknown>;
+
+/** The header of every answer of the gateway. */
+export function createHeader(revision: number): GatewayObject {
+  return {
+    cluster_id: "1",
+    member_id: "1",
+    revision: String(revision),
+    raft_term: "1",
+  };
+}
+
+/** Writes a stored value in the shape of the gateway. */
+export function describeValue(
+  stored: StoredValue,
+  isKeyOnly = false,
+): GatewayObject {
+  return {
+    key: stored.key.toString("base64"),
+    create_revision: String(stored.createRevision),
+    mod_revision: String(stored.modRevision),
+    version: String(stored.version),
+    ...(isKeyOnly ? {} : { value: stored.value.toString("base64") }),
+    ...(stored.leaseId === "0" ? {} : { lease: stored.leaseId }),
+  };
+}
+
+export function runRange(
+  store: KeyValueStore,
+  request: RangeRequest,
+): GatewayObject {
+  const all = store.range({ key: request.key, rangeEnd: request.range_end });
+  const limit = request.limit > 0 ? request.limit : all.length;
+  const kvs = request.count_only ? [] : all.slice(0, limit);
+  return {
+    header: createHeader(store.revision),
+    kvs: kvs.map((value) => describeValue(value, request.keys_only)),
+    more: !request.count_only && all.length > limit,
+    count: String(all.length),
+  };
+}
+
+export function runPut(
+  store: KeyValueStore,
+  request: PutRequest,
+): GatewayObject {
+  const previous = store.put(request.key, request.value, request.lease);
+  if (!request.prev_kv || !previous) return {};
+  return { prev_kv: describeValue(previous) };
+}
+
+export function runDeleteRange(
+  store: KeyValueStore,
+  request: DeleteRangeRequest,
+): GatewayObject {
+  const range = { key: request.key, rangeEnd: request.range_end };
+  const deleted = store.deleteRange(range);
+  return {
+    deleted: String(deleted.length),
+    ...(request.prev_kv
+      ? { prev_kvs: deleted.map((value) => describeValue(value)) }
+      : {}),
+  };
+}
+
+export function runTransaction(
+  store: KeyValueStore,
+  request: TransactionRequest,
+): GatewayObject {
+  const succeeded = request.compare.every((compare) => holds(store, compare));
+  const operations = succeeded ? request.success : request.failure;
+  const responses = store.transact(() =>
+    operations.map((operation) => runOperation(store, operation))
+  );
+  return { header: createHeader(store.revision), succeeded, responses };
+}
+
+/** Whether a transaction's branch changes anything, so it counts as a write. */
+export function isWriting(request: TransactionRequest): boolean {
+  return [...request.success, ...request.failure].some((operation) =>
+    operation.request_put !== undefined ||
+    operation.request_delete_range !== undefined
+  );
+}
+
+function runOperation(
+  store: KeyValueStore,
+  operation: Operation,
+): GatewayObject {
+  if (operation.request_put) {
+    return { response_put: runPut(store, operation.request_put) };
+  }
+  if (operation.request_delete_range) {
+    const request = operation.request_delete_range;
+    return { response_delete_range: runDeleteRange(store, request) };
+  }
+  if (operation.request_range) {
+    return { response_range: runRange(store, operation.request_range) };
+  }
+  return {};
+}
+
+function holds(store: KeyValueStore, compare: Compare): boolean {
+  const order = compareTo(store.get(compare.key), compare);
+  if (compare.result === "EQUAL") return order === 0;
+  if (compare.result === "NOT_EQUAL") return order !== 0;
+  return compare.result === "GREATER" ? order > 0 : order < 0;
+}
+
+/** Sign of the stored side minus the compared side; a missing key has zeros. */
+function compareTo(stored: StoredValue | undefined, compare: Compare): number {
+  if (compare.target === "VALUE") {
+    if (!stored) return compare.result === "NOT_EQUAL" ? 0 : NaN;
+    return Buffer.compare(stored.value, compare.value);
+  }
+  if (compare.target === "VERSION") {
+    return (stored?.version ?? 0) - Number(compare.version);
+  }
+  if (compare.target === "CREATE") {
+    return (stored?.createRevision ?? 0) - Number(compare.create_revision);
+  }
+  if (compare.target === "MOD") {
+    return (stored?.modRevision ?? 0) - Number(compare.mod_revision);
+  }
+  return Number(stored?.leaseId ?? "0") - Number(compare.lease);
+}
--- /dev/null
+++ b/packages/standins/src/service/index.ts
@@ -0,0 +1,2 @@
+export * from "./plain_service.ts";
+export * from "./service_options.ts";
--- /dev/null
+++ b/packages/standins/src/target/index.ts
@@ -0,0 +1,3 @@
+export * from "./load_reports.ts";
+export * from "./target.ts";
+export * from "./target_faults.ts";
--- /dev/null
+++ b/packages/standins/src/truth/admission_log.ts
@@ -0,0 +1,101 @@
+import { monotonicMs } from "./clock.ts";
+
+/** One admission of a request, with the loads right after it. */
+export interface Admission {
+  /** Position among all admissions of this process, from 1. */
+  readonly sequence: number;
+  readonly atMonotonicMs: number;
+  readonly target: string;
+  readonly pool: string;
+  readonly requestId: string;
+  /** Requests that the target holds, the new one included. */
+  readonly loadAfter: number;
+  /** Requests that all serving targets of the pool hold, the new one included. */
+  readonly poolTotal: number;
+  /** Targets of the pool that are up and not leaving. */
+  readonly poolTargets: number;
+}
+
+interface TargetLoad {
+  readonly pool: string;
+  loadRequests: number;
+  isServing: boolean;
+}
+
+/**
+ * The admissions of all targets in one process, in one sequence, so that a
+ * load bound can be checked against the pool's mean at every admission.
+ */
+export class AdmissionLog {
+  readonly #targets = new Map<string, TargetLoad>();
+  #admissions: Admission[] = [];
+  #sequence = 0;
+
+  /** Adds a target or changes whether it counts among the serving ones. */
+  setTarget(target: string, pool: string, isServing: boolean): void {
+    const known = this.#targets.get(target);
+    if (known) known.isServing = isServing;
+    else this.#targets.set(target, { pool, loadRequests: 0, isServing });
+  }
+
+  admit(target: string, requestId: string): Admission {
+    const load = this.#require(target);
+    load.loadRequests += 1;
+    this.#sequence += 1;
+    const admission: Admission = {
+      sequence: this.#sequence,
+      atMonotonicMs: monotonicMs(),
+      target,
+      pool: load.pool,
+      requestId,
+      loadAfter: load.loadRequests,
+      ...this.#poolLoad(load.pool),
+    };
+    this.#admissions.push(admission);
+    return admission;
+  }
+
+  release(target: string): void {
+    this.#require(target).loadRequests -= 1;
+  }
+
+  list(): readonly Admission[] {
+    return this.#admissions;
+  }
+
+  /** Forgets the records; the present loads stay. */
+  reset(): void {
+    this.#admissions = [];
+  }
+
+  #poolLoad(pool: string): { poolTotal: number; poolTargets: number } {
+    let poolTotal = 0;
+    let poolTargets = 0;
+    for (const load of this.#targets.values()) {
+      if (load.pool !== pool || !load.isServing) continue;
+      poolTotal += load.loadRequests;
+      poolTargets += 1;
+    }
+    return { poolTotal, poolTargets };
+  }
+
+  #require(target: string): TargetLoad {
+    const load = this.#targets.get(target);
+    if (!load) throw new Error(`the target ${target} was never announced`);
+    return load;
+  }
+}
+
+/** Admissions whose load was above `ceil(factor * mean)` of their pool. */
+export function findBoundBreaches(
+  admissions: readonly Admission[],
+  pool: string,
+  factor: number,
+): Admission[] {
+  return admissions.filter((admission) => {
+    if (admission.pool !== pool) return false;
+    const meanRequests = admission.poolTotal /
+      Math.max(1, admission.poolTargets);
+    return admission.loadAfter > Math.ceil(factor * meanRequests);
+  });
+}
--- /dev/null
+++ b/packages/standins/src/vm_list/index.ts
@@ -0,0 +1,2 @@
+export * from "./vm_list.ts";
+export * from "./vm_list_options.ts";
--- /dev/null
+++ b/packages/standins/src/vm_list/vm_list_options.ts
@@ -0,0 +1,53 @@
+import { z } from "zod";
+
+/** One VM, as the platform lists it. */
+export const vmSchema = z.strictObject({
+  name: z.string().min(1),
+  role: z.enum(["daemon", "target"]),
+  availabilityZone: z.string().min(1),
+  /** Pool of a target. */
+  pool: z.string().min(1).optional(),
+  host: z.string().min(1),
+  /** Port for callers, or of the engine or service. */
+  port: z.int().min(0).max(65_535),
+  /** Port for other daemons. */
+  peerPort: z.int().min(0).max(65_535).optional(),
+  state: z.enum(["live", "leaving"]).default("live"),
+});
+
+export type Vm = z.infer<typeof vmSchema>;
+
+/** The faults of the VM list and the changes of its truth. */
+export const vmListChangeSchema = z.strictObject({
+  /** How old the list is that callers see. */
+  lagMs: z.number().nonnegative(),
+  /** Refuses connections. */
+  down: z.boolean(),
+  /** Replaces the whole list. */
+  vms: z.array(vmSchema),
+  /** Adds VMs, or replaces those of the same name. */
+  upsert: z.array(vmSchema),
+  /** Changes the state of these VMs. */
+  states: z.record(z.string(), z.enum(["live", "leaving"])),
+  /** Takes these VMs out. */
+  remove: z.array(z.string()),
+}).partial();
+
+export type VmListChange = z.infer<typeof vmListChangeSchema>;
+
+/** The settings of the VM list. */
+export const vmListOptionsSchema = z.strictObject({
+  name: z.string().min(1).default("vm-list"),
+  host: z.string().default("127.0.0.1"),
+  port: z.int().min(0).max(65_535).default(0),
+  lagMs: z.number().nonnegative().default(1_000),
+  vms: z.array(vmSchema).default([]),
+});
+
+export type VmListOptions = z.infer<typeof vmListOptionsSchema>;
+export type VmListSettings = z.input<typeof vmListOptionsSchema>;
+
+/** What holds where the settings say nothing. */
+export const DEFAULT_VM_LIST_OPTIONS: VmListOptions = vmListOptionsSchema.parse(
+  {},
+);
--- /dev/null
+++ b/packages/standins/src/weights/index.ts
@@ -0,0 +1,1 @@
+export * from "./weight_store.ts";
