--- /dev/null
+++ b/packages/daemon/src/blackboard/field.ts
@@ -0,0 +1,55 @@
+/** Ends a subscription to a field. */
+export type CancelSubscription = () => void;
+
+/** The write side of a field, held by the one controller that owns it. */
+export interface FieldWriter<T> {
+  write(value: T): void;
+}
+
+/**
+ * One typed field of the blackboard. Everyone reads it; only the controller
+ * that claimed the writer changes it, which is checked at start.
+ */
+export class Field<T> {
+  readonly #name: string;
+  #value: T;
+  #owner: string | undefined;
+  readonly #listeners = new Set<(value: T) => void>();
+
+  constructor(name: string, initialValue: T) {
+    this.#name = name;
+    this.#value = initialValue;
+  }
+
+  get owner(): string | undefined {
+    return this.#owner;
+  }
+
+  read(): T {
+    return this.#value;
+  }
+
+  /** Calls `listener` after each write. */
+  subscribe(listener: (value: T) => void): CancelSubscription {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Makes `owner` the only writer. A second claim is a programming error. */
+  claimWriter(owner: string): FieldWriter<T> {
+    if (this.#owner !== undefined) {
+      throw new Error(
+        `field ${this.#name} is written by ${this.#owner}, not by ${owner}`,
+      );
+    }
+    this.#owner = owner;
+    return { write: (value) => this.#write(value) };
+  }
+
+  #write(value: T): void {
+    this.#value = value;
+    for (const listener of this.#listeners) listener(value);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/blackboard/index.ts
@@ -0,0 +1,2 @@
+export * from "./field.ts";
+export * from "./blackboard.ts";
--- /dev/null
+++ b/packages/daemon/src/controllers/index.ts
@@ -0,0 +1,1 @@
+export * from "./controller.ts";
--- /dev/null
+++ b/packages/daemon/src/log/events.ts
@@ -0,0 +1,61 @@
+/**
+ * The catalogue of log events. A number is never used again for another
+ * meaning; `docs/reference/events.md` lists the same numbers, and a test holds
+ * the two together.
+ */
+export const EVENTS = {
+  daemonStarting: { number: 1001, level: "info", text: "daemon is starting" },
+  daemonReady: { number: 1002, level: "info", text: "daemon is ready" },
+  daemonStopping: { number: 1003, level: "info", text: "daemon is stopping" },
+  daemonStopped: { number: 1004, level: "info", text: "daemon has stopped" },
+  portBusy: { number: 1005, level: "error", text: "a port cannot be opened" },
+  requestsCut: {
+    number: 1006,
+    level: "error",
+    text: "shutdown limit reached with requests still running",
+  },
+  configApplied: {
+    number: 2001,
+    level: "info",
+    text: "configuration is in force",
+  },
+  configRefused: {
+    number: 2002,
+    level: "error",
+    text: "configuration was refused",
+  },
+  configUnreachable: {
+    number: 2003,
+    level: "warn",
+    text: "configuration cannot be read from the platform",
+  },
+  vmListApplied: { number: 3001, level: "info", text: "VM list has changed" },
+  vmListUnreachable: {
+    number: 3002,
+    level: "warn",
+    text: "VM list cannot be read",
+  },
+  requestFailed: {
+    number: 4001,
+    level: "warn",
+    text: "request did not complete",
+  },
+  targetFailed: {
+    number: 4002,
+    level: "warn",
+    text: "target failed a request",
+  },
+  answerRefused: {
+    number: 4003,
+    level: "error",
+    text: "target sent an answer that belongs to another request",
+  },
+  internalFault: {
+    number: 9001,
+    level: "error",
+    text: "unexpected fault inside the daemon",
+  },
+} as const;
+
+/** The name of a log event. */
+export type EventName = keyof typeof EVENTS;
--- /dev/null
+++ b/packages/daemon/src/log/index.ts
@@ -0,0 +1,2 @@
+export * from "./events.ts";
+export * from "./logger.ts";
--- /dev/null
+++ b/packages/daemon/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from "./metrics.ts";
--- /dev/null
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -0,0 +1,73 @@
+import { build, type Histogram } from "hdr-histogram-js";
+
+const HIGHEST_TRACKED_US = 3_600_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const REPORTED_PERCENTILES = [50, 95, 99] as const;
+const US_PER_MS = 1_000;
+
+/** Counters and latency histograms of one daemon. */
+export class Metrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, Histogram>();
+
+  /** Adds to a counter, named like `requests_completed_total`. */
+  count(name: string, amount = 1): void {
+    this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
+  }
+
+  counter(name: string): number {
+    return this.#counters.get(name) ?? 0;
+  }
+
+  /** Records a duration; kept in us so that short ones are not rounded. */
+  recordMs(name: string, durationMs: number): void {
+    let histogram = this.#histograms.get(name);
+    if (!histogram) {
+      histogram = build({
+        highestTrackableValue: HIGHEST_TRACKED_US,
+        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+      });
+      this.#histograms.set(name, histogram);
+    }
+    const us = Math.round(durationMs * US_PER_MS);
+    histogram.recordValue(Math.min(Math.max(us, 1), HIGHEST_TRACKED_US));
+  }
+
+  /** The state for the dump. */
+  dump(): Record<string, unknown> {
+    const histograms: Record<string, unknown> = {};
+    for (const [name, histogram] of this.#histograms) {
+      histograms[name] = this.#summarize(histogram);
+    }
+    return { counters: Object.fromEntries(this.#counters), histograms };
+  }
+
+  /** The text format that scrapers of metrics read. */
+  renderText(): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.#counters) {
+      lines.push(`# TYPE coltsfoot_${name} counter`);
+      lines.push(`coltsfoot_${name} ${value}`);
+    }
+    for (const [name, histogram] of this.#histograms) {
+      lines.push(`# TYPE coltsfoot_${name} summary`);
+      for (const percentile of REPORTED_PERCENTILES) {
+        const ms = histogram.getValueAtPercentile(percentile) / US_PER_MS;
+        const quantile = percentile / 100;
+        lines.push(`coltsfoot_${name}{quantile="${quantile}"} ${ms}`);
+      }
+      lines.push(`coltsfoot_${name}_count ${histogram.totalCount}`);
+    }
+    return lines.join("\n") + "\n";
+  }
+
+  #summarize(histogram: Histogram): Record<string, number> {
+    const summary: Record<string, number> = { count: histogram.totalCount };
+    for (const percentile of REPORTED_PERCENTILES) {
+      const us = histogram.getValueAtPercentile(percentile);
+      summary[`p${percentile}Ms`] = us / US_PER_MS;
+    }
+    summary["maxMs"] = histogram.maxValue / US_PER_MS;
+    return summary;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,2 @@
+export * from "./schema.ts";
+export * from "./load_settings.ts";
--- /dev/null
+++ b/packages/daemon/src/timer/index.ts
@@ -0,0 +1,1 @@
+export * from "./system_timer_service.ts";
