--- /dev/null
+++ b/packages/daemon/src/entry/caller_signal.ts
@@ -0,0 +1,31 @@
+import type { ServerResponse } from "node:http";
+import type { TimerService } from "@coltsfootford/core";
+
+/** The end of a request by its caller or by its deadline. */
+export interface CallerSignal {
+  readonly signal: AbortSignal;
+  /** Ends the subscriptions once the request has ended. */
+  dispose(): void;
+}
+
+/** Aborts when the caller hangs up or the deadline passes. */
+export function createCallerSignal(
+  outgoing: ServerResponse,
+  timer: TimerService,
+  deadlineMs: number,
+): CallerSignal {
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  const onClose = () => {
+    if (!outgoing.writableFinished) abort();
+  };
+  outgoing.once("close", onClose);
+  const cancelTimer = timer.after(deadlineMs, abort);
+  return {
+    signal: controller.signal,
+    dispose: () => {
+      cancelTimer();
+      outgoing.off("close", onClose);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/chat_handler.ts
@@ -0,0 +1,86 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { err, type Result } from "neverthrow";
+import { createCallerSignal } from "./caller_signal.ts";
+import { deriveChatKey, parseChatBody } from "./chat_body.ts";
+import type { EntryServices } from "./entry_server.ts";
+import { checkRouteTeam, findChatRoute } from "./find_route.ts";
+import { readBody } from "./read_body.ts";
+import { readCallerHeaders } from "./read_headers.ts";
+import { createRefusal, type Refusal } from "./refusal.ts";
+import type { RequestContext } from "./request_context.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import { WholeRelay } from "./whole_relay.ts";
+
+const LARGEST_CHAT_BODY_BYTES = 64 * 1024 * 1024;
+const CHAT_PATH = "/v1/chat/completions";
+
+/** Serves one chat request in the shape of the OpenAI API. */
+export async function chatHandler(
+  services: EntryServices,
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+): Promise<Result<void, Refusal>> {
+  const startedMs = services.timer.nowMs();
+  if (incoming.method !== "POST") {
+    const message = `method ${incoming.method} is not served here; use POST`;
+    return err(createRefusal(405, "method_not_allowed", message));
+  }
+  const headers = readCallerHeaders(incoming);
+  if (headers.isErr()) return err(headers.error);
+  const team = services.teams().identify(headers.value);
+  if (team.isErr()) return err(team.error);
+  const body = await readBody(incoming, LARGEST_CHAT_BODY_BYTES);
+  if (body.isErr()) return err(body.error);
+  const chat = parseChatBody(body.value);
+  if (chat.isErr()) return err(chat.error);
+  const found = findChatRoute(services.config().objects, chat.value.model);
+  if (found.isErr()) return err(found.error);
+  const { route, pool } = found.value;
+  const allowed = checkRouteTeam(route, team.value);
+  if (allowed.isErr()) return err(allowed.error);
+  if (body.value.length > route.maxBodyBytes) {
+    const message =
+      `the body is larger than ${route.maxBodyBytes} bytes, the limit of route ${route.name}; shorten it`;
+    return err(
+      createRefusal(413, "body_too_large", message, { param: "body" }),
+    );
+  }
+  const deadlineMs = headers.value["x-coltsfoot-deadline-ms"] ??
+    route.deadlineMs;
+  const caller = createCallerSignal(outgoing, services.timer, deadlineMs);
+  const requestId = services.nextRequestId();
+  const chatKey = deriveChatKey(chat.value, headers.value["x-coltsfoot-chat"]);
+  const priority = headers.value["x-coltsfoot-priority"];
+  const context: RequestContext = {
+    requestId,
+    team: team.value,
+    route,
+    pool,
+    chatKey,
+    priority,
+    deadlineAtMs: startedMs + deadlineMs,
+    idempotencyKey: headers.value["idempotency-key"],
+    method: "POST",
+    path: CHAT_PATH,
+    headers: {
+      "content-type": "application/json",
+      "x-coltsfoot-team": team.value.name,
+      "x-coltsfoot-chat": chatKey,
+      "x-coltsfoot-priority": String(priority),
+    },
+    body: body.value,
+    isStream: chat.value.stream === true,
+    signal: caller.signal,
+  };
+  const relay = context.isStream
+    ? new StreamRelay(outgoing, requestId, () => {
+      const elapsedMs = services.timer.nowMs() - startedMs;
+      services.metrics.recordMs("first_token_ms", elapsedMs);
+    })
+    : new WholeRelay(outgoing);
+  try {
+    return await services.dispatcher.dispatch(context, relay);
+  } finally {
+    caller.dispose();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/permit_gate.ts
@@ -0,0 +1,25 @@
+import type { Result } from "neverthrow";
+import type { TargetView } from "../blackboard/index.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** The right to run one request on one target. */
+export interface Permit {
+  readonly target: string;
+  /** Whether the request may still be started under this permit. */
+  isStartable(): boolean;
+  /** Gives the place back once the answer has ended. Idempotent. */
+  release(): void;
+}
+
+/** Why a target takes no request now. */
+export interface PermitRefusal {
+  readonly reason: "at-bound" | "keeper-unreachable" | "target-leaving";
+}
+
+/** Decides whether a target may take one more request. */
+export abstract class PermitGate {
+  abstract acquire(
+    target: TargetView,
+    context: RequestContext,
+  ): Promise<Result<Permit, PermitRefusal>>;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -0,0 +1,142 @@
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import type { Dispatcher } from "undici";
+import {
+  AnswerRelay,
+  type AttemptResult,
+  discardBody,
+  isForeignAnswer,
+  isRefusedByTarget,
+} from "./answer_relay.ts";
+import { type ChunkCheck, ChunkSequence } from "./chunk_sequence.ts";
+import type { RequestContext } from "./request_context.ts";
+import { WholeRelay } from "./whole_relay.ts";
+
+const STATUS_OK = 200;
+const DONE = "[DONE]";
+
+/**
+ * Passes server-sent events on as they arrive. The end marker is written only
+ * when the target's answer was whole, so a cut stream never looks whole.
+ */
+export class StreamRelay extends AnswerRelay {
+  readonly #outgoing: ServerResponse;
+  readonly #sequence: ChunkSequence;
+  readonly #onFirstToken: () => void;
+
+  constructor(
+    outgoing: ServerResponse,
+    requestId: string,
+    onFirstToken: () => void,
+  ) {
+    super();
+    this.#outgoing = outgoing;
+    this.#sequence = new ChunkSequence(requestId);
+    this.#onFirstToken = onFirstToken;
+  }
+
+  override canResume(): boolean {
+    return true;
+  }
+
+  override resumeHeaders(): Readonly<Record<string, string>> {
+    const tokens = this.#sequence.relayedTokens;
+    if (tokens === 0) return {};
+    return { "x-coltsfoot-resume-after-tokens": String(tokens) };
+  }
+
+  override relay(
+    response: Dispatcher.ResponseData,
+    context: RequestContext,
+  ): Promise<AttemptResult> {
+    if (response.statusCode !== STATUS_OK) {
+      return this.#relayError(response, context);
+    }
+    const isForeign = isForeignAnswer(response, context.requestId);
+    if (isForeign || isRefusedByTarget(response)) {
+      discardBody(response);
+      return Promise.resolve(this.#failed("the answer names another request"));
+    }
+    return this.#relayEvents(response);
+  }
+
+  /** An error of the target is passed on whole, unless a part was streamed. */
+  #relayError(
+    response: Dispatcher.ResponseData,
+    context: RequestContext,
+  ): Promise<AttemptResult> {
+    if (!this.#outgoing.headersSent) {
+      return new WholeRelay(this.#outgoing).relay(response, context);
+    }
+    discardBody(response);
+    const status = response.statusCode;
+    return Promise.resolve(this.#failed(`the target said status ${status}`));
+  }
+
+  async #relayEvents(
+    response: Dispatcher.ResponseData,
+  ): Promise<AttemptResult> {
+    const events: EventSourceMessage[] = [];
+    const parser = createParser({ onEvent: (event) => events.push(event) });
+    const decoder = new TextDecoder();
+    try {
+      for await (const chunk of response.body) {
+        parser.feed(decoder.decode(chunk, { stream: true }));
+        const end = await this.#passOn(events.splice(0));
+        if (!end) continue;
+        discardBody(response);
+        return end;
+      }
+    } catch {
+      return this.#failed("the stream broke off");
+    }
+    return this.#failed("the stream ended before its end marker");
+  }
+
+  /** Writes events to the caller; the result is set once the answer ended. */
+  async #passOn(
+    events: readonly EventSourceMessage[],
+  ): Promise<AttemptResult | undefined> {
+    let text = "";
+    let end: AttemptResult | undefined;
+    for (const event of events) {
+      const check: ChunkCheck = event.data === DONE
+        ? this.#sequence.checkEnd()
+        : this.#sequence.check(event);
+      if (check === "repeated") continue;
+      if (check === "foreign") end = this.#failed("a chunk is not its own");
+      if (check === "gap") end = this.#failed("the stream has a gap");
+      if (check === "whole") {
+        text += ": outcome=completed\n\ndata: [DONE]\n\n";
+        end = { kind: "answered" };
+      }
+      if (end) break;
+      text += `data: ${event.data}\n\n`;
+    }
+    if (text !== "") await this.#write(text);
+    if (end?.kind === "answered") this.#outgoing.end();
+    return end;
+  }
+
+  async #write(text: string): Promise<void> {
+    if (!this.#outgoing.headersSent) {
+      this.#outgoing.writeHead(STATUS_OK, {
+        "content-type": "text/event-stream; charset=utf-8",
+        "cache-control": "no-cache",
+      });
+      this.#onFirstToken();
+    }
+    const hasRoom = this.#outgoing.write(text);
+    if (hasRoom || this.#outgoing.destroyed) return;
+    await Promise.race([
+      once(this.#outgoing, "drain"),
+      once(this.#outgoing, "close"),
+    ]);
+  }
+
+  #failed(message: string): AttemptResult {
+    if (this.#outgoing.headersSent) return { kind: "cut", message };
+    return { kind: "unknown", message };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/whole_relay.ts
@@ -0,0 +1,110 @@
+import type { ServerResponse } from "node:http";
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import {
+  AnswerRelay,
+  type AttemptResult,
+  discardBody,
+  isForeignAnswer,
+  isRefusedByTarget,
+} from "./answer_relay.ts";
+import type { RequestContext } from "./request_context.ts";
+
+const FIRST_SERVER_ERROR = 500;
+const FIRST_CLIENT_ERROR = 400;
+
+/** Headers that belong to one connection and are not passed on. */
+const HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "transfer-encoding",
+  "content-length",
+  "x-target-ran",
+  "x-request-id",
+]);
+
+const answerIdSchema = z.looseObject({ id: z.string() });
+
+/** Passes an answer on only once all of it has arrived and was checked. */
+export class WholeRelay extends AnswerRelay {
+  readonly #outgoing: ServerResponse;
+
+  constructor(outgoing: ServerResponse) {
+    super();
+    this.#outgoing = outgoing;
+  }
+
+  override canResume(): boolean {
+    return false;
+  }
+
+  override resumeHeaders(): Readonly<Record<string, string>> {
+    return {};
+  }
+
+  override async relay(
+    response: Dispatcher.ResponseData,
+    context: RequestContext,
+  ): Promise<AttemptResult> {
+    if (isRefusedByTarget(response)) {
+      discardBody(response);
+      return {
+        kind: "not-run",
+        message: `the target refused with status ${response.statusCode}`,
+      };
+    }
+    if (isForeignAnswer(response, context.requestId)) {
+      discardBody(response);
+      return { kind: "unknown", message: "the answer names another request" };
+    }
+    let body: Buffer;
+    try {
+      body = Buffer.from(await response.body.arrayBuffer());
+    } catch {
+      return { kind: "unknown", message: "the answer broke off" };
+    }
+    if (response.statusCode >= FIRST_SERVER_ERROR) {
+      return {
+        kind: "unknown",
+        message: `the target failed with status ${response.statusCode}`,
+      };
+    }
+    if (!isOwnBody(response, body, context)) {
+      return {
+        kind: "unknown",
+        message: "the answer is not the request's own",
+      };
+    }
+    this.#send(response, body);
+    return { kind: "answered" };
+  }
+
+  #send(response: Dispatcher.ResponseData, body: Buffer): void {
+    for (const [name, value] of Object.entries(response.headers)) {
+      if (value === undefined || HOP_HEADERS.has(name)) continue;
+      this.#outgoing.setHeader(name, value);
+    }
+    this.#outgoing.setHeader("x-coltsfoot-outcome", "completed");
+    this.#outgoing.setHeader("content-length", body.length);
+    this.#outgoing.writeHead(response.statusCode);
+    this.#outgoing.end(body);
+  }
+}
+
+/** Checks that a chat answer is whole JSON and carries the request's id. */
+function isOwnBody(
+  response: Dispatcher.ResponseData,
+  body: Buffer,
+  context: RequestContext,
+): boolean {
+  if (context.route.protocol !== "chat") return true;
+  if (response.statusCode >= FIRST_CLIENT_ERROR) return true;
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString("utf8"));
+  } catch {
+    return false;
+  }
+  const parsed = answerIdSchema.safeParse(value);
+  return parsed.success && parsed.data.id === `chatcmpl-${context.requestId}`;
+}
--- /dev/null
+++ b/packages/daemon/src/targets/index.ts
@@ -0,0 +1,1 @@
+export * from "./target_client.ts";
--- /dev/null
+++ b/packages/daemon/src/targets/target_client.ts
@@ -0,0 +1,106 @@
+import { Client, type Dispatcher, Pool } from "undici";
+import { err, ok, type Result } from "neverthrow";
+import { createStepError, type StepError } from "@coltsfootford/core";
+import type { TargetView } from "../blackboard/index.ts";
+
+const CONNECT_TIMEOUT_MS = 2_000;
+const CONNECTIONS_PER_TARGET = 512;
+const KEEP_ALIVE_MS = 4_000;
+const STEP = "target.request";
+
+/** Whether a failed request may have reached the target. */
+export type TargetErrorKind = "not-sent" | "maybe-sent";
+
+/** One request towards a target. */
+export interface TargetRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly signal: AbortSignal;
+  /** A request that must not run twice never uses an idle connection. */
+  readonly usesFreshConnection: boolean;
+}
+
+/** Errors of a connect; the request was not written when they arise. */
+const CONNECT_ERROR_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Sends requests to targets over kept connections, without any retry. */
+export class TargetClient {
+  readonly #pools = new Map<string, Pool>();
+
+  /** Sends one request and resolves with the head of its answer. */
+  async send(
+    target: TargetView,
+    request: TargetRequest,
+  ): Promise<Result<Dispatcher.ResponseData, StepError<TargetErrorKind>>> {
+    const origin = `http://${formatHost(target.host)}:${target.port}`;
+    const dispatcher = request.usesFreshConnection
+      ? new Client(origin, { connectTimeout: CONNECT_TIMEOUT_MS })
+      : this.#poolOf(origin);
+    try {
+      const response = await dispatcher.request({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body.length > 0 ? request.body : null,
+        signal: request.signal,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        idempotent: false,
+        reset: request.usesFreshConnection,
+      });
+      return ok(response);
+    } catch (cause) {
+      return err(describeFailure(target, cause));
+    } finally {
+      if (request.usesFreshConnection) closeQuietly(dispatcher);
+    }
+  }
+
+  /** Closes every connection once its answer has ended. */
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  #poolOf(origin: string): Pool {
+    const existing = this.#pools.get(origin);
+    if (existing) return existing;
+    const pool = new Pool(origin, {
+      connections: CONNECTIONS_PER_TARGET,
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      pipelining: 1,
+    });
+    this.#pools.set(origin, pool);
+    return pool;
+  }
+}
+
+function formatHost(host: string): string {
+  return host.includes(":") ? `[${host}]` : host;
+}
+
+function describeFailure(
+  target: TargetView,
+  cause: unknown,
+): StepError<TargetErrorKind> {
+  const code = String((cause as { code?: unknown }).code ?? "");
+  const kind = CONNECT_ERROR_CODES.has(code) ? "not-sent" : "maybe-sent";
+  const message = kind === "not-sent"
+    ? "the target cannot be reached"
+    : "the connection failed after the request may have been sent";
+  return createStepError(kind, STEP, message, { peer: target.name, cause });
+}
+
+function closeQuietly(dispatcher: Dispatcher): void {
+  // `close` waits for the running answer, so it must not be awaited here.
+  dispatcher.close().catch(() => undefined);
+}
