Add the client of the key-value service and of the VM list

Cause: daemon and command line both talk to the platform, and a write whose answer is lost may or may not have been applied.

Ruled out: retrying inside the client, since only the caller can tell its own write by reading back; undici's own timeouts, which are coarse and not driven by the timer service; `instanceof Error` for transport errors, which fails for errors of another realm (seen under jest) and took a refused connection for a lost answer.

Change: KeyValueClient with reads, transactions, swaps, leases and watches that survive lost connections, compaction and a restored store; EtcdGatewayClient over undici; VmListClient; FakeKeyValue under @coltsfootford/platform/testing, for which jest's module mapping learned subpaths.

--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -11,7 +11,8 @@
     }],
   },
   moduleNameMapper: {
-    "^@coltsfootford/(.*)$": "<rootDir>/packages/$1/src/index.ts",
+    "^@coltsfootford/([^/]+)$": "<rootDir>/packages/$1/src/index.ts",
+    "^@coltsfootford/([^/]+)/(.+)$": "<rootDir>/packages/$1/src/$2/index.ts",
   },
   testTimeout: 60_000,
   maxWorkers: 4,
--- /dev/null
+++ b/packages/platform/src/etcd_gateway_client.ts
@@ -0,0 +1,287 @@
+import { err, ok, type Result } from "neverthrow";
+import { Agent, type Dispatcher, request as sendRequest } from "undici";
+import type { z } from "zod";
+import type { CancelTimer, TimerService } from "@coltsfootford/core";
+import {
+  emptyAnswerSchema,
+  encodeSelection,
+  encodeTxn,
+  keepAliveAnswerSchema,
+  leaseAnswerSchema,
+  rangeAnswerSchema,
+  txnAnswerSchema,
+  watchLineSchema,
+} from "./etcd_codec.ts";
+import {
+  KeyValueClient,
+  type KeyValueResult,
+  type RandomSource,
+} from "./key_value_client.ts";
+import {
+  createKeyValueError,
+  isCertainlyNotApplied,
+  type KeyValueError,
+} from "./key_value_error.ts";
+import type {
+  KeySelection,
+  Lease,
+  RangeAnswer,
+  TxnAnswer,
+  TxnRequest,
+} from "./key_value_types.ts";
+import { readLines } from "./read_lines.ts";
+import { classifyTransportError } from "./transport_error.ts";
+import type { WatchSink } from "./watch_loop.ts";
+
+/** Default time for a call, connect included. */
+const DEFAULT_TIMEOUT_MS = 2_000;
+/** Default time to connect; short, since it is certain to have sent nothing. */
+const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
+/** A watch is silent for as long as nothing changes. */
+const NO_TIMEOUT = 0;
+
+/** Settings of an `EtcdGatewayClient`. */
+export interface EtcdGatewayOptions {
+  /** Base addresses, `http://host:port`, tried in turn. */
+  readonly endpoints: readonly string[];
+  readonly timeoutMs?: number;
+  readonly connectTimeoutMs?: number;
+  readonly timer: TimerService;
+  readonly random: RandomSource;
+}
+
+interface Call<Schema extends z.ZodType> {
+  readonly path: string;
+  readonly body: object;
+  readonly schema: Schema;
+  readonly step: string;
+}
+
+/** Speaks the JSON gateway of etcd v3 over HTTP/1.1. */
+export class EtcdGatewayClient extends KeyValueClient {
+  readonly #endpoints: readonly string[];
+  readonly #timeoutMs: number;
+  readonly #dispatcher: Agent;
+  /** Index of the endpoint that answered last. */
+  #endpointIndex = 0;
+
+  constructor(options: EtcdGatewayOptions) {
+    super(options.timer, options.random);
+    this.#endpoints = options.endpoints;
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.#dispatcher = new Agent({
+      connect: {
+        timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+      },
+      pipelining: 1,
+    });
+  }
+
+  override range(selection: KeySelection): KeyValueResult<RangeAnswer> {
+    this.calls.reads += 1;
+    return this.#call({
+      path: "/v3/kv/range",
+      body: encodeSelection(selection),
+      schema: rangeAnswerSchema,
+      step: "key-value.range",
+    });
+  }
+
+  override txn(request: TxnRequest): KeyValueResult<TxnAnswer> {
+    this.calls.writes += 1;
+    return this.#call({
+      path: "/v3/kv/txn",
+      body: encodeTxn(request),
+      schema: txnAnswerSchema,
+      step: "key-value.txn",
+    });
+  }
+
+  override grantLease(ttlMs: number): KeyValueResult<Lease> {
+    this.calls.leases += 1;
+    return this.#call({
+      path: "/v3/lease/grant",
+      body: { TTL: String(Math.ceil(ttlMs / 1_000)) },
+      schema: leaseAnswerSchema,
+      step: "key-value.lease-grant",
+    });
+  }
+
+  override keepLeaseAlive(leaseId: string): KeyValueResult<Lease> {
+    this.calls.leases += 1;
+    return this.#call({
+      path: "/v3/lease/keepalive",
+      body: { ID: leaseId },
+      schema: keepAliveAnswerSchema,
+      step: "key-value.lease-keepalive",
+    });
+  }
+
+  override async revokeLease(leaseId: string): KeyValueResult<void> {
+    this.calls.leases += 1;
+    const answer = await this.#call({
+      path: "/v3/lease/revoke",
+      body: { ID: leaseId },
+      schema: emptyAnswerSchema,
+      step: "key-value.lease-revoke",
+    });
+    return answer.map(() => undefined);
+  }
+
+  override async close(): Promise<void> {
+    await this.#dispatcher.destroy();
+  }
+
+  protected override openWatch(
+    selection: KeySelection,
+    startRevision: number,
+    sink: WatchSink,
+  ): CancelTimer {
+    const abort = new AbortController();
+    void this.#runWatch(selection, startRevision, sink, abort.signal);
+    return () => abort.abort();
+  }
+
+  /** Tries the next endpoint only where the call was certainly not sent. */
+  async #call<Schema extends z.ZodType>(
+    call: Call<Schema>,
+  ): KeyValueResult<z.output<Schema>> {
+    let lastError: KeyValueError | undefined;
+    for (let attempt = 0; attempt < this.#endpoints.length; attempt++) {
+      const endpoint = this.#currentEndpoint();
+      const answer = await this.#callEndpoint(endpoint, call);
+      if (answer.isOk()) return answer;
+      lastError = answer.error;
+      this.#useNextEndpoint();
+      if (!isCertainlyNotApplied(lastError)) break;
+    }
+    return err(lastError ?? this.#noEndpointError(call.step));
+  }
+
+  async #callEndpoint<Schema extends z.ZodType>(
+    endpoint: string,
+    call: Call<Schema>,
+  ): KeyValueResult<z.output<Schema>> {
+    const abort = new AbortController();
+    const cancelTimer = this.timer.after(
+      this.#timeoutMs,
+      () => abort.abort(new Error(`no answer within ${this.#timeoutMs} ms`)),
+    );
+    try {
+      const response = await this.#post(endpoint, call, abort.signal);
+      const text = await response.body.text();
+      return decodeAnswer(response.statusCode, text, endpoint, call);
+    } catch (error) {
+      const kind = classifyTransportError(error);
+      return err(createKeyValueError(kind, call.step, endpoint, error));
+    } finally {
+      cancelTimer();
+    }
+  }
+
+  async #runWatch(
+    selection: KeySelection,
+    startRevision: number,
+    sink: WatchSink,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const endpoint = this.#currentEndpoint();
+    const body = {
+      create_request: {
+        ...encodeSelection(selection),
+        start_revision: String(startRevision),
+      },
+    };
+    try {
+      const response = await this.#post(
+        endpoint,
+        { path: "/v3/watch", body },
+        signal,
+      );
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        this.#useNextEndpoint();
+        return sink.onEnd("lost");
+      }
+      for await (const line of readLines(response.body)) {
+        if (!handleWatchLine(line, sink)) return;
+      }
+    } catch {
+      this.#useNextEndpoint();
+    }
+    sink.onEnd("lost");
+  }
+
+  #post(
+    endpoint: string,
+    call: { readonly path: string; readonly body: object },
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData> {
+    return sendRequest(`${endpoint}${call.path}`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(call.body),
+      dispatcher: this.#dispatcher,
+      signal,
+      headersTimeout: NO_TIMEOUT,
+      bodyTimeout: NO_TIMEOUT,
+    });
+  }
+
+  #currentEndpoint(): string {
+    return this.#endpoints[this.#endpointIndex % this.#endpoints.length] ?? "";
+  }
+
+  #useNextEndpoint(): void {
+    this.#endpointIndex += 1;
+  }
+
+  #noEndpointError(step: string): KeyValueError {
+    return createKeyValueError("unreachable", step, "platform", undefined);
+  }
+}
+
+/**
+ * A status below 500 other than 200 is a refusal. From 500 on the service may
+ * have applied the call before it failed.
+ */
+function decodeAnswer<Schema extends z.ZodType>(
+  statusCode: number,
+  text: string,
+  endpoint: string,
+  call: Call<Schema>,
+): Result<z.output<Schema>, KeyValueError> {
+  const fail = (kind: KeyValueError["kind"], cause: string) =>
+    err(createKeyValueError(kind, call.step, endpoint, cause));
+  if (statusCode >= 500) return fail("answer-lost", `HTTP ${statusCode}`);
+  if (statusCode !== 200) return fail("rejected", `HTTP ${statusCode} ${text}`);
+  const parsed = call.schema.safeParse(parseJson(text));
+  if (!parsed.success) return fail("answer-lost", parsed.error.message);
+  return ok(parsed.data);
+}
+
+/** Handles one line of a watch; returns false where the watch has ended. */
+function handleWatchLine(line: string, sink: WatchSink): boolean {
+  const parsed = watchLineSchema.safeParse(parseJson(line));
+  if (!parsed.success) {
+    sink.onEnd("lost");
+    return false;
+  }
+  const { header, created, canceled, compact_revision, events } =
+    parsed.data.result;
+  if (canceled) {
+    sink.onEnd(compact_revision > 0 ? "compacted" : "lost");
+    return false;
+  }
+  if (created) sink.onOpen(header.revision);
+  if (events.length > 0) sink.onEvents(events, header.revision);
+  return true;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+/**
+ * Clients of what the platform gives: the key-value service and the VM list.
+ */
+export * from "./etcd_gateway_client.ts";
+export * from "./key_value_client.ts";
+export * from "./key_value_error.ts";
+export * from "./key_value_types.ts";
+export * from "./system_timer_service.ts";
+export * from "./vm_list_client.ts";
+export type { Watch, WatchOptions } from "./watch_loop.ts";
--- /dev/null
+++ b/packages/platform/src/testing/fake_key_value_store.ts
@@ -0,0 +1,178 @@
+import {
+  type Compare,
+  type KeySelection,
+  type KeyValueEntry,
+  NO_LEASE,
+  type RangeAnswer,
+  type TxnAnswer,
+  type TxnOperation,
+  type TxnOperationAnswer,
+  type TxnRequest,
+  type WatchEvent,
+} from "../key_value_types.ts";
+
+interface Batch {
+  readonly revision: number;
+  readonly events: readonly WatchEvent[];
+}
+
+/** A saved state of a `FakeKeyValueStore`. */
+export interface FakeStoreBackup {
+  readonly revision: number;
+  readonly entries: readonly KeyValueEntry[];
+}
+
+/** The state of the fake service, shared by all its clients. */
+export class FakeKeyValueStore {
+  revision = 1;
+  /** History before this revision is gone. */
+  compactRevision = 0;
+  #entries = new Map<string, KeyValueEntry>();
+  #history: Batch[] = [];
+  readonly #leases = new Map<string, { ttlMs: number; dueMs: number }>();
+  readonly #listeners = new Set<() => void>();
+  #nextLeaseId = 1;
+
+  range(selection: KeySelection): RangeAnswer {
+    const found = [...this.#entries.values()]
+      .filter((entry) => matches(selection, entry.key))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const limit = "prefix" in selection ? selection.limitEntries ?? 0 : 0;
+    const entries = limit > 0 ? found.slice(0, limit) : found;
+    return {
+      entries,
+      hasMore: entries.length < found.length,
+      revision: this.revision,
+    };
+  }
+
+  txn(request: TxnRequest): TxnAnswer {
+    const succeeded = request.compares.every((item) => this.#holds(item));
+    const operations = succeeded ? request.success : request.failure;
+    const events: WatchEvent[] = [];
+    const answers = operations.map((item) => this.#run(item, events));
+    if (events.length > 0) {
+      this.revision += 1;
+      this.#history.push({ revision: this.revision, events });
+    }
+    for (const listener of [...this.#listeners]) listener();
+    return { succeeded, revision: this.revision, operations: answers };
+  }
+
+  grantLease(ttlMs: number, nowMs: number): string {
+    const leaseId = String(this.#nextLeaseId++);
+    this.#leases.set(leaseId, { ttlMs, dueMs: nowMs + ttlMs });
+    return leaseId;
+  }
+
+  /** Renews a lease; returns its time to live, 0 where it has lapsed. */
+  keepLeaseAlive(leaseId: string, nowMs: number): number {
+    this.expireLeases(nowMs);
+    const lease = this.#leases.get(leaseId);
+    if (!lease) return 0;
+    lease.dueMs = nowMs + lease.ttlMs;
+    return lease.ttlMs;
+  }
+
+  revokeLease(leaseId: string): void {
+    this.#leases.delete(leaseId);
+    const keys = [...this.#entries.values()]
+      .filter((entry) => entry.leaseId === leaseId)
+      .map((entry) => entry.key);
+    if (keys.length === 0) return;
+    this.txn({
+      compares: [],
+      success: keys.map((key) => ({ kind: "delete", selection: { key } })),
+      failure: [],
+    });
+  }
+
+  /** Ends the leases that are due. */
+  expireLeases(nowMs: number): void {
+    for (const [leaseId, lease] of [...this.#leases]) {
+      if (lease.dueMs <= nowMs) this.revokeLease(leaseId);
+    }
+  }
+
+  /** Batches from a revision on, for a watch. */
+  historyFrom(revision: number): readonly Batch[] {
+    return this.#history.filter((batch) => batch.revision >= revision);
+  }
+
+  /** Calls `listener` after each transaction. */
+  subscribe(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Drops the history up to now, so that older watches get a gap. */
+  compact(): void {
+    this.compactRevision = this.revision;
+    this.#history = [];
+  }
+
+  backup(): FakeStoreBackup {
+    return { revision: this.revision, entries: [...this.#entries.values()] };
+  }
+
+  /** Goes back to an older state, revision included. */
+  restore(backup: FakeStoreBackup): void {
+    this.revision = backup.revision;
+    this.#entries = new Map(backup.entries.map((entry) => [entry.key, entry]));
+    this.#history = [];
+  }
+
+  #holds(compare: Compare): boolean {
+    const entry = this.#entries.get(compare.key);
+    const found = readCompared(compare, entry);
+    if (compare.comparison === "equal") return found === compare.operand;
+    if (compare.comparison === "less") return found < compare.operand;
+    return found > compare.operand;
+  }
+
+  #run(operation: TxnOperation, events: WatchEvent[]): TxnOperationAnswer {
+    if (operation.kind === "range") return this.range(operation.selection);
+    if (operation.kind === "delete") {
+      for (const entry of this.range(operation.selection).entries) {
+        this.#entries.delete(entry.key);
+        const modRevision = this.revision + 1;
+        events.push({ kind: "delete", key: entry.key, modRevision });
+      }
+      return { entries: [] };
+    }
+    const entry = this.#createEntry(operation);
+    this.#entries.set(entry.key, entry);
+    events.push({ kind: "put", entry });
+    return { entries: [] };
+  }
+
+  #createEntry(put: Extract<TxnOperation, { kind: "put" }>): KeyValueEntry {
+    const old = this.#entries.get(put.key);
+    const modRevision = this.revision + 1;
+    return {
+      key: put.key,
+      value: put.value,
+      createRevision: old?.createRevision ?? modRevision,
+      modRevision,
+      version: (old?.version ?? 0) + 1,
+      leaseId: put.leaseId ?? NO_LEASE,
+    };
+  }
+}
+
+/** Tells whether a key is selected. */
+export function matches(selection: KeySelection, key: string): boolean {
+  if ("key" in selection) return key === selection.key;
+  if (!key.startsWith(selection.prefix)) return false;
+  return selection.fromKey === undefined || key >= selection.fromKey;
+}
+
+function readCompared(
+  compare: Compare,
+  entry: KeyValueEntry | undefined,
+): number | string {
+  if (compare.target === "mod") return entry?.modRevision ?? 0;
+  if (compare.target === "version") return entry?.version ?? 0;
+  if (compare.target === "create") return entry?.createRevision ?? 0;
+  return entry?.value ?? "";
+}
--- /dev/null
+++ b/packages/platform/src/testing/fake_key_value_test.ts
@@ -0,0 +1,111 @@
+import { describe, expect, it } from "@jest/globals";
+import { VirtualTimerService } from "@coltsfootford/core";
+import type { WatchBatch } from "../key_value_types.ts";
+import { FakeKeyValue } from "./fake_key_value.ts";
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn++) await Promise.resolve();
+}
+
+describe("FakeKeyValue", () => {
+  it("swaps only at the expected revision", async () => {
+    const client = new FakeKeyValue(new VirtualTimerService());
+    const created = (await client.create("k", "1"))._unsafeUnwrap();
+    const second = (await client.create("k", "2"))._unsafeUnwrap();
+    expect([created.swapped, second.swapped]).toEqual([true, false]);
+    expect(second.current?.value).toBe("1");
+    const stale = await client.replace("k", "3", created.revision + 1);
+    expect(stale._unsafeUnwrap().swapped).toBe(false);
+    const fresh = await client.replace("k", "3", created.revision);
+    expect(fresh._unsafeUnwrap().swapped).toBe(true);
+  });
+
+  it("loses answers after and requests before the write is applied", async () => {
+    const client = new FakeKeyValue(new VirtualTimerService());
+    client.faults.lostWriteAnswers = 1;
+    expect((await client.put("a", "1")).isErr()).toBe(true);
+    client.faults.lostWriteRequests = 1;
+    expect((await client.put("b", "1")).isErr()).toBe(true);
+    expect((await client.get("a"))._unsafeUnwrap()?.value).toBe("1");
+    expect((await client.get("b"))._unsafeUnwrap()).toBeUndefined();
+  });
+
+  it("drops the keys of a lapsed lease", async () => {
+    const timer = new VirtualTimerService();
+    const client = new FakeKeyValue(timer);
+    const lease = (await client.grantLease(1_000))._unsafeUnwrap();
+    await client.put("k", "v", lease.leaseId);
+    timer.advance(900);
+    await client.keepLeaseAlive(lease.leaseId);
+    timer.advance(900);
+    expect((await client.get("k"))._unsafeUnwrap()).toBeDefined();
+    timer.advance(200);
+    expect((await client.get("k"))._unsafeUnwrap()).toBeUndefined();
+    const renewed = await client.keepLeaseAlive(lease.leaseId);
+    expect(renewed._unsafeUnwrap().ttlMs).toBe(0);
+  });
+
+  it("resumes a watch after an outage without a gap or a repeat", async () => {
+    const timer = new VirtualTimerService();
+    const client = new FakeKeyValue(timer);
+    const other = new FakeKeyValue(timer, client.store);
+    const batches: WatchBatch[] = [];
+    const watch = client.watch({
+      selection: { prefix: "k" },
+      onBatch: (batch) => void batches.push(batch),
+    });
+    await settle();
+    await other.put("k1", "1");
+    client.setDown(true);
+    await other.put("k2", "2");
+    client.setDown(false);
+    timer.advance(10_000);
+    await settle();
+    await other.put("k3", "3");
+    await settle();
+    expect(describeBatches(batches)).toEqual(["snapshot", "k1", "k2", "k3"]);
+    watch.close();
+    await other.put("k4", "4");
+    await settle();
+    expect(batches).toHaveLength(4);
+  });
+
+  it("delivers a snapshot after a compaction and after a restore", async () => {
+    const timer = new VirtualTimerService();
+    const client = new FakeKeyValue(timer);
+    const backup = client.store.backup();
+    for (let count = 0; count < 5; count++) await client.put("k", `${count}`);
+    const batches: WatchBatch[] = [];
+    client.watch({
+      selection: { prefix: "k" },
+      onBatch: (batch) => void batches.push(batch),
+    });
+    await settle();
+    client.endWatches();
+    await client.put("k", "during");
+    client.store.compact();
+    timer.advance(10_000);
+    await settle();
+    timer.advance(10_000);
+    await settle();
+    expect(batches.at(-1)).toMatchObject({ kind: "snapshot", revision: 7 });
+    client.endWatches();
+    client.store.restore(backup);
+    client.store.compactRevision = 0;
+    for (let turn = 0; turn < 3; turn++) {
+      timer.advance(10_000);
+      await settle();
+    }
+    expect(batches.at(-1)).toMatchObject({ kind: "snapshot", revision: 1 });
+  });
+});
+
+function describeBatches(batches: readonly WatchBatch[]): string[] {
+  return batches.flatMap((batch) =>
+    batch.kind === "snapshot"
+      ? ["snapshot"]
+      : batch.events.map((event) =>
+        event.kind === "put" ? event.entry.key : event.key
+      )
+  );
+}
