--- /dev/null
+++ b/packages/daemon/src/admin/index.ts
@@ -0,0 +1,1 @@
+export * from "./admin_app.ts";
--- /dev/null
+++ b/packages/daemon/src/config/index.ts
@@ -0,0 +1,1 @@
+export * from "./config_controller.ts";
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,116 @@
+import type { StepError } from "@coltsfootford/core";
+import {
+  EtcdGatewayClient,
+  SystemTimerService,
+  VmListClient,
+} from "@coltsfootford/platform";
+import { err, ok, type Result } from "neverthrow";
+import { createAdminApp } from "./admin/index.ts";
+import { createBlackboard, type LifecyclePhase } from "./blackboard/index.ts";
+import { ConfigController } from "./config/index.ts";
+import type { Controller } from "./controllers/index.ts";
+import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
+import { closePort, listen, type OpenPort } from "./http/index.ts";
+import { createLogger } from "./log/index.ts";
+import { Metrics } from "./metrics/index.ts";
+import type { Settings } from "./settings/index.ts";
+import { TargetClient } from "./targets/index.ts";
+import { VmListController } from "./vm_list/index.ts";
+
+/** A running daemon. */
+export interface Daemon {
+  readonly ports: { readonly callers: number; readonly admin: number };
+  /** Ends gracefully; resolves with the number of requests that were cut. */
+  stop(): Promise<number>;
+}
+
+/** Starts every part of a daemon; the caller's port opens last. */
+export async function startDaemon(
+  settings: Settings,
+): Promise<Result<Daemon, StepError>> {
+  const logger = createLogger(settings.vm, settings.logLevel);
+  logger.event("daemonStarting", {
+    availabilityZone: settings.availabilityZone,
+  });
+  const timer = new SystemTimerService();
+  const blackboard = createBlackboard();
+  const lifecycle = blackboard.lifecycle.claimWriter("daemon");
+  const metrics = new Metrics();
+  const keyValue = new EtcdGatewayClient({
+    endpoints: settings.platform.endpoints,
+    timer,
+    random: Math.random,
+  });
+  const targetClient = new TargetClient();
+  const controllers: Controller[] = [
+    new VmListController({
+      blackboard,
+      client: new VmListClient({ url: settings.vmList.url, timer }),
+      timer,
+      logger,
+      pollMs: settings.vmList.pollMs,
+    }),
+    new ConfigController({ blackboard, keyValue, logger }),
+  ];
+  const entry = new EntryServer(settings.vm, {
+    blackboard,
+    timer,
+    targetClient,
+    permitGate: new LocalPermitGate(),
+    logger,
+    metrics,
+  });
+  const adminApp = createAdminApp({
+    vm: settings.vm,
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    controllers,
+    running: entry.running,
+    metrics,
+  });
+  const admin = await listen(adminApp, "admin", settings.admin);
+  if (admin.isErr()) return err(admin.error);
+  for (const controller of controllers) await controller.start();
+  const callers = await listen(
+    createEntryApp(entry),
+    "listen",
+    settings.listen,
+  );
+  if (callers.isErr()) return err(callers.error);
+  lifecycle.write("serving");
+  const ports = { callers: callers.value.port, admin: admin.value.port };
+  logger.event("daemonReady", { ports });
+
+  const stop = async (): Promise<number> => {
+    const write = (phase: LifecyclePhase) => lifecycle.write(phase);
+    write("draining");
+    logger.event("daemonStopping", { running: entry.running.count });
+    await wait(timer, settings.readinessGraceMs);
+    const limit = wait(timer, settings.shutdownLimitMs);
+    const closed = closePort(callers.value);
+    await Promise.race([entry.running.waitUntilIdle(), limit]);
+    const cut = entry.running.list();
+    if (cut.length > 0) logger.event("requestsCut", { cut });
+    else await Promise.race([closed, limit]);
+    for (const controller of controllers) await controller.stop();
+    entry.close();
+    await targetClient.close();
+    await keyValue.close();
+    closeNow(admin.value);
+    write("stopped");
+    logger.event("daemonStopped", { cut: cut.length });
+    return cut.length;
+  };
+  return ok({ ports, stop });
+}
+
+function wait(timer: SystemTimerService, durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    timer.after(durationMs, resolve);
+  });
+}
+
+function closeNow(open: OpenPort): void {
+  open.server.close();
+  open.server.closeAllConnections();
+}
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -2,3 +2,4 @@
 export * from "./local_permit_gate.ts";
 export * from "./permit_gate.ts";
 export * from "./running_requests.ts";
+export * from "./entry_app.ts";
--- /dev/null
+++ b/packages/daemon/src/http/index.ts
@@ -0,0 +1,1 @@
+export * from "./listen.ts";
--- /dev/null
+++ b/packages/daemon/src/http/listen.ts
@@ -0,0 +1,44 @@
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createAdaptorServer } from "@hono/node-server";
+import { createStepError, type StepError } from "@coltsfootford/core";
+import type { Hono } from "hono";
+import { err, ok, type Result } from "neverthrow";
+
+/** An open port of the daemon. */
+export interface OpenPort {
+  readonly server: Server;
+  readonly port: number;
+}
+
+/** Opens a port for `app`; a busy port is an error that names it. */
+export function listen(
+  app: Hono<never> | Hono,
+  name: string,
+  address: { readonly host: string; readonly port: number },
+): Promise<Result<OpenPort, StepError<"port-busy">>> {
+  const server = createAdaptorServer({
+    fetch: app.fetch as Hono["fetch"],
+  }) as Server;
+  return new Promise((resolve) => {
+    server.once("error", (cause) => {
+      const message =
+        `field ${name}: cannot open ${address.host}:${address.port}; choose a free port`;
+      resolve(
+        err(createStepError("port-busy", `${name}.open`, message, { cause })),
+      );
+    });
+    server.listen(address.port, address.host, () => {
+      const { port } = server.address() as AddressInfo;
+      resolve(ok({ server, port }));
+    });
+  });
+}
+
+/** Closes a port; connections that are still busy end first. */
+export function closePort(open: OpenPort): Promise<void> {
+  return new Promise((resolve) => {
+    open.server.close(() => resolve());
+    open.server.closeIdleConnections();
+  });
+}
--- a/packages/daemon/src/timer/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from "./system_timer_service.ts";
--- /dev/null
+++ b/packages/daemon/src/vm_list/index.ts
@@ -0,0 +1,1 @@
+export * from "./vm_list_controller.ts";
