--- /dev/null
+++ b/packages/daemon/src/entry/bad_input_test.ts
@@ -0,0 +1,165 @@
+import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
+import {
+  type EntryFixture,
+  startEntryFixture,
+} from "./testing/entry_fixture.ts";
+
+interface BadInput {
+  readonly name: string;
+  readonly path?: string;
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly status: number;
+  readonly code: string;
+  readonly param?: string;
+}
+
+const CHAT = "/v1/chat/completions";
+const OPEN = { "x-coltsfoot-team": "open" };
+const GOOD_BODY = JSON.stringify({
+  model: "writer",
+  messages: [{ role: "user", content: "hello" }],
+});
+
+const BAD_INPUTS: readonly BadInput[] = [
+  { name: "unknown path", path: "/v2", status: 404, code: "unknown_path" },
+  {
+    name: "unknown service route",
+    path: "/services/none/x",
+    headers: OPEN,
+    status: 404,
+    code: "unknown_route",
+    param: "path",
+  },
+  {
+    name: "a chat route used as a service route",
+    path: "/services/chat/x",
+    headers: OPEN,
+    status: 404,
+    code: "unknown_route",
+  },
+  {
+    name: "wrong method",
+    method: "PUT",
+    status: 405,
+    code: "method_not_allowed",
+  },
+  { name: "no team", headers: {}, status: 401, code: "unknown_team" },
+  {
+    name: "unknown team",
+    headers: { "x-coltsfoot-team": "none" },
+    status: 401,
+    code: "unknown_team",
+    param: "x-coltsfoot-team",
+  },
+  {
+    name: "a team with keys named without its key",
+    headers: { "x-coltsfoot-team": "sealed" },
+    status: 401,
+    code: "unknown_team",
+  },
+  {
+    name: "another team than that of the key",
+    headers: { ...OPEN, authorization: "Bearer key-of-sealed" },
+    status: 401,
+    code: "unknown_team",
+  },
+  {
+    name: "a team that the route does not list",
+    path: "/services/bids/x",
+    headers: { authorization: "Bearer key-of-sealed" },
+    status: 403,
+    code: "team_not_allowed",
+  },
+  {
+    name: "an unknown header of ours",
+    headers: { ...OPEN, "x-coltsfoot-prio": "1" },
+    status: 400,
+    code: "unknown_header",
+    param: "x-coltsfoot-prio",
+  },
+  {
+    name: "a priority out of range",
+    headers: { ...OPEN, "x-coltsfoot-priority": "10" },
+    status: 400,
+    code: "invalid_header",
+    param: "x-coltsfoot-priority",
+  },
+  {
+    name: "a deadline that is no number",
+    headers: { ...OPEN, "x-coltsfoot-deadline-ms": "soon" },
+    status: 400,
+    code: "invalid_header",
+    param: "x-coltsfoot-deadline-ms",
+  },
+  {
+    name: "a body that is not JSON",
+    body: "{",
+    status: 400,
+    code: "invalid_json",
+  },
+  {
+    name: "a body without messages",
+    body: `{"model":"writer"}`,
+    status: 400,
+    code: "invalid_body",
+    param: "messages",
+  },
+  {
+    name: "an unknown model",
+    body: GOOD_BODY.replace("writer", "none"),
+    status: 404,
+    code: "model_not_found",
+    param: "model",
+  },
+  {
+    name: "an unknown adapter",
+    body: GOOD_BODY.replace("writer", "writer:none"),
+    status: 404,
+    code: "model_not_found",
+  },
+  {
+    name: "an oversized chat body",
+    body: GOOD_BODY.replace("hello", "x".repeat(2_000)),
+    status: 413,
+    code: "body_too_large",
+    param: "body",
+  },
+  {
+    name: "an oversized service body",
+    path: "/services/bids/x",
+    body: "x".repeat(2_001),
+    status: 413,
+    code: "body_too_large",
+  },
+];
+
+describe("bad input of callers", () => {
+  let fixture: EntryFixture;
+  let targetCalls = 0;
+
+  beforeAll(async () => {
+    fixture = await startEntryFixture((_incoming, outgoing) => {
+      targetCalls += 1;
+      outgoing.end("{}");
+    });
+  });
+  afterAll(() => fixture.close());
+
+  it.each(BAD_INPUTS)("refuses $name and dispatches nothing", async (input) => {
+    const response = await fetch(fixture.baseUrl + (input.path ?? CHAT), {
+      method: input.method ?? "POST",
+      headers: input.headers ?? OPEN,
+      body: input.body ?? GOOD_BODY,
+    });
+    const { error } = await response.json() as {
+      error: { code: string; param: string | null; message: string };
+    };
+    expect([response.status, error.code]).toEqual([input.status, input.code]);
+    if (input.param) expect(error.param).toBe(input.param);
+    expect(error.message).not.toBe("");
+    expect(response.headers.get("x-coltsfoot-outcome")).toBe("not-run");
+    expect(targetCalls).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -0,0 +1,106 @@
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createObjectSet, objectSchema } from "@coltsfootford/core";
+import { SystemTimerService } from "@coltsfootford/platform";
+import { createBlackboard, type TargetView } from "../../blackboard/index.ts";
+import { listen, type OpenPort } from "../../http/index.ts";
+import type { Logger } from "../../log/index.ts";
+import { Metrics } from "../../metrics/index.ts";
+import { TargetClient } from "../../targets/index.ts";
+import { createEntryApp } from "../entry_app.ts";
+import { EntryServer } from "../entry_server.ts";
+import { LocalPermitGate } from "../local_permit_gate.ts";
+
+const HOST = "127.0.0.1";
+
+/** The SHA-256 digest of the API key `key-of-sealed`. */
+const SEALED_KEY_SHA256 =
+  "e367dd41667d7d97f3984189f6b2e83cc3f59509ea2305e48044af3645bafed8";
+
+const OBJECTS = [
+  { kind: "team", name: "open" },
+  { kind: "team", name: "sealed", apiKeySha256: [SEALED_KEY_SHA256] },
+  { kind: "model", name: "writer", version: "1" },
+  { kind: "service", name: "desk" },
+  { kind: "pool", name: "writers", model: "writer" },
+  { kind: "pool", name: "desks", service: "desk" },
+  {
+    kind: "route",
+    name: "chat",
+    protocol: "chat",
+    pool: "writers",
+    idempotent: true,
+    maxBodyBytes: 2_000,
+  },
+  {
+    kind: "route",
+    name: "bids",
+    protocol: "service",
+    pool: "desks",
+    teams: ["open"],
+    maxBodyBytes: 2_000,
+  },
+];
+
+/** An entry server on loopback before one target per pool. */
+export interface EntryFixture {
+  readonly baseUrl: string;
+  close(): Promise<void>;
+}
+
+/** Starts an entry server whose targets are served by `target`. */
+export async function startEntryFixture(
+  target: RequestListener,
+): Promise<EntryFixture> {
+  const server = createServer(target);
+  const port = await openServer(server);
+  const blackboard = createBlackboard();
+  blackboard.config.claimWriter("test").write({
+    revision: 1,
+    objects: createObjectSet(OBJECTS.map((it) => objectSchema.parse(it))),
+  });
+  const targets = new Map<string, TargetView>();
+  for (const pool of ["writers", "desks"]) {
+    targets.set(pool, {
+      name: pool,
+      availabilityZone: "z",
+      pool,
+      host: HOST,
+      port,
+      state: "live",
+    });
+  }
+  blackboard.targets.claimWriter("test").write(targets);
+  const logger: Logger = { event: () => undefined };
+  const targetClient = new TargetClient();
+  const entry = new EntryServer("d1", {
+    blackboard,
+    timer: new SystemTimerService(),
+    targetClient,
+    permitGate: new LocalPermitGate(),
+    logger,
+    metrics: new Metrics(),
+  });
+  const open: OpenPort = (await listen(createEntryApp(entry), "listen", {
+    host: HOST,
+    port: 0,
+  }))._unsafeUnwrap();
+  return {
+    baseUrl: `http://${HOST}:${open.port}`,
+    close: async () => {
+      await targetClient.close();
+      open.server.closeAllConnections();
+      open.server.close();
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
+
+function openServer(server: Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, HOST, () => {
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
