--- a/packages/standins/src/engine/engine_options.ts
+++ b/packages/standins/src/engine/engine_options.ts
@@ -23,7 +23,7 @@
   /** How long an order to load takes. */
   orderMs: z.number().nonnegative().default(50),
   /** Puts the index of the token into every event as its SSE `id`. */
-  sendsEventIds: z.boolean().default(false),
+  sendsEventIds: z.boolean().default(true),
   seed: z.int().default(1),
   faults: engineFaultsSchema.prefault({}),
 });
