Check, split and follow the operators' configuration in core

Cause: a set must be checked as a whole before it is published, one change must cost its part and not the set, and no daemon may go back to an older set.

Ruled out: one flat list of parts in the head. With 5,700 teams it costs about 12 KB of head and 12 KB of part at its best size. Two levels (a head of 32 indexes, leaves of 8 to 16 objects) cost 6.3 KB.

Change: checkObjects returns every fault with file and field; buildConfigTree splits by the hash of the object's key; ConfigFollower takes only higher revisions and fetches only parts it lacks, also after a change of layout. Routes may name a fallback; its cycles are refused. Two chat routes for one model are refused, since the model alone leads to the route.

--- /dev/null
+++ b/packages/core/src/config/config_follower_test.ts
@@ -0,0 +1,174 @@
+import { describe, expect, it } from "@jest/globals";
+import { createHash } from "node:crypto";
+import { type FleetObject, objectSchema } from "../objects/index.ts";
+import { ConfigFollower, type FollowerAction } from "./config_follower.ts";
+import type { ConfigHead } from "./config_head.ts";
+import { buildConfigTree, type ConfigTree } from "./config_tree.ts";
+import { chooseLayout, type Layout } from "./layout.ts";
+
+const PLATFORM = { kind: "platform" } as const;
+const PEER = { kind: "peer", vm: "entry-2" } as const;
+
+const sha256Hex = (text: string) =>
+  createHash("sha256").update(text).digest("hex");
+
+const team = (name: string, shareWeight = 1): FleetObject =>
+  objectSchema.parse({ kind: "team", name, shareWeight });
+
+interface Published {
+  readonly head: ConfigHead;
+  readonly tree: ConfigTree;
+}
+
+function publish(
+  revision: number,
+  objects: FleetObject[],
+  nonce = `nonce-${revision}`,
+  layout: Layout = chooseLayout(objects.length, undefined),
+): Published {
+  const tree = buildConfigTree(objects, layout, sha256Hex);
+  const head = {
+    revision,
+    nonce,
+    layout,
+    parts: tree.rootParts,
+    publishedBy: "test",
+    publishedAtMs: 0,
+  };
+  return { head, tree };
+}
+
+/** Offers a head and every part that is asked for. */
+function adopt(
+  follower: ConfigFollower,
+  { head, tree }: Published,
+  source: typeof PLATFORM | typeof PEER = PLATFORM,
+): { readonly actions: FollowerAction[]; readonly fetched: string[] } {
+  const fetched: string[] = [];
+  let actions = follower.offerHead(head, source);
+  for (;;) {
+    const fetch = actions.find((action) => action.kind === "fetch-parts");
+    if (!fetch) return { actions, fetched };
+    for (const digest of fetch.digests) {
+      fetched.push(digest);
+      actions = follower.offerPart(digest, tree.texts.get(digest)!, source);
+    }
+  }
+}
+
+const teams = (count: number) =>
+  Array.from({ length: count }, (_item, index) => team(`team-${index}`));
+
+describe("ConfigFollower", () => {
+  it("fetches only the parts that changed", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    const objects = teams(1_000);
+    const layout = chooseLayout(objects.length, undefined);
+    adopt(follower, publish(1, objects));
+    const changed = [...objects.slice(1), team("team-0", 5)];
+    const second = adopt(follower, publish(2, changed, "b", layout));
+    expect(second.fetched).toHaveLength(2);
+    expect(second.actions).toMatchObject([{
+      kind: "apply",
+      changes: [{ key: "team/team-0", fields: ["shareWeight"] }],
+    }]);
+  });
+
+  it("builds the parts of a new layout from what it has", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    const objects = teams(600);
+    adopt(follower, publish(1, objects, "a", { leafCount: 16 }));
+    const moved = [...objects.slice(1), team("team-0", 5)];
+    const second = adopt(
+      follower,
+      publish(2, moved, "b", { leafCount: 128 }),
+    );
+    expect(second.fetched).toHaveLength(2);
+    expect(follower.applied?.set.teams.size).toBe(600);
+  });
+
+  it("refuses an older head of a restored platform and keeps its set", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    adopt(follower, publish(5, teams(3)));
+    const { actions } = adopt(follower, publish(4, teams(2)));
+    expect(actions).toMatchObject([
+      { kind: "refuse", reason: "older-revision", revision: 4 },
+    ]);
+    expect(follower.applied?.set.teams.size).toBe(3);
+    expect(adopt(follower, publish(4, teams(2)), PEER).actions).toEqual([]);
+  });
+
+  it("refuses another set under the revision in force", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    adopt(follower, publish(5, teams(3)));
+    expect(adopt(follower, publish(5, teams(3))).actions).toEqual([]);
+    const { actions } = adopt(follower, publish(5, teams(2), "other"));
+    expect(actions).toMatchObject([{ reason: "conflicting-revision" }]);
+    adopt(follower, publish(6, teams(2)));
+    expect(follower.applied?.head.revision).toBe(6);
+  });
+
+  it("takes the highest head that peers offer, whatever their order", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    const high = publish(7, teams(4));
+    follower.offerHead(high.head, PEER);
+    expect(follower.offerHead(publish(6, teams(2)).head, PEER)).toEqual([]);
+    for (const [digest, text] of high.tree.texts) {
+      follower.offerPart(digest, text, PEER);
+    }
+    expect(follower.applied?.head.revision).toBe(7);
+    expect(follower.exportPart([...high.tree.texts.keys()][0]!)).toBeDefined();
+  });
+
+  it("takes a lower head once a pending one can't be fetched", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    follower.offerHead(publish(7, teams(4)).head, PEER);
+    follower.abandonPending();
+    adopt(follower, publish(6, teams(2)), PEER);
+    expect(follower.applied?.head.revision).toBe(6);
+  });
+
+  it("refuses a damaged part and takes it whole from another source", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    const { head, tree } = publish(1, teams(2));
+    follower.offerHead(head, PEER);
+    const [digest, text] = [...tree.texts][0]!;
+    expect(follower.offerPart(digest, `${text} `, PEER)).toMatchObject([
+      { reason: "wrong-digest" },
+    ]);
+    expect(follower.offerPart(digest, text, PLATFORM)).toMatchObject([
+      { kind: "apply" },
+    ]);
+  });
+
+  it("refuses a set that does not check, and does not fetch it again", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    adopt(follower, publish(1, teams(2)));
+    const dangling = objectSchema.parse({
+      kind: "pool",
+      name: "p",
+      model: "gone",
+    });
+    const bad = publish(2, [...teams(2), dangling]);
+    expect(adopt(follower, bad).actions).toMatchObject([
+      { reason: "invalid-set", revision: 2 },
+    ]);
+    expect(adopt(follower, bad).actions).toEqual([]);
+    expect(follower.applied?.head.revision).toBe(1);
+  });
+
+  it("refuses a head and a part of unknown shape", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    expect(follower.offerHead({ revision: "x" }, PLATFORM)).toMatchObject([
+      { reason: "malformed-head" },
+    ]);
+    const text = '{"kind":"leaf","objects":[{"kind":"tram"}]}';
+    const digest = sha256Hex(text);
+    const { head } = publish(1, teams(1));
+    follower.offerHead({ ...head, parts: { "0": digest } }, PLATFORM);
+    expect(follower.offerPart(digest, text, PLATFORM)).toMatchObject([
+      { reason: "malformed-part" },
+    ]);
+    expect(follower.applied).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/core/src/config/config_head.ts
@@ -0,0 +1,48 @@
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { createStepError, type StepError } from "../errors/index.ts";
+import { layoutSchema } from "./layout.ts";
+import { parseJson, partDigestsSchema } from "./part_contents.ts";
+
+/** Key of the head in the key-value service. */
+export const CONFIG_HEAD_KEY = "coltsfoot/config/head";
+/** Prefix of the keys of parts; the digest follows. */
+export const CONFIG_PART_PREFIX = "coltsfoot/config/part/";
+/** Prefix of the keys of publication records; the revision follows. */
+export const CONFIG_RECORD_PREFIX = "coltsfoot/config/record/";
+
+/** The root of a published set. Revisions only grow. */
+export const configHeadSchema = z.strictObject({
+  revision: z.int().positive(),
+  /** Random text of the publisher, by which it knows its own write again. */
+  nonce: z.string().min(1).max(64),
+  layout: layoutSchema,
+  /** Digests of the leaves, or of the index parts in a large set. */
+  parts: partDigestsSchema,
+  publishedBy: z.string().min(1).max(128),
+  publishedAtMs: z.int().nonnegative(),
+});
+
+/** The root of a published set. */
+export type ConfigHead = z.infer<typeof configHeadSchema>;
+
+/** Reads a head from JSON text. */
+export function readConfigHead(
+  text: string,
+): Result<ConfigHead, StepError<"malformed-head">> {
+  return parseConfigHead(parseJson(text));
+}
+
+/** Checks a head that was parsed already. */
+export function parseConfigHead(
+  value: unknown,
+): Result<ConfigHead, StepError<"malformed-head">> {
+  const parsed = configHeadSchema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  return err(createStepError(
+    "malformed-head",
+    "config.read-head",
+    "the head does not fit the schema of this version; update it or publish again",
+    { cause: z.prettifyError(parsed.error) },
+  ));
+}
--- /dev/null
+++ b/packages/core/src/config/object_key.ts
@@ -0,0 +1,30 @@
+import type { FleetObject, ObjectKind, ObjectSet } from "../objects/index.ts";
+
+/** The identity of an object in a set, for example `team/saham-joinery`. */
+export type ObjectKey = `${ObjectKind}/${string}`;
+
+/** The key of an object. */
+export function objectKey(
+  object: { readonly kind: ObjectKind; readonly name: string },
+): ObjectKey {
+  return `${object.kind}/${object.name}`;
+}
+
+/** All objects of a set in order of their keys. */
+export function listObjects(set: ObjectSet): FleetObject[] {
+  const objects: FleetObject[] = [
+    ...set.teams.values(),
+    ...set.models.values(),
+    ...set.services.values(),
+    ...set.pools.values(),
+    ...set.routes.values(),
+  ];
+  return sortByKey(objects);
+}
+
+/** Sorts objects by key, independent of any locale. */
+export function sortByKey(objects: readonly FleetObject[]): FleetObject[] {
+  const keyed = objects.map((object) => ({ key: objectKey(object), object }));
+  keyed.sort((a, b) => (a.key < b.key ? -1 : a.key > b.key ? 1 : 0));
+  return keyed.map((entry) => entry.object);
+}
--- a/packages/core/src/objects/schemas.ts
+++ b/packages/core/src/objects/schemas.ts
@@ -68,6 +68,8 @@
   /** `chat` is reached at /v1/chat/completions, `service` at /services/NAME. */
   protocol: z.enum(["chat", "service"]),
   pool: objectNameSchema,
+  /** Route whose pool is used while this route's pool serves no request. */
+  fallback: objectNameSchema.optional(),
   /** Teams that may use the route; empty means every team. */
   teams: z.array(objectNameSchema).default([]),
   /** 1 favours cache reuse alone, 0 even load alone. */
@@ -83,6 +85,15 @@
   maxBodyBytes: z.int().positive().max(64 * 1024 * 1024).default(1024 * 1024),
 });
 
+/** The schema of each kind. */
+export const schemaByKind = {
+  team: teamSchema,
+  model: modelSchema,
+  service: serviceSchema,
+  pool: poolSchema,
+  route: routeSchema,
+} as const;
+
 /** Any object that operators write. */
 export const objectSchema = z.discriminatedUnion("kind", [
   teamSchema,
