Add placement policies and the permits behind the load bound

Cause: the fleet needs one order of targets per chat from every daemon and a load bound that holds by the targets' own counts.

--- /dev/null
+++ b/packages/core/src/bound/permit.ts
@@ -0,0 +1,81 @@
+/**
+ * The time within which a request must be sent after its permit was asked for.
+ * It is longer than an exchange within a zone and shorter than the time after
+ * which a silent keeper is replaced.
+ */
+export const DEFAULT_START_WITHIN_MS = 400;
+
+/** One run of one keeper for one target. Higher numbers replace lower ones. */
+export interface KeeperEpoch {
+  readonly number: number;
+  /** Name of the daemon that keeps the target. */
+  readonly keeper: string;
+}
+
+/** Whether both name the same run of the same keeper. */
+export function isSameEpoch(a: KeeperEpoch, b: KeeperEpoch): boolean {
+  return a.number === b.number && a.keeper === b.keeper;
+}
+
+/** A holder's question for one place at a target. */
+export interface PermitAsk {
+  /** Number of the ask, unique in one run of the holder. */
+  readonly askId: number;
+  readonly target: string;
+  /** Hash of a returning chat's key; absent for the first turn of a chat. */
+  readonly returningChatHash?: number;
+}
+
+/** Why a keeper gave no permit. */
+export type RefusalReason =
+  /** The target has as much load as the bound allows. */
+  | "at-limit"
+  /** The keeper has not collected the permits of its predecessor yet. */
+  | "not-ready"
+  /** The daemon does not keep the target. */
+  | "not-keeper"
+  /** The target is leaving. */
+  | "leaving"
+  /** The target is warming up and the chat has its cache elsewhere. */
+  | "pass-on";
+
+/** A keeper's answer to a `PermitAsk`. */
+export type PermitAnswer = PermitGrant | PermitRefusal;
+
+/** The right to send one request to the target, until its answer has ended. */
+export interface PermitGrant {
+  readonly kind: "granted";
+  readonly askId: number;
+  readonly epoch: KeeperEpoch;
+  /** Counted on the holder's clock from before it asked. */
+  readonly startWithinMs: number;
+}
+
+/** No permit; nothing was counted. */
+export interface PermitRefusal {
+  readonly kind: "refused";
+  readonly askId: number;
+  readonly reason: RefusalReason;
+}
+
+/** A new keeper's question for the permits that a holder has for a target. */
+export interface CollectRequest {
+  readonly target: string;
+  readonly epoch: KeeperEpoch;
+}
+
+/** A holder's answer to a `CollectRequest`. */
+export type CollectAnswer =
+  | {
+    readonly kind: "collected";
+    readonly target: string;
+    readonly epoch: KeeperEpoch;
+    /** Requests of the holder that run at the target. */
+    readonly startedAskIds: readonly number[];
+  }
+  | {
+    readonly kind: "newer-epoch";
+    readonly target: string;
+    /** The epoch that the holder answered to already. */
+    readonly epoch: KeeperEpoch;
+  };
--- /dev/null
+++ b/packages/core/src/bound/target_keeper.ts
@@ -0,0 +1,215 @@
+import type {
+  CollectAnswer,
+  CollectRequest,
+  KeeperEpoch,
+  PermitAnswer,
+  PermitAsk,
+  RefusalReason,
+} from "./permit.ts";
+import { isSameEpoch } from "./permit.ts";
+import { TargetLedger, type TargetReport } from "./target_ledger.ts";
+import { RateMeter } from "./rate_meter.ts";
+
+/** Settings of a `TargetKeeper`. */
+export interface TargetKeeperOptions {
+  /** Time within which a permit must be used. */
+  readonly startWithinMs: number;
+  /** No request runs longer than this, in ms. */
+  readonly maxRequestMs: number;
+  /** Time that holders have to answer a collect request. */
+  readonly collectTimeoutMs: number;
+}
+
+interface Collection {
+  readonly startedAtMs: number;
+  /** Holders whose answer is missing. */
+  readonly waitingFor: Set<string>;
+  /** True once a holder is given up: the target's report must cover it. */
+  hasSilentHolder: boolean;
+}
+
+/**
+ * Admission to one target at its keeper: first the take-over from a former
+ * keeper, then the granting of permits. During the take-over nothing is
+ * granted. Holders that answered never use older permits; for holders that
+ * did not, the keeper waits until older permits can no longer be used and
+ * then takes the target's own count as the floor of its load.
+ */
+export class TargetKeeper {
+  readonly target: string;
+  readonly #options: TargetKeeperOptions;
+  #epoch: KeeperEpoch;
+  #ledger: TargetLedger;
+  #collection: Collection | undefined;
+  #isLeaving = false;
+  #endRate = new RateMeter();
+
+  constructor(target: string, keeper: string, options: TargetKeeperOptions) {
+    this.target = target;
+    this.#options = options;
+    this.#epoch = { number: 0, keeper };
+    this.#ledger = new TargetLedger(options, 0);
+  }
+
+  get epoch(): KeeperEpoch {
+    return this.#epoch;
+  }
+
+  /** Whether the take-over has ended, so that permits may be granted. */
+  get isGranting(): boolean {
+    return this.#epoch.number > 0 && this.#collection === undefined;
+  }
+
+  /** Upper bound of the load, for admission. */
+  loadRequests(nowMs: number): number {
+    return this.#ledger.loadRequests(nowMs);
+  }
+
+  /** Load that holders vouch for, for the lower bound of the pool's load. */
+  vouchedRequests(): number {
+    return this.isGranting ? this.#ledger.heldRequests : 0;
+  }
+
+  /** Permits that ended a second, a moving average. */
+  endedPerSecond(nowMs: number): number {
+    return this.#endRate.perSecond(nowMs);
+  }
+
+  /**
+   * Starts or restarts a take-over. The result is to be sent to `holders`:
+   * every daemon that may hold permits for the target, this one included.
+   */
+  beginTakeOver(holders: Iterable<string>, nowMs: number): CollectRequest {
+    return this.#begin(this.#epoch.number + 1, new Set(holders), nowMs);
+  }
+
+  /**
+   * Takes a holder's answer. Returns a new request for all holders where a
+   * newer epoch was met, else nothing.
+   */
+  noteCollectAnswer(
+    holder: string,
+    answer: CollectAnswer,
+    holders: Iterable<string>,
+    nowMs: number,
+  ): CollectRequest | undefined {
+    if (answer.kind === "newer-epoch") {
+      if (answer.epoch.number < this.#epoch.number) return undefined;
+      return this.#begin(answer.epoch.number + 1, new Set(holders), nowMs);
+    }
+    if (!isSameEpoch(answer.epoch, this.#epoch)) return undefined;
+    for (const askId of answer.startedAskIds) {
+      this.#ledger.hold(holder, askId, nowMs);
+    }
+    this.#collection?.waitingFor.delete(holder);
+    this.advance(nowMs);
+    return undefined;
+  }
+
+  /** Ends the take-over when its conditions are met. Call it regularly. */
+  advance(nowMs: number): void {
+    const collection = this.#collection;
+    if (!collection) return;
+    const elapsedMs = nowMs - collection.startedAtMs;
+    const isLate = elapsedMs >= this.#options.collectTimeoutMs;
+    if (isLate && collection.waitingFor.size > 0) {
+      collection.waitingFor.clear();
+      collection.hasSilentHolder = true;
+    }
+    if (collection.waitingFor.size > 0) return;
+    if (collection.hasSilentHolder) return;
+    this.#collection = undefined;
+  }
+
+  /** Takes the target's own count, the floor of a take-over with silence. */
+  noteReport(report: TargetReport, nowMs: number): void {
+    this.#ledger.noteReport(report, nowMs);
+    this.advance(nowMs);
+    const collection = this.#collection;
+    if (!collection?.hasSilentHolder) return;
+    if (collection.waitingFor.size > 0) return;
+    const safeFromMs = collection.startedAtMs + this.#options.startWithinMs;
+    if (report.measuredAtMs < safeFromMs) return;
+    this.#collection = undefined;
+  }
+
+  /** Answers an ask; the limit is of the pool at this moment. */
+  answer(
+    holder: string,
+    ask: PermitAsk,
+    limitRequests: number,
+    nowMs: number,
+  ): PermitAnswer {
+    const askId = ask.askId;
+    const reason = this.#refusalReason();
+    if (reason) return { kind: "refused", askId, reason };
+    if (!this.#ledger.tryGrant(holder, askId, limitRequests, nowMs)) {
+      return { kind: "refused", askId, reason: "at-limit" };
+    }
+    return {
+      kind: "granted",
+      askId,
+      epoch: this.#epoch,
+      startWithinMs: this.#options.startWithinMs,
+    };
+  }
+
+  /** Ends a permit whose answer has ended or that was not used. */
+  release(holder: string, askId: number, nowMs: number): void {
+    if (this.#ledger.release(holder, askId, nowMs)) {
+      this.#endRate.note(nowMs);
+    }
+  }
+
+  /** Counts requests of a holder that this keeper did not collect. */
+  adopt(holder: string, askIds: readonly number[], nowMs: number): void {
+    for (const askId of askIds) this.#ledger.hold(holder, askId, nowMs);
+  }
+
+  /** A holder is gone, or its connection was lost. */
+  noteHolderGone(holder: string, nowMs: number): void {
+    this.#ledger.dropHolder(holder, nowMs);
+    if (this.#collection?.waitingFor.delete(holder)) {
+      this.#collection.hasSilentHolder = true;
+    }
+  }
+
+  /** A leaving target gets no further permits. */
+  noteLeaving(isLeaving: boolean): void {
+    this.#isLeaving = isLeaving;
+  }
+
+  /**
+   * Forgets the permits after a pause: another keeper may have granted since.
+   * Nothing is granted until a new take-over has ended.
+   */
+  dropState(): void {
+    this.#ledger = new TargetLedger(this.#options, Number.POSITIVE_INFINITY);
+    this.#collection = {
+      startedAtMs: Number.POSITIVE_INFINITY,
+      waitingFor: new Set(),
+      hasSilentHolder: true,
+    };
+  }
+
+  #begin(
+    number: number,
+    holders: Set<string>,
+    nowMs: number,
+  ): CollectRequest {
+    this.#epoch = { number, keeper: this.#epoch.keeper };
+    this.#ledger = new TargetLedger(this.#options, nowMs);
+    this.#collection = {
+      startedAtMs: nowMs,
+      waitingFor: holders,
+      hasSilentHolder: false,
+    };
+    return { target: this.target, epoch: this.#epoch };
+  }
+
+  #refusalReason(): RefusalReason | undefined {
+    if (this.#isLeaving) return "leaving";
+    if (!this.isGranting) return "not-ready";
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/bound/target_keeper_test.ts
@@ -0,0 +1,150 @@
+import { describe, expect, it } from "@jest/globals";
+import { KeeperBook } from "./keeper_book.ts";
+import { DEFAULT_KEEPER_BOOK_OPTIONS } from "./keeper_book.ts";
+import { PermitHolder } from "./permit_holder.ts";
+import type { CollectRequest } from "./permit.ts";
+
+const TARGET = "target-1";
+const LIMIT = 4;
+
+/** A keeper whose limit is `LIMIT`, because the rest of the pool is busy. */
+function createBook(daemon: string, nowMs: number): KeeperBook {
+  const book = new KeeperBook(daemon);
+  book.setPool({
+    name: "writers",
+    loadFactor: 10,
+    maxConcurrentPerTarget: LIMIT,
+    servingTargets: 2,
+  });
+  const report = { pool: "writers", target: "target-2", loadRequests: 100 };
+  book.notePoolReport({ ...report, endedPerSecond: 0, epochNumber: 1 }, nowMs);
+  return book;
+}
+
+function takeOver(
+  book: KeeperBook,
+  holders: Readonly<Record<string, PermitHolder>>,
+  nowMs: number,
+): CollectRequest {
+  const names = Object.keys(holders);
+  let request = book.beginKeeping(TARGET, "writers", names, nowMs);
+  for (let round = 0; round < 3; round++) {
+    let next: CollectRequest | undefined;
+    for (const name of names) {
+      const answer = holders[name]!.answerCollect(request);
+      next ??= book.noteCollectAnswer(name, answer, names, nowMs);
+    }
+    if (!next) return request;
+    request = next;
+  }
+  throw new Error("the take-over did not end");
+}
+
+function admit(
+  book: KeeperBook,
+  name: string,
+  holder: PermitHolder,
+  nowMs: number,
+): number | undefined {
+  const askId = holder.createAsk(TARGET, nowMs);
+  const answer = book.answer(name, { askId, target: TARGET }, nowMs);
+  if (answer.kind === "refused") {
+    holder.noteRefusal(askId);
+    return undefined;
+  }
+  if (holder.noteGrant(answer, nowMs) !== "usable") return undefined;
+  return holder.start(askId, nowMs) ? askId : undefined;
+}
+
+describe("permits of a target", () => {
+  it("end at the limit and come back with their return", () => {
+    const book = createBook("a", 0);
+    const holder = new PermitHolder();
+    takeOver(book, { a: holder }, 0);
+    const asks = Array.from({ length: 6 }, () => admit(book, "a", holder, 10));
+    expect(asks.filter((ask) => ask !== undefined)).toHaveLength(LIMIT);
+    holder.end(asks[0]!);
+    for (const entry of holder.takeReturns()) {
+      book.release("a", entry.target, entry.askId, 20);
+    }
+    expect(admit(book, "a", holder, 30)).toBeDefined();
+    expect(admit(book, "a", holder, 30)).toBeUndefined();
+  });
+
+  it("are counted by a new keeper before it grants", () => {
+    const old = createBook("a", 0);
+    const holder = new PermitHolder();
+    takeOver(old, { b: holder }, 0);
+    for (let ask = 0; ask < 3; ask++) admit(old, "b", holder, 10);
+    const next = createBook("b", 100);
+    takeOver(next, { b: holder }, 100);
+    expect(next.keeperOf(TARGET)!.loadRequests(100)).toBe(3);
+    expect(admit(next, "b", holder, 110)).toBeDefined();
+    expect(admit(next, "b", holder, 110)).toBeUndefined();
+  });
+
+  it("of an old keeper are void once a new one collected", () => {
+    const old = createBook("a", 0);
+    const holder = new PermitHolder();
+    takeOver(old, { b: holder }, 0);
+    const askId = holder.createAsk(TARGET, 10);
+    const answer = old.answer("b", { askId, target: TARGET }, 10);
+    if (answer.kind !== "granted") throw new Error("no permit");
+    holder.noteGrant(answer, 11);
+    takeOver(createBook("b", 12), { b: holder }, 12);
+    expect(holder.start(askId, 13)).toBe(false);
+    const lateId = holder.createAsk(TARGET, 14);
+    const late = old.answer("b", { askId: lateId, target: TARGET }, 15);
+    if (late.kind !== "granted") throw new Error("no permit");
+    expect(holder.noteGrant(late, 16)).toBe("stale-epoch");
+  });
+
+  it("cannot be started after their end on the holder's clock", () => {
+    const book = createBook("a", 0);
+    const holder = new PermitHolder();
+    takeOver(book, { a: holder }, 0);
+    const askId = holder.createAsk(TARGET, 10);
+    const answer = book.answer("a", { askId, target: TARGET }, 200);
+    if (answer.kind !== "granted") throw new Error("no permit");
+    expect(holder.noteGrant(answer, 300)).toBe("usable");
+    expect(holder.start(askId, 410)).toBe(false);
+    expect(holder.takeReturns()).toEqual([{ target: TARGET, askId }]);
+  });
+
+  it("are not granted by a keeper that was paused beyond its limit", () => {
+    const book = createBook("a", 0);
+    const holder = new PermitHolder();
+    takeOver(book, { a: holder }, 0);
+    const resumedAtMs = DEFAULT_KEEPER_BOOK_OPTIONS.pauseLimitMs + 1;
+    expect(admit(book, "a", holder, resumedAtMs)).toBeUndefined();
+    takeOver(book, { a: holder }, resumedAtMs);
+    expect(admit(book, "a", holder, resumedAtMs)).toBeDefined();
+  });
+
+  it("of a silent holder are covered by the target's own count", () => {
+    const book = createBook("a", 0);
+    const holder = new PermitHolder();
+    const request = book.beginKeeping(TARGET, "writers", ["a", "gone"], 0);
+    const answer = holder.answerCollect(request);
+    book.noteCollectAnswer("a", answer, ["a", "gone"], 0);
+    expect(admit(book, "a", holder, 100)).toBeUndefined();
+    for (let nowMs = 150; nowMs <= 450; nowMs += 50) book.noteAlive(nowMs);
+    const report = { loadRequests: 3, measuredAtMs: 410 };
+    book.noteTargetReport(TARGET, report, 450);
+    expect(admit(book, "a", holder, 451)).toBeDefined();
+    expect(admit(book, "a", holder, 452)).toBeUndefined();
+  });
+
+  it("keep counting for a holder that is gone, until the target reports", () => {
+    const book = createBook("a", 0);
+    const [here, gone] = [new PermitHolder(), new PermitHolder()];
+    takeOver(book, { a: here, b: gone }, 0);
+    for (let ask = 0; ask < LIMIT; ask++) admit(book, "b", gone, 10);
+    book.noteHolderGone("b", 20);
+    expect(admit(book, "a", here, 30)).toBeUndefined();
+    for (let nowMs = 500; nowMs <= 1_000; nowMs += 500) book.noteAlive(nowMs);
+    const report = { loadRequests: 1, measuredAtMs: 950 };
+    book.noteTargetReport(TARGET, report, 1_000);
+    expect(admit(book, "a", here, 1_001)).toBeDefined();
+  });
+});
--- /dev/null
+++ b/packages/core/src/bound/target_ledger.ts
@@ -0,0 +1,158 @@
+/** A target's own count of its load, mapped to the keeper's clock. */
+export interface TargetReport {
+  /** Requests running and waiting at the target. */
+  readonly loadRequests: number;
+  /** A time on the keeper's clock that is not after the measurement. */
+  readonly measuredAtMs: number;
+}
+
+/** Reports measured longer ago are ignored. */
+const MAX_REPORT_AGE_MS = 5_000;
+
+/** Settings of a `TargetLedger`. */
+export interface TargetLedgerOptions {
+  /** Time within which a permit must be used. */
+  readonly startWithinMs: number;
+  /** No request runs longer than this, in ms. */
+  readonly maxRequestMs: number;
+}
+
+/**
+ * The permits outstanding for one target, at its keeper. Two upper bounds of
+ * the target's load are kept, and the lower of them is its load here:
+ *
+ * - permits of holders that are there, plus permits of holders that are gone
+ *   until their requests must have ended;
+ * - the target's last report, plus every permit that may have been used after
+ *   the measurement.
+ */
+export class TargetLedger {
+  readonly #options: TargetLedgerOptions;
+  readonly #heldByHolder = new Map<string, Set<number>>();
+  #heldRequests = 0;
+  #orphans: { readonly count: number; readonly endsAtMs: number }[] = [];
+  #report: TargetReport | undefined;
+  #grantTimesMs: number[] = [];
+  #releaseTimesMs: number[] = [];
+  readonly #createdAtMs: number;
+
+  constructor(options: TargetLedgerOptions, createdAtMs: number) {
+    this.#options = options;
+    this.#createdAtMs = createdAtMs;
+  }
+
+  /** Permits of holders that are there. */
+  get heldRequests(): number {
+    return this.#heldRequests;
+  }
+
+  /** Upper bound of the target's load at `nowMs`. */
+  loadRequests(nowMs: number): number {
+    const orphanRequests = this.#countOrphans(nowMs);
+    const permitBound = this.#heldRequests + orphanRequests;
+    this.#forgetOldReport(nowMs);
+    if (!this.#report || orphanRequests === 0) return permitBound;
+    const reportBound = this.#report.loadRequests + this.#grantTimesMs.length;
+    return Math.min(permitBound, reportBound);
+  }
+
+  /**
+   * Grants a permit if the load stays within `limitRequests`. A second call
+   * with the same ask gives the same answer and counts nothing.
+   */
+  tryGrant(
+    holder: string,
+    askId: number,
+    limitRequests: number,
+    nowMs: number,
+  ): boolean {
+    if (this.#heldByHolder.get(holder)?.has(askId)) return true;
+    if (this.loadRequests(nowMs) + 1 > limitRequests) return false;
+    this.hold(holder, askId, nowMs);
+    return true;
+  }
+
+  /** Counts a permit that the holder has already, for example by take-over. */
+  hold(holder: string, askId: number, nowMs: number): void {
+    const held = this.#heldByHolder.get(holder) ?? new Set<number>();
+    this.#heldByHolder.set(holder, held);
+    if (held.has(askId)) return;
+    held.add(askId);
+    this.#heldRequests += 1;
+    this.#grantTimesMs.push(nowMs);
+  }
+
+  /** Ends a permit. Returns whether it was outstanding. */
+  release(holder: string, askId: number, nowMs: number): boolean {
+    const held = this.#heldByHolder.get(holder);
+    if (!held?.delete(askId)) return false;
+    this.#heldRequests -= 1;
+    this.#releaseTimesMs.push(nowMs);
+    if (held.size === 0) this.#heldByHolder.delete(holder);
+    return true;
+  }
+
+  /** Keeps the load of a holder that is gone: its requests may still run. */
+  dropHolder(holder: string, nowMs: number): void {
+    const held = this.#heldByHolder.get(holder);
+    if (!held) return;
+    this.#heldByHolder.delete(holder);
+    this.#heldRequests -= held.size;
+    this.addOrphans(held.size, nowMs);
+  }
+
+  /** Adds load whose holder is not known. */
+  addOrphans(count: number, nowMs: number): void {
+    if (count <= 0) return;
+    this.#orphans.push({
+      count,
+      endsAtMs: nowMs + this.#options.startWithinMs +
+        this.#options.maxRequestMs,
+    });
+  }
+
+  /**
+   * Takes the target's own count into account. Reports that are older than the
+   * last one, or that may count permits from before this ledger, are ignored.
+   * Load that no permit explains belongs to a holder that was not known.
+   */
+  noteReport(report: TargetReport, nowMs: number): void {
+    const { measuredAtMs } = report;
+    if (measuredAtMs < nowMs - MAX_REPORT_AGE_MS) return;
+    if (this.#report && measuredAtMs < this.#report.measuredAtMs) return;
+    if (measuredAtMs < this.#createdAtMs + this.#options.startWithinMs) return;
+    this.#report = report;
+    this.#forgetBefore(measuredAtMs);
+    const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
+      this.#releaseTimesMs.length;
+    this.addOrphans(report.loadRequests - explainedRequests, nowMs);
+  }
+
+  #forgetOldReport(nowMs: number): void {
+    const oldestMs = nowMs - MAX_REPORT_AGE_MS;
+    const firstGrantMs = this.#grantTimesMs[0] ?? nowMs;
+    const firstReleaseMs = this.#releaseTimesMs[0] ?? nowMs;
+    const firstMs = Math.min(firstGrantMs, firstReleaseMs);
+    if (firstMs >= oldestMs - this.#options.startWithinMs) return;
+    this.#forgetBefore(oldestMs);
+    if (this.#report && this.#report.measuredAtMs < oldestMs) {
+      this.#report = undefined;
+    }
+  }
+
+  #forgetBefore(measuredAtMs: number): void {
+    const firstGrantMs = measuredAtMs - this.#options.startWithinMs;
+    this.#grantTimesMs = this.#grantTimesMs.filter((grantedAtMs) =>
+      grantedAtMs >= firstGrantMs
+    );
+    this.#releaseTimesMs = this.#releaseTimesMs.filter((releasedAtMs) =>
+      releasedAtMs >= measuredAtMs
+    );
+  }
+
+  #countOrphans(nowMs: number): number {
+    if (this.#orphans.length === 0) return 0;
+    this.#orphans = this.#orphans.filter((orphan) => orphan.endsAtMs > nowMs);
+    return this.#orphans.reduce((sum, orphan) => sum + orphan.count, 0);
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,8 +2,10 @@
  * The decisions of the fleet, free of sockets, clocks and randomness of their
  * own, so that a recorded trace replays to the same decisions.
  */
+export * from "./bound/index.ts";
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
 export * from "./objects/index.ts";
 export * from "./outcome/index.ts";
+export * from "./placement/index.ts";
 export * from "./timer/index.ts";
