Add the claim book: at most one run for each idempotency key

Cause: a booking that is resent through another daemon, or whose claim's answer is lost, could run twice. Change: core/src/claims keeps a pure state machine over compare-and-swap creates, many claims in one transaction, and a nonce of the incarnation that tells an own write whose answer was lost. Dated keys lapse with a lease after their window, keys without a date are kept. Ruled out: taking a claim over from a daemon that seems dead (a view decides nothing), reading back without writing (a delayed write could still land). Proof: 3,000 random fault traces with lost, delayed and refused writes, pauses and deaths: at most 1 run for each key, 0 refused calls run, no key left held without a death.

--- /dev/null
+++ b/packages/core/src/claims/claim_book_test.ts
@@ -0,0 +1,225 @@
+import { describe, expect, it } from "@jest/globals";
+import { ClaimBook, DEFAULT_CLAIM_BOOK_SETTINGS } from "./claim_book.ts";
+import type {
+  ClaimAction,
+  ClaimEvent,
+  ClaimTransaction,
+  FoundClaim,
+} from "./claim_events.ts";
+import { type ClaimPlace, findClaimPlace, readKeyDateMs } from "./claim_key.ts";
+import { CLAIM_LEASE_TTL_MS, DATED_KEY_WINDOW_MS } from "./claim_key.ts";
+
+const SUMMARY = { status: 200, bodyDigest: "d", sizeBytes: 2 };
+const ANSWER = { status: 200, contentType: "text/plain", body: "ok" };
+
+function placeOf(key: string): ClaimPlace {
+  return findClaimPlace(key, `digest-${key}`, 0)._unsafeUnwrap();
+}
+
+function begin(callId: string, key: string, nowMs: number): ClaimEvent {
+  return {
+    kind: "begin",
+    nowMs,
+    callId,
+    place: placeOf(key),
+    bodyDigest: "body",
+    claimedAtMs: 0,
+    deadlineMs: 10_000,
+  };
+}
+
+function createBook(vm = "vm-1"): ClaimBook {
+  return new ClaimBook(vm, "1", DEFAULT_CLAIM_BOOK_SETTINGS);
+}
+
+function findWrite(actions: readonly ClaimAction[]): ClaimTransaction {
+  const write = actions.find((action) => action.kind === "write");
+  if (!write) throw new Error("expected a write");
+  return write.transaction;
+}
+
+/** What the platform holds after `transaction` took effect. */
+function foundAfter(transaction: ClaimTransaction): FoundClaim[] {
+  return transaction.writes.map((write) => ({
+    claimKey: write.place.claimKey,
+    modRevision: 7,
+    record: write.record,
+    answer: write.answer,
+  }));
+}
+
+function claimAndOwn(book: ClaimBook, callId: string, key: string): void {
+  const { transactionId } = findWrite(book.handle(begin(callId, key, 0)));
+  book.handle({ kind: "committed", nowMs: 5, transactionId, revision: 7 });
+}
+
+describe("ClaimBook", () => {
+  it("collects the claims of a window into one transaction", () => {
+    const book = createBook();
+    const first = findWrite(book.handle(begin("c0", "k0", 0)));
+    expect(first.writes).toHaveLength(1);
+    for (let index = 1; index <= 100; index++) {
+      expect(book.handle(begin(`c${index}`, `k${index}`, 1))).toEqual([]);
+    }
+    const second = findWrite(book.handle({ kind: "tick", nowMs: 20 }));
+    expect(second.writes).toHaveLength(100);
+  });
+
+  it("knows its own claim when the answer to the write was lost", () => {
+    const book = createBook();
+    const lost = findWrite(book.handle(begin("c", "k", 0)));
+    const { transactionId } = lost;
+    const after = book.handle({
+      kind: "failed",
+      nowMs: 10,
+      transactionId,
+      maybeApplied: true,
+    });
+    expect(after).toEqual([]);
+    const again = findWrite(book.handle({ kind: "tick", nowMs: 500 }));
+    const actions = book.handle({
+      kind: "conflicted",
+      nowMs: 510,
+      transactionId: again.transactionId,
+      found: foundAfter(lost),
+    });
+    expect(actions).toEqual([{ kind: "dispatch", callId: "c" }]);
+  });
+
+  it("never lets a call through whose key another daemon holds", () => {
+    const other = findWrite(createBook("vm-2").handle(begin("x", "k", 0)));
+    const book = createBook();
+    const { transactionId } = findWrite(book.handle(begin("c", "k", 0)));
+    const found = foundAfter(other);
+    const actions = book.handle({
+      kind: "conflicted",
+      nowMs: 5,
+      transactionId,
+      found,
+    });
+    expect(actions).toEqual([
+      { kind: "answer", callId: "c", verdict: { kind: "in-progress" } },
+    ]);
+  });
+
+  it("replays the recorded answer and refuses another body", () => {
+    const owner = createBook("vm-2");
+    claimAndOwn(owner, "x", "k");
+    owner.handle({
+      kind: "finish",
+      nowMs: 50,
+      callId: "x",
+      result: { kind: "done", summary: SUMMARY, answer: ANSWER },
+    });
+    const done = findWrite(owner.handle({ kind: "tick", nowMs: 200 }));
+    const book = createBook();
+    const { transactionId } = findWrite(book.handle(begin("c", "k", 0)));
+    const found = foundAfter(done);
+    const conflict = { kind: "conflicted", nowMs: 5, transactionId, found };
+    expect(book.handle(conflict as ClaimEvent)).toEqual([
+      {
+        kind: "answer",
+        callId: "c",
+        verdict: { kind: "replay", answer: ANSWER },
+      },
+    ]);
+    const other = { ...begin("e", "k", 30), bodyDigest: "other" } as ClaimEvent;
+    const second = findWrite(book.handle(other));
+    expect(book.handle({
+      kind: "conflicted",
+      nowMs: 35,
+      transactionId: second.transactionId,
+      found,
+    })).toEqual([
+      { kind: "answer", callId: "e", verdict: { kind: "key-reused" } },
+    ]);
+  });
+
+  it("takes over a released key by a swap on its revision", () => {
+    const owner = createBook("vm-2");
+    claimAndOwn(owner, "x", "k");
+    const released = findWrite(owner.handle({
+      kind: "finish",
+      nowMs: 50,
+      callId: "x",
+      result: { kind: "not-run" },
+    }));
+    const book = createBook();
+    const { transactionId } = findWrite(book.handle(begin("c", "k", 0)));
+    const found = foundAfter(released);
+    book.handle({ kind: "conflicted", nowMs: 5, transactionId, found });
+    const retake = findWrite(book.handle({ kind: "tick", nowMs: 30 }));
+    expect(retake.writes[0]?.expectation).toEqual({
+      kind: "revision",
+      modRevision: 7,
+    });
+  });
+
+  it("refuses truthfully when the platform is down and settles later", () => {
+    const book = createBook();
+    const lost = findWrite(book.handle(begin("c", "k", 0)));
+    const { transactionId } = lost;
+    book.handle({
+      kind: "failed",
+      nowMs: 1_000,
+      transactionId,
+      maybeApplied: true,
+    });
+    const second = findWrite(book.handle({ kind: "tick", nowMs: 1_100 }));
+    const refused = book.handle({ kind: "tick", nowMs: 2_100 });
+    expect(refused).toEqual([{
+      kind: "answer",
+      callId: "c",
+      verdict: { kind: "platform-unavailable", keyHeld: true },
+    }]);
+    book.handle({
+      kind: "failed",
+      nowMs: 2_200,
+      transactionId: second.transactionId,
+      maybeApplied: true,
+    });
+    expect(book.mayDispatch("c", 2_200)).toBe(false);
+    const release = findWrite(book.handle({ kind: "tick", nowMs: 9_000 }));
+    expect(release.writes[0]?.record.state).toBe("not-run");
+  });
+
+  it("lets no call through after its deadline, and releases its claim", () => {
+    const book = createBook();
+    claimAndOwn(book, "c", "k");
+    expect(book.mayDispatch("c", 9_999)).toBe(true);
+    expect(book.mayDispatch("c", 10_000)).toBe(false);
+    const actions = book.handle({
+      kind: "finish",
+      nowMs: 10_000,
+      callId: "c",
+      result: { kind: "not-run" },
+    });
+    expect(findWrite(actions).writes[0]?.record.state).toBe("not-run");
+  });
+});
+
+describe("findClaimPlace", () => {
+  const DATE_MS = Date.UTC(2026, 0, 5, 8);
+  const DATED_KEY = `${
+    DATE_MS.toString(16).padStart(12, "0").replace(/^(.{8})/, "$1-")
+  }-7000-8000-000000000000`;
+
+  it("reads the date of UUID version 7 and ULID, and of no other key", () => {
+    expect(readKeyDateMs(DATED_KEY)).toBe(DATE_MS);
+    expect(readKeyDateMs("01ARZ3NDEKTSV4RRFFQ69G5FAV")).toBe(1469922850259);
+    expect(readKeyDateMs("booking-17")).toBeUndefined();
+  });
+
+  it("refuses dated keys outside their window and keeps them for longer", () => {
+    const kindAt = (nowMs: number) =>
+      findClaimPlace(DATED_KEY, "d", nowMs).match(
+        (place) => (place.leased ? "leased" : "kept"),
+        (error) => error.kind,
+      );
+    expect(kindAt(DATE_MS)).toBe("leased");
+    expect(kindAt(DATE_MS + DATED_KEY_WINDOW_MS + 1)).toBe("key-too-old");
+    expect(kindAt(DATE_MS - 3_600_000)).toBe("key-from-future");
+    expect(CLAIM_LEASE_TTL_MS).toBeGreaterThan(DATED_KEY_WINDOW_MS);
+    expect(placeOf("booking-17").leased).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/core/src/claims/claim_key.ts
@@ -0,0 +1,116 @@
+import { err, ok, type Result } from "neverthrow";
+import { createStepError, type StepError } from "../errors/index.ts";
+
+/**
+ * The age rule of idempotency keys. A dated key (UUID version 7 or ULID) tells
+ * when the caller made it, so its claim can lapse: a dated key is taken while
+ * it is younger than `DATED_KEY_WINDOW_MS` and refused ever after, and its
+ * claim outlives that window on every clock. A key without a date has no age,
+ * so its claim is kept without a lease until an operator deletes it.
+ */
+
+/** How long after its own date a dated key is accepted. */
+export const DATED_KEY_WINDOW_MS = 24 * 3_600_000;
+/** Greatest error of a VM's calendar clock that the age rule allows for. */
+export const CLOCK_ERROR_MS = 5 * 60_000;
+/** How long new claims are attached to one lease before the next is granted. */
+export const CLAIM_LEASE_USE_MS = 3_600_000;
+/**
+ * Time to live of a lease that claims are attached to. A claim is written at
+ * the earliest `CLOCK_ERROR_MS` before its key's date and at the latest
+ * `CLAIM_LEASE_USE_MS` into the lease; it must last until the slowest clock
+ * has passed the end of the window.
+ */
+export const CLAIM_LEASE_TTL_MS = DATED_KEY_WINDOW_MS + CLAIM_LEASE_USE_MS +
+  4 * CLOCK_ERROR_MS;
+/** Longest idempotency key that is accepted. */
+export const MAX_IDEMPOTENCY_KEY_CHARS = 255;
+
+const CLAIM_PREFIX = "coltsfoot/claims";
+const MS_PER_DAY = 86_400_000;
+const UUID_V7 =
+  /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+const ULID = /^[0-7][0-9A-HJKMNP-TV-Z]{25}$/i;
+const ULID_DIGITS = "0123456789ABCDEFGHJKMNPQRSTVWXYZ";
+const ULID_TIME_CHARS = 10;
+
+/** Why an idempotency key is refused before anything is asked or run. */
+export type KeyRefusal =
+  | "key-malformed"
+  | "key-too-old"
+  | "key-from-future";
+
+/** Where the claim of a key is kept, and for how long. */
+export interface ClaimPlace {
+  /** Platform key of the claim. */
+  readonly claimKey: string;
+  /** Platform key of the recorded answer; sorts directly before the claim. */
+  readonly answerKey: string;
+  /** Whether the claim lapses with a lease. */
+  readonly leased: boolean;
+}
+
+/** The calendar time in ms that a key carries, or undefined. */
+export function readKeyDateMs(idempotencyKey: string): number | undefined {
+  const uuid = UUID_V7.exec(idempotencyKey);
+  if (uuid) return Number.parseInt(`${uuid[1]}${uuid[2]}`, 16);
+  if (!ULID.test(idempotencyKey)) return undefined;
+  let dateMs = 0;
+  for (const char of idempotencyKey.slice(0, ULID_TIME_CHARS).toUpperCase()) {
+    dateMs = dateMs * ULID_DIGITS.length + ULID_DIGITS.indexOf(char);
+  }
+  return dateMs;
+}
+
+/**
+ * Finds the place of a key's claim. `digestHex` is the SHA-256 of team, route
+ * and key, so equal keys of other teams or routes do not meet.
+ */
+export function findClaimPlace(
+  idempotencyKey: string,
+  digestHex: string,
+  wallClockMs: number,
+): Result<ClaimPlace, StepError<KeyRefusal>> {
+  if (
+    idempotencyKey.length === 0 ||
+    idempotencyKey.length > MAX_IDEMPOTENCY_KEY_CHARS
+  ) {
+    return refuse("key-malformed", "use a key of 1 to 255 characters");
+  }
+  const dateMs = readKeyDateMs(idempotencyKey);
+  if (dateMs === undefined) return ok(createPlace("undated", digestHex, false));
+  const ageMs = wallClockMs - dateMs;
+  if (ageMs > DATED_KEY_WINDOW_MS) {
+    return refuse(
+      "key-too-old",
+      "the key is older than 24 hours, so what became of an earlier call " +
+        "with it is no longer kept; ask the service before using a new key",
+    );
+  }
+  if (ageMs < -CLOCK_ERROR_MS) {
+    return refuse(
+      "key-from-future",
+      "the key carries a date that lies ahead; set the caller's clock",
+    );
+  }
+  const day = Math.floor(dateMs / MS_PER_DAY);
+  return ok(createPlace(String(day), digestHex, true));
+}
+
+function createPlace(
+  shard: string,
+  digestHex: string,
+  leased: boolean,
+): ClaimPlace {
+  const base = `${CLAIM_PREFIX}/${shard}/${digestHex}`;
+  return { claimKey: `${base}/claim`, answerKey: `${base}/answer`, leased };
+}
+
+function refuse(
+  kind: KeyRefusal,
+  message: string,
+): Result<ClaimPlace, StepError<KeyRefusal>> {
+  return err(
+    createStepError(kind, "claim.key", `field Idempotency-Key: ${message}`),
+  );
+}
--- /dev/null
+++ b/packages/core/src/claims/claim_property_test.ts
@@ -0,0 +1,328 @@
+import { describe, expect, it } from "@jest/globals";
+import * as fc from "fast-check";
+import { ClaimBook, DEFAULT_CLAIM_BOOK_SETTINGS } from "./claim_book.ts";
+import type {
+  ClaimEvent,
+  ClaimTransaction,
+  ClaimVerdict,
+  FoundClaim,
+} from "./claim_events.ts";
+import { findClaimPlace } from "./claim_key.ts";
+
+const DAEMONS = 3;
+const KEYS = 3;
+const RUNS = 3_000;
+
+type Delivery = "answered" | "answer-lost" | "lost" | "refused" | "delayed";
+type Step =
+  | { op: "begin"; daemon: number; key: number; body: number }
+  | { op: "deliver"; index: number; how: Delivery }
+  | { op: "late"; index: number }
+  | { op: "call"; index: number; result: "done" | "not-run" | "unknown" }
+  | { op: "pause" | "resume" | "kill"; daemon: number }
+  | { op: "advance"; ms: number };
+
+interface Call {
+  readonly id: string;
+  readonly key: number;
+  readonly daemon: Daemon;
+  runs: number;
+  verdict?: ClaimVerdict["kind"] | "completed" | "unknown";
+}
+
+interface Daemon {
+  readonly book: ClaimBook;
+  alive: boolean;
+  paused: boolean;
+  readonly inbox: ClaimEvent[];
+}
+
+interface Message {
+  readonly from: Daemon;
+  readonly transaction: ClaimTransaction;
+}
+
+/** Daemons, a platform with faults, and the truth about what ran. */
+class World {
+  nowMs = 0;
+  revision = 0;
+  readonly kept = new Map<string, FoundClaim>();
+  readonly network: Message[] = [];
+  readonly delayed: Message[] = [];
+  readonly calls = new Map<string, Call>();
+  readonly ready: Call[] = [];
+  readonly daemons: Daemon[] = [];
+  kills = 0;
+  #starts = 0;
+
+  constructor() {
+    for (let index = 0; index < DAEMONS; index++) this.start(index);
+  }
+
+  start(index: number): void {
+    const book = new ClaimBook(
+      `vm-${index}`,
+      String(this.#starts++),
+      DEFAULT_CLAIM_BOOK_SETTINGS,
+    );
+    this.daemons[index] = { book, alive: true, paused: false, inbox: [] };
+  }
+
+  feed(daemon: Daemon, event: ClaimEvent): void {
+    if (!daemon.alive) return;
+    if (daemon.paused) {
+      daemon.inbox.push(event);
+      return;
+    }
+    const actions = daemon.book.handle({ ...event, nowMs: this.nowMs });
+    for (const action of actions) {
+      if (action.kind === "write") {
+        this.network.push({ from: daemon, transaction: action.transaction });
+      }
+      if (action.kind === "claim-lost") throw new Error("claim lost");
+      if (action.kind !== "dispatch" && action.kind !== "answer") continue;
+      const call = this.calls.get(action.callId);
+      if (!call) throw new Error("unknown call");
+      if (action.kind === "dispatch") this.ready.push(call);
+      else this.#judge(call, action.verdict);
+    }
+  }
+
+  #judge(call: Call, verdict: ClaimVerdict): void {
+    call.verdict = verdict.kind;
+    const beside = [...this.calls.values()].filter((other) =>
+      other !== call && other.key === call.key
+    );
+    const runs = beside.reduce((sum, other) => sum + other.runs, 0);
+    if (verdict.kind === "replay" || verdict.kind === "done") {
+      expect(runs).toBe(1);
+    }
+    if (verdict.kind === "in-progress") {
+      expect(beside.length).toBeGreaterThan(0);
+    }
+  }
+
+  apply({ transaction }: Message): boolean {
+    const holds = transaction.writes.every(({ place, expectation }) => {
+      const kept = this.kept.get(place.claimKey);
+      if (expectation.kind === "absent") return kept === undefined;
+      return kept?.modRevision === expectation.modRevision;
+    });
+    if (!holds) return false;
+    this.revision += 1;
+    for (const { place, record, answer } of transaction.writes) {
+      const { claimKey } = place;
+      const modRevision = this.revision;
+      this.kept.set(claimKey, { claimKey, modRevision, record, answer });
+    }
+    return true;
+  }
+
+  deliver(message: Message, how: Delivery): void {
+    const { transactionId, writes } = message.transaction;
+    const nowMs = this.nowMs;
+    if (how === "answer-lost") this.apply(message);
+    if (how === "delayed") this.delayed.push(message);
+    if (how !== "answered") {
+      const maybeApplied = how !== "refused";
+      const kind = "failed";
+      this.feed(message.from, { kind, nowMs, transactionId, maybeApplied });
+      return;
+    }
+    if (this.apply(message)) {
+      const { revision } = this;
+      this.feed(message.from, {
+        kind: "committed",
+        nowMs,
+        transactionId,
+        revision,
+      });
+      return;
+    }
+    const found = writes.flatMap(({ place }) =>
+      this.kept.get(place.claimKey) ?? []
+    );
+    this.feed(message.from, {
+      kind: "conflicted",
+      nowMs,
+      transactionId,
+      found,
+    });
+  }
+
+  step(step: Step): void {
+    if (step.op === "advance") {
+      this.nowMs += step.ms;
+      for (const daemon of this.daemons) {
+        if (daemon.paused) continue;
+        this.feed(daemon, { kind: "tick", nowMs: this.nowMs });
+      }
+    }
+    if (step.op === "begin") this.begin(step.daemon, step.key, step.body);
+    if (step.op === "deliver") {
+      const message = takeAt(this.network, step.index);
+      if (message) this.deliver(message, step.how);
+    }
+    if (step.op === "late") {
+      const message = takeAt(this.delayed, step.index);
+      if (message) this.apply(message);
+    }
+    if (step.op === "call") this.call(step.index, step.result);
+    if (step.op === "pause") this.daemons[step.daemon]!.paused = true;
+    if (step.op === "resume") this.resume(step.daemon);
+    if (step.op === "kill") {
+      this.kills += 1;
+      this.daemons[step.daemon]!.alive = false;
+      this.start(step.daemon);
+    }
+  }
+
+  begin(index: number, key: number, body: number): void {
+    const daemon = this.daemons[index]!;
+    const id = `call-${this.calls.size}`;
+    this.calls.set(id, { id, key, daemon, runs: 0 });
+    const place = findClaimPlace(`key-${key}`, `d${key}`, 0)._unsafeUnwrap();
+    this.feed(daemon, {
+      kind: "begin",
+      nowMs: this.nowMs,
+      callId: id,
+      place,
+      bodyDigest: `body-${body}`,
+      claimedAtMs: 0,
+      deadlineMs: this.nowMs + 3_000,
+    });
+  }
+
+  call(index: number, result: "done" | "not-run" | "unknown"): void {
+    const call = this.ready[index % Math.max(1, this.ready.length)];
+    if (!call?.daemon.alive || call.daemon.paused) return;
+    takeAt(this.ready, index);
+    const may = call.daemon.book.mayDispatch(call.id, this.nowMs);
+    const kind = may ? result : "not-run";
+    if (kind !== "not-run") call.runs += 1;
+    call.verdict = kind === "done"
+      ? "completed"
+      : kind === "unknown"
+      ? "unknown"
+      : "deadline-passed";
+    const summary = { status: 200, bodyDigest: "", sizeBytes: 0 };
+    this.feed(call.daemon, {
+      kind: "finish",
+      nowMs: this.nowMs,
+      callId: call.id,
+      result: kind === "done" ? { kind, summary, answer: undefined } : { kind },
+    });
+  }
+
+  resume(index: number): void {
+    const daemon = this.daemons[index]!;
+    daemon.paused = false;
+    for (const event of daemon.inbox.splice(0)) this.feed(daemon, event);
+  }
+
+  /** Ends all faults and lets every daemon settle what it looks after. */
+  heal(): void {
+    for (let index = 0; index < DAEMONS; index++) this.resume(index);
+    for (let round = 0; round < 50; round++) {
+      while (this.network.length > 0) {
+        this.deliver(takeAt(this.network, 0)!, "answered");
+      }
+      while (this.ready.some((call) => call.daemon.alive)) {
+        const alive = this.ready.findIndex((call) => call.daemon.alive);
+        this.call(alive, "done");
+      }
+      this.step({ op: "advance", ms: 1_000 });
+    }
+    for (const message of this.delayed) this.apply(message);
+  }
+}
+
+function takeAt<T>(list: T[], index: number): T | undefined {
+  if (list.length === 0) return undefined;
+  return list.splice(index % list.length, 1)[0];
+}
+
+const daemon = fc.nat(DAEMONS - 1);
+const index = fc.nat(9);
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      op: fc.constant("begin" as const),
+      daemon,
+      key: fc.nat(KEYS - 1),
+      body: fc.constantFrom(0, 0, 0, 1),
+    }),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      op: fc.constant("deliver" as const),
+      index,
+      how: fc.constantFrom<Delivery>(
+        "answered",
+        "answered",
+        "answer-lost",
+        "lost",
+        "refused",
+        "delayed",
+      ),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ op: fc.constant("late" as const), index }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      op: fc.constant("call" as const),
+      index,
+      result: fc.constantFrom("done", "not-run", "unknown"),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      op: fc.constantFrom("pause", "resume", "resume", "kill"),
+      daemon,
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      op: fc.constant("advance" as const),
+      ms: fc.constantFrom(5, 25, 100, 600, 2_000),
+    }),
+  },
+);
+
+describe("ClaimBook under faults", () => {
+  it("runs each key at most once and never a call that was refused", () => {
+    const steps = fc.array(stepArbitrary, { minLength: 10, maxLength: 80 });
+    fc.assert(
+      fc.property(steps, (list) => {
+        const world = new World();
+        for (const step of list) world.step(step);
+        world.heal();
+        const runsOfKey = new Array<number>(KEYS).fill(0);
+        for (const call of world.calls.values()) {
+          runsOfKey[call.key]! += call.runs;
+          const ran = ["completed", "unknown"].includes(call.verdict ?? "");
+          if (!ran && call.verdict) expect(call.runs).toBe(0);
+          // Every call of a daemon that lives is answered in the end.
+          if (call.daemon.alive) expect(call.verdict).toBeDefined();
+        }
+        expect(Math.max(...runsOfKey)).toBeLessThanOrEqual(1);
+        // Only the death of a daemon may leave a key held without an end.
+        for (const { record } of world.kept.values()) {
+          if (world.kills === 0) expect(record.state).not.toBe("claimed");
+        }
+        for (const one of world.daemons) {
+          expect(one.book.counts().entries).toBe(0);
+        }
+      }),
+      { seed: 20261204, numRuns: RUNS },
+    );
+  });
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
  * The decisions of the fleet, free of sockets, clocks and randomness of their
  * own, so that a recorded trace replays to the same decisions.
  */
+export * from "./claims/index.ts";
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
 export * from "./objects/index.ts";
