--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
  * own, so that a recorded trace replays to the same decisions.
  */
 export * from "./bound/index.ts";
+export * from "./claims/index.ts";
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
 export * from "./objects/index.ts";
