Add authenticated JSON-RPC connections between daemons

Cause: the daemons need one way to call each other whose failed calls say whether the peer may have handled them, and whose bytes are counted. Ruled out: timeouts of json-rpc-2.0 itself, which read the clock past the timer service and leave a failed call undecided between not sent and sent; one connection for both directions, where two daemons that dial at the same time must agree on which one stays. Change: packages/daemon/src/peers with handshake by HMAC in both directions, keys that rotate, bounded lines, one write per loop turn, lazy connection with backoff, counters at the socket and by method.

--- /dev/null
+++ b/packages/daemon/src/peers/handshake.ts
@@ -0,0 +1,36 @@
+import { z } from "zod";
+
+/**
+ * The first two calls on a connection. The dialer sends `hi` and the acceptor
+ * answers with a proof of the key; the dialer checks it and sends its own
+ * proof with `me`. Nothing else is taken before.
+ */
+
+/** Method that opens the handshake. */
+export const HELLO_METHOD = "hi";
+/** Method that carries the dialer's proof. */
+export const PROOF_METHOD = "me";
+/** Random bytes in a nonce. */
+export const NONCE_BYTES = 16;
+
+const nonceSchema = z.string().min(22).max(44);
+const proofSchema = z.string().min(43).max(44);
+const vmSchema = z.string().min(1).max(128);
+
+/** Parameters of `hi`: dialer, acceptor, nonce, ids of usable keys. */
+export const helloSchema = z.tuple([
+  vmSchema,
+  vmSchema,
+  nonceSchema,
+  z.array(z.string().min(1).max(32)).min(1).max(8),
+]);
+
+/** Answer to `hi`: id of the chosen key, nonce, the acceptor's proof. */
+export const helloAnswerSchema = z.tuple([
+  z.string().min(1).max(32),
+  nonceSchema,
+  proofSchema,
+]);
+
+/** Parameters of `me`: the dialer's proof. */
+export const proofParamsSchema = z.tuple([proofSchema]);
--- /dev/null
+++ b/packages/daemon/src/peers/keyring.ts
@@ -0,0 +1,90 @@
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { z } from "zod";
+
+const MIN_SECRET_HEX_DIGITS = 32;
+
+/** A key that the daemons of a fleet share. */
+export const peerKeySchema = z.strictObject({
+  id: z.string().min(1).max(32),
+  secretHex: z.string().min(MIN_SECRET_HEX_DIGITS).max(256).regex(
+    /^([0-9a-f]{2})+$/,
+    "use an even number of lower case hex digits, at least 32",
+  ),
+});
+
+/** A key that the daemons of a fleet share. */
+export type PeerKey = z.infer<typeof peerKeySchema>;
+
+/** Both ends of a connection and their nonces: what a proof is bound to. */
+export interface Handshake {
+  readonly dialerVm: string;
+  readonly acceptorVm: string;
+  readonly dialerNonce: string;
+  readonly acceptorNonce: string;
+}
+
+/** The end of the connection that gives a proof. */
+export type HandshakeSide = "dialer" | "acceptor";
+
+/**
+ * The shared keys in force. Several are valid at once, so that a new key can
+ * be added everywhere before the old one is removed. The first is preferred.
+ */
+export class Keyring {
+  #secrets = new Map<string, Buffer>();
+
+  constructor(keys: readonly PeerKey[]) {
+    this.replace(keys);
+  }
+
+  /** Puts other keys into force; open connections are not affected. */
+  replace(keys: readonly PeerKey[]): void {
+    this.#secrets = new Map(
+      keys.map((key) => [key.id, Buffer.from(key.secretHex, "hex")]),
+    );
+  }
+
+  /** Ids of the valid keys, the preferred one first. */
+  ids(): string[] {
+    return [...this.#secrets.keys()];
+  }
+
+  /** The first of `offeredIds` that is valid here. */
+  pick(offeredIds: readonly string[]): string | undefined {
+    return offeredIds.find((id) => this.#secrets.has(id));
+  }
+
+  /** The HMAC-SHA256 proof of one side, in base64url. */
+  prove(
+    keyId: string,
+    side: HandshakeSide,
+    handshake: Handshake,
+  ): string | undefined {
+    const secret = this.#secrets.get(keyId);
+    if (!secret) return undefined;
+    // JSON keeps the parts apart, whatever characters they hold.
+    const text = JSON.stringify([
+      side,
+      keyId,
+      handshake.dialerVm,
+      handshake.acceptorVm,
+      handshake.dialerNonce,
+      handshake.acceptorNonce,
+    ]);
+    return createHmac("sha256", secret).update(text).digest("base64url");
+  }
+
+  /** Tells in constant time whether `proof` is the one of `side`. */
+  isProofValid(
+    keyId: string,
+    side: HandshakeSide,
+    handshake: Handshake,
+    proof: string,
+  ): boolean {
+    const expected = this.prove(keyId, side, handshake);
+    if (expected === undefined) return false;
+    const left = Buffer.from(expected);
+    const right = Buffer.from(proof);
+    return left.length === right.length && timingSafeEqual(left, right);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peers.ts
@@ -0,0 +1,126 @@
+import type { TimerService } from "@coltsfootford/core";
+import type { Result } from "neverthrow";
+import type { z } from "zod";
+import { Keyring, type PeerKey } from "./keyring.ts";
+import type { PeerAddress } from "./peer_connection.ts";
+import type { PeerError } from "./peer_error.ts";
+import type { PeerEvent, PeerEventListener } from "./peer_event.ts";
+import { type PeerHandler, PeerHandlers } from "./peer_handlers.ts";
+import { type CallOptions, PeerPool } from "./peer_pool.ts";
+import { PeerServer } from "./peer_server.ts";
+import { TrafficCounter, type TrafficSnapshot } from "./traffic_counter.ts";
+
+/** What `Peers` is built from. */
+export interface PeersParts {
+  /** Name of this daemon. */
+  readonly vm: string;
+  readonly timer: TimerService;
+  /** Valid shared keys, the preferred one first. */
+  readonly keys: readonly PeerKey[];
+}
+
+/** All that a daemon says to other daemons and hears from them. */
+export class Peers {
+  readonly #listeners: PeerEventListener[] = [];
+  readonly #keyring: Keyring;
+  readonly #traffic = new TrafficCounter();
+  readonly #handlers: PeerHandlers;
+  readonly #pool: PeerPool;
+  readonly #server: PeerServer;
+
+  constructor(parts: PeersParts) {
+    const onEvent = (event: PeerEvent) => this.#publish(event);
+    this.#keyring = new Keyring(parts.keys);
+    this.#handlers = new PeerHandlers(onEvent);
+    const shared = {
+      vm: parts.vm,
+      timer: parts.timer,
+      keyring: this.#keyring,
+      traffic: this.#traffic,
+      onEvent,
+    };
+    this.#pool = new PeerPool(shared);
+    this.#server = new PeerServer({ ...shared, handlers: this.#handlers });
+  }
+
+  /** Calls `listener` with every event of the connections. */
+  onEvent(listener: PeerEventListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Registers the handler of `method`; see `PeerHandlers.handle`. */
+  handle<Params>(
+    method: string,
+    schema: z.ZodType<Params>,
+    handler: PeerHandler<Params>,
+  ): void {
+    this.#handlers.handle(method, schema, handler);
+  }
+
+  /** Sends a message without an answer. It may be lost. */
+  notify(vm: string, method: string, params: unknown): void {
+    this.#pool.notify(vm, method, params);
+  }
+
+  /** Sends a request; the answer is checked by `answerSchema`. */
+  call<Answer>(
+    vm: string,
+    method: string,
+    params: unknown,
+    answerSchema: z.ZodType<Answer>,
+    options: CallOptions = {},
+  ): Promise<Result<Answer, PeerError>> {
+    return this.#pool.call(vm, method, params, answerSchema, options);
+  }
+
+  /** Makes a peer known, or moves it to another address. */
+  setPeer(vm: string, address: PeerAddress): void {
+    this.#pool.setPeer(vm, address);
+  }
+
+  /** Forgets a peer and drops the connections in both directions. */
+  removePeer(vm: string): void {
+    this.#pool.removePeer(vm);
+    this.#server.dropPeer(vm);
+  }
+
+  /** Drops the outgoing connection to `vm`; the next message opens another. */
+  reset(vm: string, detail: string): void {
+    this.#pool.reset(vm, detail);
+  }
+
+  /** Names of the peers whose address is known. */
+  knownNames(): string[] {
+    return this.#pool.names();
+  }
+
+  /** Names of the peers to which an authenticated connection is open. */
+  connectedNames(): string[] {
+    return this.#pool.connectedNames();
+  }
+
+  /** Puts other shared keys into force for new connections. */
+  replaceKeys(keys: readonly PeerKey[]): void {
+    this.#keyring.replace(keys);
+  }
+
+  /** Bytes at the sockets and by method since the start. */
+  traffic(): TrafficSnapshot {
+    return this.#traffic.snapshot();
+  }
+
+  /** Starts to listen and gives the address that was bound. */
+  listen(address: PeerAddress): Promise<PeerAddress> {
+    return this.#server.listen(address);
+  }
+
+  /** Stops listening and drops every connection. */
+  async close(): Promise<void> {
+    this.#pool.close();
+    await this.#server.close();
+  }
+
+  #publish(event: PeerEvent): void {
+    for (const listener of this.#listeners) listener(event);
+  }
+}
