--- a/packages/core/src/config/config_follower.ts
+++ b/packages/core/src/config/config_follower.ts
@@ -25,7 +25,7 @@
 }
 
 /** Why a head or a part was not taken. */
-export type RefusalReason =
+export type ConfigRefusalReason =
   | "malformed-head"
   | "older-revision"
   | "conflicting-revision"
@@ -48,7 +48,7 @@
   }
   | {
     readonly kind: "refuse";
-    readonly reason: RefusalReason;
+    readonly reason: ConfigRefusalReason;
     readonly source: ConfigSource;
     /** Revision of the refused head; 0 where it is not known. */
     readonly revision: number;
@@ -251,7 +251,7 @@
 }
 
 function refuse(
-  reason: RefusalReason,
+  reason: ConfigRefusalReason,
   source: ConfigSource,
   revision: number,
   message: string,
