Add the harness that runs a fleet as processes, with links between zones

The promises have to be shown with real processes that are killed, stopped and cut off. The harness starts stand-ins and daemons on free ports, lists them per zone as seen from there, and can delay and cut the ways between zones by a small forwarder; platform and target ports that two daemons ask for at the same time share one forwarder (two were opened before, and one of them was never closed, so the process did not end).

--- /dev/null
+++ b/packages/bench/src/harness/plans/index.ts
@@ -0,0 +1,3 @@
+export * from "./barandas.ts";
+export * from "./batinah.ts";
+export * from "./small.ts";
--- /dev/null
+++ b/packages/bench/src/harness/settings_files.ts
@@ -0,0 +1,19 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+/** A directory of settings files that goes away with the fleet. */
+export class SettingsFiles {
+  readonly #directory = mkdtempSync(join(tmpdir(), "coltsfoot-"));
+
+  /** Writes settings and returns the path of their file. */
+  write(name: string, settings: unknown): string {
+    const path = join(this.#directory, `${name}.json`);
+    writeFileSync(path, JSON.stringify(settings, null, 2));
+    return path;
+  }
+
+  remove(): void {
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/harness/tcp_link.ts
@@ -0,0 +1,90 @@
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+
+const HOST = "127.0.0.1";
+/** Bytes in flight in one direction, after which the sender has to wait. */
+const MAX_DELAYED_BYTES = 1024 * 1024;
+
+/** What a link does to the bytes that pass. */
+export interface LinkState {
+  /** Added to the way of every byte, in each direction. */
+  oneWayDelayMs: number;
+  /** Refuses and breaks connections. */
+  isCut: boolean;
+}
+
+/**
+ * Forwards TCP connections to one port with a delay. A cut link destroys its
+ * connections and accepts none, as a partition does after its timeouts.
+ */
+export class TcpLink {
+  readonly #targetPort: number;
+  readonly #state: LinkState;
+  readonly #sockets = new Set<Socket>();
+  readonly #server = createServer((socket) => this.#accept(socket));
+
+  private constructor(targetPort: number, state: LinkState) {
+    this.#targetPort = targetPort;
+    this.#state = state;
+  }
+
+  /** Opens a link; `state` may be shared by several and changed later. */
+  static async open(targetPort: number, state: LinkState): Promise<TcpLink> {
+    const link = new TcpLink(targetPort, state);
+    await new Promise<void>((resolve, reject) => {
+      link.#server.once("error", reject);
+      link.#server.listen(0, HOST, () => resolve());
+    });
+    return link;
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Breaks the connections of the moment. */
+  breakConnections(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  async close(): Promise<void> {
+    this.breakConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #accept(near: Socket): void {
+    if (this.#state.isCut) {
+      near.destroy();
+      return;
+    }
+    const far = connect(this.#targetPort, HOST);
+    for (const [socket, other] of [[near, far], [far, near]] as const) {
+      socket.setNoDelay(true);
+      this.#sockets.add(socket);
+      socket.on("error", () => other.destroy());
+      socket.on("close", () => {
+        this.#sockets.delete(socket);
+        this.#later(() => other.destroy());
+      });
+      this.#forward(socket, other);
+    }
+  }
+
+  #forward(from: Socket, to: Socket): void {
+    let delayedBytes = 0;
+    from.on("data", (chunk) => {
+      delayedBytes += chunk.length;
+      if (delayedBytes > MAX_DELAYED_BYTES) from.pause();
+      this.#later(() => {
+        delayedBytes -= chunk.length;
+        const hasRoom = !to.destroyed && to.write(chunk);
+        if (hasRoom && delayedBytes <= MAX_DELAYED_BYTES) from.resume();
+        if (!hasRoom) to.once("drain", () => from.resume());
+      });
+    });
+    from.on("end", () => this.#later(() => to.end()));
+  }
+
+  #later(action: () => void): void {
+    setTimeout(action, this.#state.oneWayDelayMs);
+  }
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** Load, experiments, failure tests and the harness that starts processes. */
+export * from "./harness/index.ts";
