Add the membership protocol and the keeper table as pure decisions

Cause: daemons need one view of who is alive, which targets leave and who keeps which target, within a few kilobytes a second, while the VM list lags.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,8 @@
  */
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
+export * from "./keepers/index.ts";
+export * from "./membership/index.ts";
 export * from "./objects/index.ts";
 export * from "./outcome/index.ts";
 export * from "./timer/index.ts";
--- /dev/null
+++ b/packages/core/src/keepers/index.ts
@@ -0,0 +1,1 @@
+export * from "./keeper_table.ts";
--- /dev/null
+++ b/packages/core/src/membership/wire.ts
@@ -0,0 +1,103 @@
+import { z } from "zod";
+
+/** Method of a heartbeat; a notification. */
+export const HEARTBEAT_METHOD = "h";
+/** Method that spreads changes; a notification. */
+export const SPREAD_METHOD = "m";
+/** Method that asks for records; a call. */
+export const PULL_METHOD = "s";
+
+const nameSchema = z.string().min(1).max(128);
+const MAX_DELTAS = 50_000;
+
+/** How alive a daemon is thought to be; a higher number overrides a lower. */
+export const HEALTH = { live: 0, suspect: 1, dead: 2 } as const;
+
+/** What a keeper says of a target. */
+export const TARGET_CONDITION = { live: 0, leaving: 1, dead: 2 } as const;
+
+const healthSchema = z.union([z.literal(0), z.literal(1), z.literal(2)]);
+
+/** A daemon: incarnation, health, 1 where it is leaving, who suspects it. */
+export const daemonDeltaSchema = z.tuple([
+  z.literal("d"),
+  nameSchema,
+  z.int().nonnegative(),
+  healthSchema,
+  z.union([z.literal(0), z.literal(1)]),
+  nameSchema.optional(),
+]);
+
+/** A target: its run, condition, and a stamp that grows with each change. */
+export const targetDeltaSchema = z.tuple([
+  z.literal("t"),
+  nameSchema,
+  z.string().max(64),
+  healthSchema,
+  z.int().nonnegative(),
+]);
+
+/** A value that a daemon attached to itself, with incarnation and version. */
+export const attachmentDeltaSchema = z.tuple([
+  z.literal("a"),
+  nameSchema,
+  z.int().nonnegative(),
+  z.int().nonnegative(),
+  z.string().min(1).max(32),
+  z.json(),
+]);
+
+/** One change or record of the membership. */
+export const deltaSchema = z.union([
+  daemonDeltaSchema,
+  targetDeltaSchema,
+  attachmentDeltaSchema,
+]);
+
+const deltasSchema = z.array(deltaSchema).max(MAX_DELTAS);
+
+/** Parameters of a heartbeat: incarnation, a zone, its digest, changes. */
+export const heartbeatSchema = z.tuple([
+  z.int().nonnegative(),
+  nameSchema,
+  z.int().nonnegative(),
+  deltasSchema,
+]);
+
+/** Parameters of a spread. */
+export const spreadSchema = z.tuple([deltasSchema]);
+
+/** Parameters of a pull: a zone or all of them (""), the asker's record. */
+export const pullSchema = z.tuple([z.string().max(128), deltasSchema]);
+
+/** Answer to a pull. */
+export const pullAnswerSchema = deltasSchema;
+
+/** Types of the messages, inferred from their schemas. */
+export type DaemonDelta = z.infer<typeof daemonDeltaSchema>;
+export type TargetDelta = z.infer<typeof targetDeltaSchema>;
+export type AttachmentDelta = z.infer<typeof attachmentDeltaSchema>;
+export type Delta = z.infer<typeof deltaSchema>;
+export type HeartbeatParams = z.infer<typeof heartbeatSchema>;
+export type PullParams = z.infer<typeof pullSchema>;
+export type Health = z.infer<typeof healthSchema>;
+/** A value that can be attached: anything that JSON can carry. */
+export type AttachedValue = z.infer<ReturnType<typeof z.json>>;
+
+/** A message that the state machine wants to have sent. */
+export type OutgoingMessage =
+  | {
+    readonly kind: "notify";
+    readonly to: string;
+    readonly method: string;
+    readonly params: readonly unknown[];
+  }
+  /** A call of `PULL_METHOD`, whose answer goes to `receivePullAnswer`. */
+  | {
+    readonly kind: "pull";
+    readonly to: string;
+    readonly zone: string;
+    readonly params: PullParams;
+  }
+  /** The connection to `to` is of no use and should be opened anew. */
+  | { readonly kind: "reset"; readonly to: string };
--- a/packages/core/src/timer/virtual_timer_service.ts
+++ b/packages/core/src/timer/virtual_timer_service.ts
@@ -1,21 +1,24 @@
 import { type CancelTimer, TimerService } from "./timer_service.ts";
 
 interface VirtualTimer {
+  /** Subscriptions in order; decides between timers of the same due time. */
   readonly id: number;
   dueMs: number;
   /** Zero for a timer that fires once. */
   readonly periodMs: number;
   readonly action: () => void;
+  isCancelled: boolean;
 }
 
 /**
  * A timer service whose time moves only when `advance` is called. Timers that
  * are due at the same time fire in the order in which they were subscribed.
+ * The timers stand in a binary heap, so that replays of thousands stay cheap.
  */
 export class VirtualTimerService extends TimerService {
   #currentMs = 0;
   #nextId = 1;
-  readonly #timers = new Map<number, VirtualTimer>();
+  readonly #heap: VirtualTimer[] = [];
 
   override nowMs(): number {
     return this.#currentMs;
@@ -37,8 +40,10 @@
   advance(durationMs: number): void {
     const endMs = this.#currentMs + durationMs;
     for (;;) {
-      const timer = this.#nextDue(endMs);
-      if (!timer) break;
+      const timer = this.#heap[0];
+      if (!timer || timer.dueMs > endMs) break;
+      this.#removeFirst();
+      if (timer.isCancelled) continue;
       this.#currentMs = timer.dueMs;
       this.#fire(timer);
     }
@@ -52,24 +57,56 @@
   ): CancelTimer {
     const id = this.#nextId++;
     const dueMs = this.#currentMs + Math.max(0, delayMs);
-    this.#timers.set(id, { id, dueMs, periodMs, action });
+    const timer = { id, dueMs, periodMs, action, isCancelled: false };
+    this.#insert(timer);
     return () => {
-      this.#timers.delete(id);
+      timer.isCancelled = true;
     };
   }
 
-  #nextDue(endMs: number): VirtualTimer | undefined {
-    let first: VirtualTimer | undefined;
-    for (const timer of this.#timers.values()) {
-      if (timer.dueMs > endMs) continue;
-      if (!first || timer.dueMs < first.dueMs) first = timer;
+  #fire(timer: VirtualTimer): void {
+    if (timer.periodMs > 0) {
+      timer.dueMs += timer.periodMs;
+      this.#insert(timer);
     }
-    return first;
+    timer.action();
   }
 
-  #fire(timer: VirtualTimer): void {
-    if (timer.periodMs > 0) timer.dueMs += timer.periodMs;
-    else this.#timers.delete(timer.id);
-    timer.action();
+  #insert(timer: VirtualTimer): void {
+    const heap = this.#heap;
+    let at = heap.length;
+    while (at > 0) {
+      const parentAt = (at - 1) >> 1;
+      const parent = heap[parentAt]!;
+      if (isBefore(parent, timer)) break;
+      heap[at] = parent;
+      at = parentAt;
+    }
+    heap[at] = timer;
   }
+
+  #removeFirst(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (!last || heap.length === 0) return;
+    let at = 0;
+    for (;;) {
+      const left = at * 2 + 1;
+      if (left >= heap.length) break;
+      const right = left + 1;
+      const isRightFirst = right < heap.length &&
+        isBefore(heap[right]!, heap[left]!);
+      const childAt = isRightFirst ? right : left;
+      const child = heap[childAt]!;
+      if (isBefore(last, child)) break;
+      heap[at] = child;
+      at = childAt;
+    }
+    heap[at] = last;
+  }
+}
+
+function isBefore(left: VirtualTimer, right: VirtualTimer): boolean {
+  if (left.dueMs !== right.dueMs) return left.dueMs < right.dueMs;
+  return left.id < right.id;
 }
