--- a/packages/daemon/src/entry/chat_body.ts
+++ b/packages/daemon/src/entry/chat_body.ts
@@ -46,3 +46,8 @@
   const first = JSON.stringify(body.messages.slice(0, CHAT_KEY_MESSAGES));
   return createHash("sha256").update(first).digest("base64url");
 }
+
+/** Whether the chat had earlier turns: an answer stands among its messages. */
+export function isReturning(body: ChatBody): boolean {
+  return body.messages.some((message) => message.role === "assistant");
+}
--- a/packages/daemon/src/entry/chat_handler.ts
+++ b/packages/daemon/src/entry/chat_handler.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { hash32 } from "@coltsfootford/core";
 import { err, type Result } from "neverthrow";
 import { createCallerSignal } from "./caller_signal.ts";
-import { deriveChatKey, parseChatBody } from "./chat_body.ts";
+import { deriveChatKey, isReturning, parseChatBody } from "./chat_body.ts";
 import type { EntryServices } from "./entry_server.ts";
 import { checkRouteTeam, findChatRoute } from "./find_route.ts";
 import { readBody } from "./read_body.ts";
@@ -57,6 +58,9 @@
     route,
     pool,
     chatKey,
+    returningChat: isReturning(chat.value)
+      ? { returningChatHash: hash32(chatKey) }
+      : {},
     priority,
     deadlineAtMs: startedMs + deadlineMs,
     idempotencyKey: headers.value["idempotency-key"],
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -86,7 +86,7 @@
     relay: AnswerRelay,
   ): Promise<AttemptResult> {
     try {
-      if (!place.permit.isStartable() || context.signal.aborted) {
+      if (context.signal.aborted || !place.permit.start()) {
         return {
           kind: "not-run",
           message: "the permit ended before the start",
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -3,3 +3,4 @@
 export * from "./permit_gate.ts";
 export * from "./running_requests.ts";
 export * from "./entry_app.ts";
+export type { RequestContext } from "./request_context.ts";
--- a/packages/daemon/src/entry/local_permit_gate.ts
+++ b/packages/daemon/src/entry/local_permit_gate.ts
@@ -26,7 +26,7 @@
     let isReleased = false;
     return {
       target,
-      isStartable: () => true,
+      start: () => true,
       release: () => {
         if (isReleased) return;
         isReleased = true;
--- a/packages/daemon/src/entry/permit_gate.ts
+++ b/packages/daemon/src/entry/permit_gate.ts
@@ -5,8 +5,11 @@
 /** The right to run one request on one target. */
 export interface Permit {
   readonly target: string;
-  /** Whether the request may still be started under this permit. */
-  isStartable(): boolean;
+  /**
+   * Starts the request under this permit. Call it right before the request is
+   * sent; false means that it must not be sent any more.
+   */
+  start(): boolean;
   /** Gives the place back once the answer has ended. Idempotent. */
   release(): void;
 }
--- a/packages/daemon/src/entry/request_context.ts
+++ b/packages/daemon/src/entry/request_context.ts
@@ -9,6 +9,8 @@
   readonly pool: Pool;
   /** Requests with the same key share a prompt prefix. */
   readonly chatKey: string;
+  /** Empty for the first turn of a chat. */
+  readonly returningChat: { readonly returningChatHash?: number };
   /** 0 is the lowest priority, 9 the highest. */
   readonly priority: number;
   /** End of the request on this daemon's monotonic clock, in ms. */
