Report pool loads per keeper and make placement linear in small steps

Cause: a report per target and peer would cost about 2 KB/s per daemon at today's sizes, and a target handed over could count twice in the pool's load.

--- a/packages/core/src/bound/index.ts
+++ b/packages/core/src/bound/index.ts
@@ -2,6 +2,7 @@
 export * from "./keeper_book.ts";
 export * from "./load.ts";
 export * from "./permit.ts";
+export * from "./permit_codec.ts";
 export * from "./permit_holder.ts";
 export * from "./pool_mean_estimate.ts";
 export * from "./rate_meter.ts";
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -7,6 +7,7 @@
 } from "./permit.ts";
 import {
   DEFAULT_POOL_MEAN_OPTIONS,
+  type PoolLoadReport,
   PoolMeanEstimate,
   type PoolMeanEstimateOptions,
 } from "./pool_mean_estimate.ts";
@@ -41,15 +42,6 @@
   readonly servingTargets: number;
 }
 
-/** Load of one kept target, for the other keepers of its pool. */
-export interface KeptTargetReport {
-  readonly pool: string;
-  readonly target: string;
-  readonly loadRequests: number;
-  readonly endedPerSecond: number;
-  readonly epochNumber: number;
-}
-
 interface PoolState {
   pool: KeptPool;
   readonly mean: PoolMeanEstimate;
@@ -58,6 +50,8 @@
 interface KeptTarget {
   readonly pool: string;
   readonly keeper: TargetKeeper;
+  /** Reports of a former keeper no longer count from here on. */
+  vouchedFromMs: number;
   warmingChats: WarmingChats | undefined;
 }
 
@@ -110,18 +104,28 @@
     const kept = this.#targets.get(target) ?? {
       pool,
       keeper: new TargetKeeper(target, this.#daemon, this.#options),
+      vouchedFromMs: 0,
       warmingChats: undefined,
     };
+    kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
     this.#targets.set(target, kept);
     return kept.keeper.beginTakeOver(holders, nowMs);
   }
 
   /** Stops keeping a target that another daemon keeps now, or that is gone. */
   stopKeeping(target: string): void {
-    const kept = this.#targets.get(target);
-    if (!kept) return;
     this.#targets.delete(target);
-    this.#pools.get(kept.pool)?.mean.forget(target);
+  }
+
+  /**
+   * Notes that another daemon collects the permits of a target that this one
+   * keeps: nothing is granted for it any longer. If this daemon is still its
+   * keeper by its own view, it has to call `beginKeeping`.
+   */
+  noteCollectRequest(request: CollectRequest): void {
+    const keeper = this.keeperOf(request.target);
+    if (!keeper || request.epoch.keeper === this.#daemon) return;
+    if (request.epoch.number >= keeper.epoch.number) keeper.dropState();
   }
 
   /** Notes that the target started with an empty cache beside others. */
@@ -179,14 +183,11 @@
     this.#targets.get(target)?.warmingChats?.noteRun(chatHash, nowMs);
   }
 
-  /** Takes a permit back. */
-  release(
-    holder: string,
-    target: string,
-    askId: number,
-    nowMs: number,
-  ): void {
-    this.keeperOf(target)?.release(holder, askId, nowMs);
+  /** Takes a permit back. A daemon keeps few targets, so all are tried. */
+  release(holder: string, askId: number, nowMs: number): void {
+    for (const kept of this.#targets.values()) {
+      if (kept.keeper.release(holder, askId, nowMs)) return;
+    }
   }
 
   /** Counts requests that run on permits of an older keeper. */
@@ -211,44 +212,41 @@
     this.keeperOf(target)?.noteReport(report, nowMs);
   }
 
-  /** Takes the load that another keeper reports for one of its targets. */
-  notePoolReport(report: KeptTargetReport, receivedAtMs: number): void {
-    if (this.#targets.has(report.target)) return;
-    this.#pools.get(report.pool)?.mean.noteReport(
-      report.target,
-      { ...report, targets: 1 },
-      receivedAtMs,
-    );
+  /** Takes the report of another keeper of a pool. */
+  notePoolReport(
+    keeper: string,
+    report: PoolLoadReport,
+    receivedAtMs: number,
+  ): void {
+    if (keeper === this.#daemon) return;
+    this.#pools.get(report.pool)?.mean.noteReport(keeper, report, receivedAtMs);
   }
 
-  /** Drops what was reported of a target that is gone or cut off. */
-  forgetPoolReport(pool: string, target: string): void {
-    this.#pools.get(pool)?.mean.forget(target);
+  /** Drops the reports of a daemon that is gone, restarted or cut off. */
+  forgetKeeper(keeper: string): void {
+    for (const state of this.#pools.values()) state.mean.forget(keeper);
   }
 
-  /** Loads of the kept targets, to send to the other keepers of their pools. */
-  ownReports(nowMs: number): readonly KeptTargetReport[] {
-    const reports: KeptTargetReport[] = [];
-    for (const [target, kept] of this.#targets) {
-      reports.push({
-        pool: kept.pool,
-        target,
-        loadRequests: kept.keeper.vouchedRequests(),
-        endedPerSecond: kept.keeper.endedPerSecond(nowMs),
-        epochNumber: kept.keeper.epoch.number,
-      });
+  /** Load of the kept targets of a pool, for the pool's other keepers. */
+  ownReport(pool: string, nowMs: number): PoolLoadReport {
+    let targets = 0;
+    let loadRequests = 0;
+    let endedPerSecond = 0;
+    for (const kept of this.#targets.values()) {
+      if (kept.pool !== pool) continue;
+      targets += 1;
+      if (nowMs < kept.vouchedFromMs) continue;
+      loadRequests += kept.keeper.vouchedRequests();
+      endedPerSecond += kept.keeper.endedPerSecond(nowMs);
     }
-    return reports;
+    return { pool, targets, loadRequests, endedPerSecond, measuredAtMs: nowMs };
   }
 
   /** The most load that a target of the pool may have at an admission. */
   limitRequests(pool: string, nowMs: number): number {
     const state = this.#pools.get(pool);
     if (!state) return 0;
-    for (const report of this.ownReports(nowMs)) {
-      if (report.pool !== pool) continue;
-      state.mean.noteReport(report.target, { ...report, targets: 1 }, nowMs);
-    }
+    state.mean.noteReport(this.#daemon, this.ownReport(pool, nowMs), nowMs);
     return Math.min(
       state.pool.maxConcurrentPerTarget,
       state.mean.limitRequests(state.pool.loadFactor, nowMs),
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -1,15 +1,16 @@
 import { maxLoadRequests } from "./load.ts";
 
-/** Load of one target, or of all targets of a zone, as its keeper counts it. */
+/** Load of the targets of one pool that one daemon keeps. */
 export interface PoolLoadReport {
-  /** Targets that the report covers. */
+  readonly pool: string;
+  /** Targets that the daemon keeps. */
   readonly targets: number;
-  /** Requests that holders vouch for. */
+  /** Requests at these targets that holders vouch for. */
   readonly loadRequests: number;
-  /** Permits that ended a second. */
+  /** Permits of these targets that ended a second. */
   readonly endedPerSecond: number;
-  /** Epoch number of the keeper; a report with a lower one is ignored. */
-  readonly epochNumber: number;
+  /** Monotonic time of the sender at the measurement, in ms. */
+  readonly measuredAtMs: number;
 }
 
 /** Settings of a `PoolMeanEstimate`. */
@@ -19,37 +20,50 @@
    * from a grant until the request has reached its target, together, in ms.
    */
   readonly permitLagMs: number;
-  /** Time that a report is on its way, in ms. */
+  /** Least time that a report is on its way between zones, in ms. */
   readonly reportDelayMs: number;
-  /** A report older than this counts as a load of nothing. */
+  /**
+   * A report older than this counts for nothing. It must be below the time
+   * after which peers replace a silent keeper, so that no target counts twice.
+   */
   readonly maxReportAgeMs: number;
   /** Standard deviations of random ends that the discount covers. */
   readonly safetyDeviations: number;
+  /**
+   * From this many reports on, targets without a report are taken to have the
+   * mean of the others, less its standard error; with fewer they count for
+   * nothing.
+   */
+  readonly sampleReports: number;
 }
 
 /** Settings for zones a few milliseconds apart. */
 export const DEFAULT_POOL_MEAN_OPTIONS: PoolMeanEstimateOptions = {
   permitLagMs: 30,
-  reportDelayMs: 10,
-  maxReportAgeMs: 5_000,
+  reportDelayMs: 4,
+  maxReportAgeMs: 1_200,
   safetyDeviations: 2,
+  sampleReports: 30,
 };
 
 interface StoredReport {
   readonly report: PoolLoadReport;
-  readonly receivedAtMs: number;
+  /** Time of the measurement on this daemon's clock, in ms. */
+  readonly measuredAtMs: number;
 }
 
 const MS_PER_SECOND = 1_000;
 
 /**
- * A lower bound of a pool's load, from reports of keepers of different age.
- * From their sum it takes the requests that may have ended since they were
- * measured, as if none had been admitted meanwhile.
+ * A lower bound of a pool's load, from the reports of its keepers. From their
+ * sum it takes the requests that may have ended since they were measured, as
+ * if none had been admitted meanwhile.
  */
 export class PoolMeanEstimate {
   readonly #options: PoolMeanEstimateOptions;
   readonly #reports = new Map<string, StoredReport>();
+  /** Least difference seen between this daemon's clock and the sender's. */
+  readonly #clockOffsetsMs = new Map<string, number>();
   #poolTargets = 0;
 
   constructor(options: PoolMeanEstimateOptions = DEFAULT_POOL_MEAN_OPTIONS) {
@@ -61,32 +75,28 @@
     this.#poolTargets = count;
   }
 
-  /** Takes a report; `key` is the name of the target or of the zone. */
-  noteReport(key: string, report: PoolLoadReport, receivedAtMs: number): void {
-    const stored = this.#reports.get(key);
-    if (stored && stored.report.epochNumber > report.epochNumber) return;
-    this.#reports.set(key, { report, receivedAtMs });
-  }
-
-  /** Drops the report of a target or zone that is gone or cut off. */
-  forget(key: string): void {
-    this.#reports.delete(key);
+  /**
+   * Takes the report of a keeper. A report that was held up on its way is
+   * recognised by the least difference of the two clocks that was seen.
+   */
+  noteReport(
+    keeper: string,
+    report: PoolLoadReport,
+    receivedAtMs: number,
+  ): void {
+    const differenceMs = receivedAtMs - report.measuredAtMs;
+    const knownMs = this.#clockOffsetsMs.get(keeper) ?? differenceMs;
+    const offsetMs = Math.min(knownMs, differenceMs);
+    this.#clockOffsetsMs.set(keeper, offsetMs);
+    const measuredAtMs = report.measuredAtMs + offsetMs -
+      this.#options.reportDelayMs;
+    this.#reports.set(keeper, { report, measuredAtMs });
   }
 
-  /** Lower bound of the pool's load at `nowMs`, in requests. */
-  lowerLoadRequests(nowMs: number): number {
-    let sumRequests = 0;
-    let expectedEnds = 0;
-    for (const { report, receivedAtMs } of this.#reports.values()) {
-      const ageMs = nowMs - receivedAtMs + this.#options.reportDelayMs;
-      if (ageMs > this.#options.maxReportAgeMs) continue;
-      const lagMs = ageMs + this.#options.permitLagMs;
-      const ends = report.endedPerSecond * lagMs / MS_PER_SECOND;
-      sumRequests += report.loadRequests;
-      expectedEnds += Math.min(ends, report.loadRequests);
-    }
-    const spread = this.#options.safetyDeviations * Math.sqrt(expectedEnds);
-    return Math.max(0, sumRequests - expectedEnds - spread);
+  /** Drops what is known of a keeper that is gone, restarted or cut off. */
+  forget(keeper: string): void {
+    this.#reports.delete(keeper);
+    this.#clockOffsetsMs.delete(keeper);
   }
 
   /** The most load that a target may have at an admission at `nowMs`. */
@@ -96,10 +106,65 @@
       reportedTargets += report.targets;
     }
     const poolTargets = Math.max(this.#poolTargets, reportedTargets, 1);
-    return maxLoadRequests(
-      factor,
-      this.lowerLoadRequests(nowMs),
-      poolTargets,
-    );
+    const loadRequests = this.lowerLoadRequests(poolTargets, nowMs);
+    return maxLoadRequests(factor, loadRequests, poolTargets);
   }
+
+  /** Lower bound of the load of `poolTargets` targets at `nowMs`. */
+  lowerLoadRequests(poolTargets: number, nowMs: number): number {
+    const sums = this.#sumReports(nowMs);
+    const spread = this.#options.safetyDeviations *
+      Math.sqrt(sums.expectedEnds);
+    const lowerRequests = sums.loadRequests - sums.expectedEnds - spread;
+    if (sums.targets === 0) return 0;
+    const missingTargets = poolTargets - sums.targets;
+    if (sums.reports < this.#options.sampleReports || missingTargets <= 0) {
+      return Math.max(0, lowerRequests);
+    }
+    const meanRequests = lowerRequests / sums.targets -
+      this.#options.safetyDeviations * standardError(sums);
+    return Math.max(0, lowerRequests + missingTargets * meanRequests);
+  }
+
+  #sumReports(nowMs: number): ReportSums {
+    const sums = {
+      reports: 0,
+      targets: 0,
+      loadRequests: 0,
+      squares: 0,
+      expectedEnds: 0,
+    };
+    for (const { report, measuredAtMs } of this.#reports.values()) {
+      const ageMs = nowMs - measuredAtMs;
+      if (ageMs > this.#options.maxReportAgeMs || report.targets === 0) {
+        continue;
+      }
+      const lagMs = ageMs + this.#options.permitLagMs;
+      const ends = report.endedPerSecond * lagMs / MS_PER_SECOND;
+      sums.reports += 1;
+      sums.targets += report.targets;
+      sums.loadRequests += report.loadRequests;
+      sums.squares += report.loadRequests ** 2 / report.targets;
+      sums.expectedEnds += Math.min(ends, report.loadRequests);
+    }
+    return sums;
+  }
+}
+
+interface ReportSums {
+  readonly reports: number;
+  readonly targets: number;
+  readonly loadRequests: number;
+  /** Sum over the reports of their load squared over their targets. */
+  readonly squares: number;
+  /** Requests that ended since the reports, if they went on as before. */
+  readonly expectedEnds: number;
+}
+
+/** Standard error of the mean load of one target, from whole reports. */
+function standardError(sums: ReportSums): number {
+  const mean = sums.loadRequests / sums.targets;
+  const variance = Math.max(0, sums.squares - mean * sums.loadRequests) /
+    Math.max(1, sums.reports - 1);
+  return Math.sqrt(variance / sums.targets);
 }
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -154,11 +154,14 @@
     };
   }
 
-  /** Ends a permit whose answer has ended or that was not used. */
-  release(holder: string, askId: number, nowMs: number): void {
-    if (this.#ledger.release(holder, askId, nowMs)) {
-      this.#endRate.note(nowMs);
-    }
+  /**
+   * Ends a permit whose answer has ended or that was not used. Returns whether
+   * it was outstanding here.
+   */
+  release(holder: string, askId: number, nowMs: number): boolean {
+    if (!this.#ledger.release(holder, askId, nowMs)) return false;
+    this.#endRate.note(nowMs);
+    return true;
   }
 
   /** Counts requests of a holder that this keeper did not collect. */
--- a/packages/core/src/bound/target_keeper_test.ts
+++ b/packages/core/src/bound/target_keeper_test.ts
@@ -16,8 +16,14 @@
     maxConcurrentPerTarget: LIMIT,
     servingTargets: 2,
   });
-  const report = { pool: "writers", target: "target-2", loadRequests: 100 };
-  book.notePoolReport({ ...report, endedPerSecond: 0, epochNumber: 1 }, nowMs);
+  const report = { pool: "writers", targets: 1, loadRequests: 100 };
+  for (const measuredAtMs of [nowMs, nowMs + 5]) {
+    book.notePoolReport(
+      "other",
+      { ...report, endedPerSecond: 0, measuredAtMs: measuredAtMs },
+      nowMs,
+    );
+  }
   return book;
 }
 
@@ -65,7 +71,7 @@
     expect(asks.filter((ask) => ask !== undefined)).toHaveLength(LIMIT);
     holder.end(asks[0]!);
     for (const entry of holder.takeReturns()) {
-      book.release("a", entry.target, entry.askId, 20);
+      book.release("a", entry.askId, 20);
     }
     expect(admit(book, "a", holder, 30)).toBeDefined();
     expect(admit(book, "a", holder, 30)).toBeUndefined();
--- a/packages/core/src/placement/pool_view.ts
+++ b/packages/core/src/placement/pool_view.ts
@@ -19,6 +19,11 @@
   readonly targets: readonly PlacementTarget[];
   /** Hash of the name of the target at the same index. */
   readonly nameHashes: Uint32Array;
+  /** Number of the availability zone of the target at the same index. */
+  readonly zoneNumbers: Uint16Array;
+  /** 1 where the target at the same index is on probation. */
+  readonly probationFlags: Uint8Array;
+  readonly #zoneNumberByName = new Map<string, number>();
 
   constructor(targets: readonly PlacementTarget[]) {
     this.targets = [...targets].sort((a, b) => a.name < b.name ? -1 : 1);
@@ -26,6 +31,19 @@
       this.targets,
       (target) => hash32(target.name),
     );
+    this.zoneNumbers = Uint16Array.from(
+      this.targets,
+      (target) => this.#numberZone(target.availabilityZone),
+    );
+    this.probationFlags = Uint8Array.from(
+      this.targets,
+      (target) => target.onProbation ? 1 : 0,
+    );
+  }
+
+  /** Number of a zone in `zoneNumbers`, or -1 if it has no target here. */
+  zoneNumberOf(availabilityZone: string): number {
+    return this.#zoneNumberByName.get(availabilityZone) ?? -1;
   }
 
   /** Mean of the reported loads, in requests. */
@@ -35,4 +53,12 @@
     for (const target of this.targets) sumRequests += target.loadRequests;
     return sumRequests / this.targets.length;
   }
+
+  #numberZone(availabilityZone: string): number {
+    const known = this.#zoneNumberByName.get(availabilityZone);
+    if (known !== undefined) return known;
+    const number = this.#zoneNumberByName.size;
+    this.#zoneNumberByName.set(availabilityZone, number);
+    return number;
+  }
 }
--- a/packages/core/src/placement/rendezvous_policy.ts
+++ b/packages/core/src/placement/rendezvous_policy.ts
@@ -49,14 +49,15 @@
   const otherZones = new TopScores(request.maxTargets);
   const onProbation = new TopScores(request.maxTargets);
   const keyHash = hash32(request.chatKey);
-  view.targets.forEach((target, index) => {
-    const score = mixHash32(keyHash, view.nameHashes[index]!);
-    if (target.onProbation) return onProbation.offer(index, score);
-    if (target.availabilityZone === request.availabilityZone) {
-      return ownZone.offer(index, score);
-    }
-    otherZones.offer(index, score);
-  });
+  const ownZoneNumber = view.zoneNumberOf(request.availabilityZone);
+  const { nameHashes, zoneNumbers, probationFlags } = view;
+  for (let index = 0; index < nameHashes.length; index++) {
+    const score = mixHash32(keyHash, nameHashes[index]!);
+    const isOwnZone = zoneNumbers[index] === ownZoneNumber;
+    const isLast = probationFlags[index] === 1;
+    const top = isLast ? onProbation : isOwnZone ? ownZone : otherZones;
+    if (score > top.lowestScore) top.offer(index, score);
+  }
   const otherWeight = zoneWeight(request);
   const ranked = [
     ...createCandidates(ownZone, view, 1),
--- a/packages/core/src/placement/top_scores.ts
+++ b/packages/core/src/placement/top_scores.ts
@@ -1,8 +1,13 @@
-/** Keeps the indexes of the highest scores without sorting the whole input. */
+/**
+ * Keeps the indexes of the highest scores without sorting the whole input.
+ * Scores are not negative.
+ */
 export class TopScores {
   readonly #capacity: number;
   readonly #scores: number[] = [];
   readonly #indexes: number[] = [];
+  /** A score must be above this to be kept; below any score at first. */
+  lowestScore = -1;
 
   constructor(capacity: number) {
     this.#capacity = capacity;
@@ -11,8 +16,8 @@
   /** Offers one score. Among equal scores the first offered stays ahead. */
   offer(index: number, score: number): void {
     const length = this.#scores.length;
+    if (score <= this.lowestScore) return;
     if (length === this.#capacity) {
-      if (length === 0 || score <= this.#scores[length - 1]!) return;
       this.#scores.pop();
       this.#indexes.pop();
     }
@@ -20,6 +25,9 @@
     while (position > 0 && this.#scores[position - 1]! < score) position--;
     this.#scores.splice(position, 0, score);
     this.#indexes.splice(position, 0, index);
+    if (this.#scores.length === this.#capacity) {
+      this.lowestScore = this.#scores[this.#capacity - 1] ?? Infinity;
+    }
   }
 
   /** The kept indexes, highest score first. */
