Tell a warming target's keeper whether a chat returns

Cause: the keeper has to remember first turns on a warming target as well as turn unknown returning chats away. Change: an ask may name its chat with a flag; the keeper notes what it grants.

--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -166,21 +166,17 @@
   /** Answers a holder's ask for a permit. */
   answer(holder: string, ask: PermitAsk, nowMs: number): PermitAnswer {
     this.noteAlive(nowMs);
-    const { askId, returningChatHash } = ask;
+    const { askId, chat } = ask;
     const kept = this.#targets.get(ask.target);
     if (!kept) return { kind: "refused", askId, reason: "not-keeper" };
     const warming = kept.warmingChats;
-    if (
-      returningChatHash !== undefined &&
-      warming?.shouldPassOn(returningChatHash, nowMs)
-    ) return { kind: "refused", askId, reason: "pass-on" };
+    if (chat?.isReturning && warming?.shouldPassOn(chat.hash, nowMs)) {
+      return { kind: "refused", askId, reason: "pass-on" };
+    }
     const limitRequests = this.limitRequests(kept.pool, nowMs);
-    return kept.keeper.answer(holder, ask, limitRequests, nowMs);
-  }
-
-  /** Notes which chat runs on a target, where it matters. */
-  noteRun(target: string, chatHash: number, nowMs: number): void {
-    this.#targets.get(target)?.warmingChats?.noteRun(chatHash, nowMs);
+    const answer = kept.keeper.answer(holder, ask, limitRequests, nowMs);
+    if (chat && answer.kind === "granted") warming?.noteRun(chat.hash, nowMs);
+    return answer;
   }
 
   /** Takes a permit back. A daemon keeps few targets, so all are tried. */
--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -17,13 +17,21 @@
   return a.number === b.number && a.keeper === b.keeper;
 }
 
+/** The chat of an ask, for targets whose cache is still empty. */
+export interface AskedChat {
+  /** `hash32` of the chat's key. */
+  readonly hash: number;
+  /** False for the first turn of a chat. */
+  readonly isReturning: boolean;
+}
+
 /** A holder's question for one place at a target. */
 export interface PermitAsk {
   /** Number of the ask, unique in one run of the holder. */
   readonly askId: number;
   readonly target: string;
-  /** Hash of a returning chat's key; absent for the first turn of a chat. */
-  readonly returningChatHash?: number;
+  /** Given while the target has been serving for a short time only. */
+  readonly chat?: AskedChat;
 }
 
 /** Why a keeper gave no permit. */
--- a/packages/core/src/bound/permit_codec.ts
+++ b/packages/core/src/bound/permit_codec.ts
@@ -14,7 +14,12 @@
 
 const askSchema = z.union([
   z.tuple([z.int(), z.string()]),
-  z.tuple([z.int(), z.string(), z.int()]),
+  z.tuple([
+    z.int(),
+    z.string(),
+    z.int(),
+    z.union([z.literal(0), z.literal(1)]),
+  ]),
 ]);
 
 const reportSchema = z.tuple([
@@ -51,17 +56,17 @@
   "pass-on",
 ];
 
-/** `[askId, target]`, and the chat's hash where it is given. */
+/** `[askId, target]`, then the chat's hash and 1 if it returns, if given. */
 export function encodeAsk(ask: PermitAsk): EncodedAsk {
-  if (ask.returningChatHash === undefined) return [ask.askId, ask.target];
-  return [ask.askId, ask.target, ask.returningChatHash];
+  if (!ask.chat) return [ask.askId, ask.target];
+  return [ask.askId, ask.target, ask.chat.hash, ask.chat.isReturning ? 1 : 0];
 }
 
 /** The reverse of `encodeAsk`. */
 export function decodeAsk(encoded: EncodedAsk): PermitAsk {
-  const [askId, target, returningChatHash] = encoded;
-  if (returningChatHash === undefined) return { askId, target };
-  return { askId, target, returningChatHash };
+  const [askId, target, hash, returning] = encoded;
+  if (hash === undefined) return { askId, target };
+  return { askId, target, chat: { hash, isReturning: returning === 1 } };
 }
 
 /** `[askId, epoch number]` of a grant, `[askId, -reason]` of a refusal. */
