Follow the configuration through relays and peers

Cause: each waiting watch counts as a call, a new daemon in a cut-off zone must take the highest set of its peers, and a restored platform must not bring an older set back.

Change: three relays a zone watch; a set goes down a tree of fan-out 2 by announcement, and each daemon asks one other every 2 s, which heals a missed announcement. A daemon that starts waits up to 1.5 s for the heads of the platform and of peers and takes the highest. PeerAddressController opens the peer port and keeps addresses; the membership controller may take it over.

Conclusion: in force in virtual time within 9 s in 90 daemons with 9 watches, and with two of three relays of a zone hung.

--- a/packages/core/src/config/config_follower.ts
+++ b/packages/core/src/config/config_follower.ts
@@ -33,14 +33,16 @@
   | "malformed-part"
   | "invalid-set";
 
+/** Parts that are missing for the pending head. */
+export interface WantedParts {
+  /** The source that offered the head; others may have the parts too. */
+  readonly source: ConfigSource;
+  readonly digests: readonly string[];
+}
+
 /** What the owner of a `ConfigFollower` must do. */
 export type FollowerAction =
-  | {
-    readonly kind: "fetch-parts";
-    /** The source that offered the head; others may have the parts too. */
-    readonly source: ConfigSource;
-    readonly digests: readonly string[];
-  }
+  | ({ readonly kind: "fetch-parts" } & WantedParts)
   | {
     readonly kind: "apply";
     readonly config: AppliedConfig;
@@ -93,6 +95,14 @@
     return this.#candidate?.head;
   }
 
+  /** The parts to fetch for the pending head; undefined without one. */
+  get wantedParts(): WantedParts | undefined {
+    const candidate = this.#candidate;
+    if (!candidate) return undefined;
+    const digests = this.#collectParts(candidate.head).missing;
+    return { source: candidate.source, digests };
+  }
+
   /** The text of a held part, for a peer that asks for it. */
   exportPart(digest: string): string | undefined {
     return this.#parts.get(digest)?.text;
--- a/packages/core/src/config/index.ts
+++ b/packages/core/src/config/index.ts
@@ -11,3 +11,5 @@
 export * from "./layout.ts";
 export * from "./object_key.ts";
 export * from "./part_contents.ts";
+export * from "./publication.ts";
+export * from "./relay_tree.ts";
--- a/packages/daemon/src/admin/admin_app.ts
+++ b/packages/daemon/src/admin/admin_app.ts
@@ -40,6 +40,7 @@
     availabilityZone: parts.availabilityZone,
     phase: blackboard.lifecycle.read(),
     configRevision: blackboard.config.read().revision,
+    configNonce: blackboard.config.read().nonce,
     runningRequests: parts.running.count,
     daemons: [...blackboard.daemons.read().values()],
     targets: [...blackboard.targets.read().values()],
--- a/packages/daemon/src/blackboard/blackboard.ts
+++ b/packages/daemon/src/blackboard/blackboard.ts
@@ -5,6 +5,8 @@
 export interface ConfigView {
   /** Zero until a first configuration is in force. */
   readonly revision: number;
+  /** The publisher's mark of the set; empty until the first. */
+  readonly nonce: string;
   readonly objects: ObjectSet;
 }
 
@@ -45,6 +47,7 @@
   return {
     config: new Field<ConfigView>("config", {
       revision: 0,
+      nonce: "",
       objects: createObjectSet([]),
     }),
     targets: new Field<ReadonlyMap<string, TargetView>>("targets", new Map()),
--- /dev/null
+++ b/packages/daemon/src/config/config_controller_test.ts
@@ -0,0 +1,220 @@
+import { describe, expect, it } from "@jest/globals";
+import {
+  CONFIG_HEAD_KEY,
+  CONFIG_PART_PREFIX,
+  createPublication,
+  type FleetObject,
+  hash32,
+  type Layout,
+  objectSchema,
+  type Publication,
+  VirtualTimerService,
+} from "@coltsfootford/core";
+import {
+  FakeKeyValue,
+  FakeKeyValueStore,
+} from "@coltsfootford/platform/testing";
+import { createHash } from "node:crypto";
+import { createBlackboard } from "../blackboard/index.ts";
+import { ConfigController } from "./config_controller.ts";
+import { FakeConfigNetwork } from "./testing/fake_config_network.ts";
+
+/** Time in which an accepted set must be in force everywhere. */
+const IN_FORCE_MS = 9_000;
+const STEP_MS = 50;
+
+const sha256Hex = (text: string) =>
+  createHash("sha256").update(text).digest("hex");
+
+function createTeams(count: number, shareWeight = 1): FleetObject[] {
+  return Array.from({ length: count }, (_item, index) =>
+    objectSchema.parse({
+      kind: "team",
+      name: `team-${index}`,
+      shareWeight: index === 0 ? shareWeight : 1,
+    }));
+}
+
+interface Node {
+  readonly vm: string;
+  readonly keyValue: FakeKeyValue;
+  readonly controller: ConfigController;
+  readonly events: string[];
+  revision(): number;
+}
+
+/** Daemons of several zones over one fake platform and one fake network. */
+class Fleet {
+  readonly timer = new VirtualTimerService();
+  readonly store = new FakeKeyValueStore();
+  readonly network = new FakeConfigNetwork(this.timer);
+  readonly nodes: Node[] = [];
+  readonly #operator = new FakeKeyValue(this.timer, this.store);
+  #layout: Layout | undefined;
+
+  create(vm: string, zone: string): Node {
+    const keyValue = new FakeKeyValue(this.timer, this.store);
+    const blackboard = createBlackboard();
+    const events: string[] = [];
+    let drawCount = 0;
+    const controller = new ConfigController({
+      vm,
+      blackboard,
+      keyValue,
+      peers: this.network.join(vm, zone),
+      timer: this.timer,
+      logger: {
+        event: (name, fields) =>
+          events.push(`${name} ${fields?.["reason"] ?? ""}`),
+      },
+      random: () => hash32(`${vm}/${drawCount++}`) / 2 ** 32,
+    });
+    const revision = () => blackboard.config.read().revision;
+    const node = { vm, keyValue, controller, events, revision };
+    this.nodes.push(node);
+    return node;
+  }
+
+  async startAll(): Promise<void> {
+    const started = this.nodes.map((node) => node.controller.start());
+    await this.pass(2_000);
+    await Promise.all(started);
+  }
+
+  async publish(
+    revision: number,
+    objects: FleetObject[],
+  ): Promise<Publication> {
+    const publication = createPublication(
+      objects,
+      { revision, nonce: `n${revision}`, publishedBy: "t", publishedAtMs: 0 },
+      this.#layout,
+      sha256Hex,
+    );
+    this.#layout = publication.head.layout;
+    for (const [digest, text] of publication.texts) {
+      await this.#operator.put(CONFIG_PART_PREFIX + digest, text);
+    }
+    await this.#operator.put(CONFIG_HEAD_KEY, JSON.stringify(publication.head));
+    return publication;
+  }
+
+  async pass(durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+      this.timer.advance(STEP_MS);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  behind(revision: number): string[] {
+    return this.nodes.filter((node) => node.revision() !== revision)
+      .map((node) => node.vm);
+  }
+}
+
+function createFleet(zones: number, daemonsPerZone: number): Fleet {
+  const fleet = new Fleet();
+  for (let zone = 0; zone < zones; zone++) {
+    for (let index = 0; index < daemonsPerZone; index++) {
+      fleet.create(`entry-${zone}-${index}`, `zone-${zone}`);
+    }
+  }
+  return fleet;
+}
+
+describe("ConfigController", () => {
+  it("has a change in force everywhere in time, with few watches", async () => {
+    const fleet = createFleet(3, 30);
+    const objects = createTeams(500);
+    await fleet.publish(1, objects);
+    await fleet.startAll();
+    await fleet.pass(IN_FORCE_MS);
+    expect(fleet.behind(1)).toEqual([]);
+    const watches = fleet.nodes.reduce(
+      (sum, node) => sum + node.keyValue.calls.watches,
+      0,
+    );
+    expect(watches).toBe(9);
+    const writesBefore = fleet.network.partBytes;
+    const { texts } = await fleet.publish(2, createTeams(500, 7));
+    await fleet.pass(IN_FORCE_MS);
+    expect(fleet.behind(2)).toEqual([]);
+    const setBytes = [...texts.values()].join("").length;
+    const perDaemon = (fleet.network.partBytes - writesBefore) / 90;
+    expect(perDaemon).toBeLessThan(setBytes / 20);
+  });
+
+  it("reaches daemons below a relay that hangs", async () => {
+    const fleet = createFleet(2, 20);
+    await fleet.publish(1, createTeams(20));
+    await fleet.startAll();
+    await fleet.pass(IN_FORCE_MS);
+    const hung = fleet.nodes.filter((node) => node.keyValue.calls.watches > 0)
+      .slice(0, 2);
+    for (const node of hung) {
+      fleet.network.cut(node.vm);
+      node.keyValue.setDown(true);
+    }
+    await fleet.publish(2, createTeams(20, 2));
+    await fleet.pass(IN_FORCE_MS);
+    expect(fleet.behind(2)).toEqual(hung.map((node) => node.vm));
+  });
+
+  it("takes the highest set of its peers where it starts cut off", async () => {
+    const fleet = createFleet(2, 3);
+    await fleet.publish(1, createTeams(3));
+    await fleet.startAll();
+    fleet.nodes.slice(0, 3).forEach((node) => node.keyValue.setDown(true));
+    fleet.network.cutZone("zone-0");
+    await fleet.publish(2, createTeams(3, 2));
+    await fleet.pass(IN_FORCE_MS);
+    const late = fleet.create("entry-0-late", "zone-0");
+    late.keyValue.setDown(true);
+    const started = late.controller.start();
+    await fleet.pass(2_000);
+    await started;
+    expect(late.revision()).toBe(1);
+    fleet.network.healAll();
+    await fleet.pass(IN_FORCE_MS);
+    expect(fleet.behind(2)).toEqual([]);
+  });
+
+  it("refuses a restored platform, and a new daemon follows its peers", async () => {
+    const fleet = createFleet(1, 4);
+    await fleet.publish(1, createTeams(3));
+    const backup = fleet.store.backup();
+    await fleet.startAll();
+    await fleet.publish(2, createTeams(3, 2));
+    await fleet.pass(IN_FORCE_MS);
+    fleet.store.restore(backup);
+    fleet.nodes.forEach((node) => node.keyValue.endWatches());
+    const late = fleet.create("entry-0-late", "zone-0");
+    const started = late.controller.start();
+    await fleet.pass(IN_FORCE_MS);
+    await started;
+    expect(fleet.behind(2)).toEqual([]);
+    expect(late.events).toContain("configApplied ");
+    expect(late.events.filter((event) => event.startsWith("configApplied")))
+      .toHaveLength(1);
+    const refused = fleet.nodes.filter((node) =>
+      node.events.includes("configRefused older-revision")
+    );
+    expect(refused.length).toBeGreaterThan(0);
+    await fleet.publish(3, createTeams(3, 3));
+    await fleet.pass(IN_FORCE_MS);
+    expect(fleet.behind(3)).toEqual([]);
+  });
+
+  it("keeps its set through an outage of the platform and catches up", async () => {
+    const fleet = createFleet(1, 4);
+    await fleet.publish(1, createTeams(3));
+    await fleet.startAll();
+    fleet.nodes.forEach((node) => node.keyValue.setDown(true));
+    await fleet.publish(2, createTeams(3, 2));
+    await fleet.pass(60_000);
+    expect(fleet.behind(1)).toEqual([]);
+    fleet.nodes.forEach((node) => node.keyValue.setDown(false));
+    await fleet.pass(IN_FORCE_MS);
+    expect(fleet.behind(2)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/config/testing/fake_config_network.ts
@@ -0,0 +1,148 @@
+import {
+  createStepError,
+  type StepError,
+  type TimerService,
+} from "@coltsfootford/core";
+import { err, ok, type Result } from "neverthrow";
+import type {
+  HeadAnswer,
+  PartAnswer,
+  PartRequest,
+  RevisionMessage,
+} from "../config_messages.ts";
+import {
+  type ConfigPeer,
+  type ConfigPeerHandlers,
+  ConfigPeers,
+} from "../config_peers.ts";
+
+/** Time for an answer that never comes. */
+const CALL_TIMEOUT_MS = 2_000;
+
+interface Member {
+  readonly vm: string;
+  readonly zone: string;
+  handlers: ConfigPeerHandlers | undefined;
+}
+
+/** Carries the messages of the configuration between daemons of a test. */
+export class FakeConfigNetwork {
+  /** Bytes of parts sent so far. */
+  partBytes = 0;
+  readonly #timer: TimerService;
+  readonly #members = new Map<string, Member>();
+  readonly #cutVms = new Set<string>();
+  readonly #cutZones = new Set<string>();
+
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  join(vm: string, zone: string): ConfigPeers {
+    const member: Member = { vm, zone, handlers: undefined };
+    this.#members.set(vm, member);
+    return new FakeConfigPeers(this, member);
+  }
+
+  /** Loses every message from and to a daemon. */
+  cut(vm: string): void {
+    this.#cutVms.add(vm);
+  }
+
+  /** Loses every message between a zone and the others. */
+  cutZone(zone: string): void {
+    this.#cutZones.add(zone);
+  }
+
+  healAll(): void {
+    this.#cutVms.clear();
+    this.#cutZones.clear();
+  }
+
+  list(self: Member): ConfigPeer[] {
+    return [...this.#members.values()]
+      .filter((member) => member !== self)
+      .map(({ vm, zone }) => ({ vm, isOwnZone: zone === self.zone }));
+  }
+
+  /** Delivers a message; undefined where it is lost. */
+  async deliver<Answer>(
+    from: Member,
+    to: string,
+    run: (handlers: ConfigPeerHandlers) => Answer,
+  ): Promise<Result<Answer, StepError>> {
+    await Promise.resolve();
+    const target = this.#members.get(to);
+    if (target?.handlers && this.#isOpen(from, target)) {
+      return ok(run(target.handlers));
+    }
+    await new Promise<void>((resolve) => {
+      this.#timer.after(CALL_TIMEOUT_MS, resolve);
+    });
+    return err(createStepError("maybe-sent", "peer.call", "no answer"));
+  }
+
+  #isOpen(from: Member, to: Member): boolean {
+    if (this.#cutVms.has(from.vm) || this.#cutVms.has(to.vm)) return false;
+    if (from.zone === to.zone) return true;
+    return !this.#cutZones.has(from.zone) && !this.#cutZones.has(to.zone);
+  }
+}
+
+class FakeConfigPeers extends ConfigPeers {
+  readonly #network: FakeConfigNetwork;
+  readonly #self: Member;
+
+  constructor(network: FakeConfigNetwork, self: Member) {
+    super();
+    this.#network = network;
+    this.#self = self;
+  }
+
+  override list(): readonly ConfigPeer[] {
+    return this.#network.list(this.#self);
+  }
+
+  override handle(handlers: ConfigPeerHandlers): void {
+    this.#self.handlers = handlers;
+  }
+
+  override announce(vm: string, message: RevisionMessage): void {
+    const { vm: from } = this.#self;
+    void this.#network.deliver(
+      this.#self,
+      vm,
+      (handlers) => handlers.onAnnounce(from, message),
+    );
+  }
+
+  override poll(vm: string, message: RevisionMessage) {
+    const { vm: from } = this.#self;
+    return this.#network.deliver(
+      this.#self,
+      vm,
+      (handlers) => handlers.onPoll(from, message),
+    );
+  }
+
+  override getHead(vm: string): Promise<Result<HeadAnswer, StepError>> {
+    return this.#network.deliver(
+      this.#self,
+      vm,
+      (handlers) => handlers.onHead(),
+    );
+  }
+
+  override getParts(
+    vm: string,
+    request: PartRequest,
+  ): Promise<Result<PartAnswer, StepError>> {
+    return this.#network.deliver(this.#self, vm, (handlers) => {
+      const answer = handlers.onParts(request);
+      for (const text of Object.values(answer.parts)) {
+        this.#network.partBytes += text.length;
+      }
+      return answer;
+    });
+  }
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,12 +7,13 @@
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
 import { createBlackboard, type LifecyclePhase } from "./blackboard/index.ts";
-import { ConfigController } from "./config/index.ts";
+import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
 import { closePort, listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import { Metrics } from "./metrics/index.ts";
+import { PeerAddressController, Peers } from "./peers/index.ts";
 import type { Settings } from "./settings/index.ts";
 import { TargetClient } from "./targets/index.ts";
 import { VmListController } from "./vm_list/index.ts";
@@ -42,6 +43,11 @@
     random: Math.random,
   });
   const targetClient = new TargetClient();
+  const peers = new Peers({
+    vm: settings.vm,
+    timer,
+    keys: settings.peerKeys,
+  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -50,7 +56,28 @@
       logger,
       pollMs: settings.vmList.pollMs,
     }),
-    new ConfigController({ blackboard, keyValue, logger }),
+    new PeerAddressController({
+      vm: settings.vm,
+      blackboard,
+      peers,
+      seeds: settings.peers,
+      listen: settings.peerListen,
+    }),
+    new ConfigController({
+      vm: settings.vm,
+      blackboard,
+      keyValue,
+      peers: new RpcConfigPeers({
+        vm: settings.vm,
+        availabilityZone: settings.availabilityZone,
+        blackboard,
+        peers,
+        seeds: settings.peers,
+      }),
+      timer,
+      logger,
+      random: Math.random,
+    }),
   ];
   const entry = new EntryServer(settings.vm, {
     blackboard,
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -57,6 +57,7 @@
   const blackboard = createBlackboard();
   blackboard.config.claimWriter("test").write({
     revision: 1,
+    nonce: "test",
     objects: createObjectSet(OBJECTS.map((it) => objectSchema.parse(it))),
   });
   const targets = new Map<string, TargetView>();
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -29,6 +29,11 @@
     level: "warn",
     text: "configuration cannot be read from the platform",
   },
+  configPartsMissing: {
+    number: 2004,
+    level: "warn",
+    text: "no source has the parts of a later configuration yet",
+  },
   vmListApplied: { number: 3001, level: "info", text: "VM list has changed" },
   vmListUnreachable: {
     number: 3002,
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./keyring.ts";
 export * from "./line_splitter.ts";
+export * from "./peer_address_controller.ts";
 export * from "./peer_connection.ts";
 export * from "./peer_error.ts";
 export * from "./peer_event.ts";
