--- /dev/null
+++ b/packages/core/src/placement/top_scores.ts
@@ -0,0 +1,42 @@
+/**
+ * Keeps the indexes of the highest scores without sorting the whole input.
+ * Scores are not negative.
+ */
+export class TopScores {
+  readonly #capacity: number;
+  readonly #scores: number[] = [];
+  readonly #indexes: number[] = [];
+  /** A score must be above this to be kept; below any score at first. */
+  lowestScore = -1;
+
+  constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  /** Offers one score. Among equal scores the first offered stays ahead. */
+  offer(index: number, score: number): void {
+    const length = this.#scores.length;
+    if (score <= this.lowestScore) return;
+    if (length === this.#capacity) {
+      this.#scores.pop();
+      this.#indexes.pop();
+    }
+    let position = this.#scores.length;
+    while (position > 0 && this.#scores[position - 1]! < score) position--;
+    this.#scores.splice(position, 0, score);
+    this.#indexes.splice(position, 0, index);
+    if (this.#scores.length === this.#capacity) {
+      this.lowestScore = this.#scores[this.#capacity - 1] ?? Infinity;
+    }
+  }
+
+  /** The kept indexes, highest score first. */
+  indexes(): readonly number[] {
+    return this.#indexes;
+  }
+
+  /** The kept scores, highest first. */
+  scores(): readonly number[] {
+    return this.#scores;
+  }
+}
--- a/packages/daemon/src/timer/system_timer_service.ts
+++ b/packages/platform/src/system_timer_service.ts
@@ -1,6 +1,6 @@
 import { type CancelTimer, TimerService } from "@coltsfootford/core";
 
-/** Time from the operating system: the monotonic and the calendar clock. */
+/** The timer service of a running process. */
 export class SystemTimerService extends TimerService {
   override nowMs(): number {
     return performance.now();
@@ -11,12 +11,12 @@
   }
 
   override every(periodMs: number, action: () => void): CancelTimer {
-    const timer = setInterval(action, periodMs);
-    return () => clearInterval(timer);
+    const handle = setInterval(action, periodMs);
+    return () => clearInterval(handle);
   }
 
   override after(delayMs: number, action: () => void): CancelTimer {
-    const timer = setTimeout(action, delayMs);
-    return () => clearTimeout(timer);
+    const handle = setTimeout(action, delayMs);
+    return () => clearTimeout(handle);
   }
 }
