Run the membership in the daemon and show it on the blackboard

Cause: daemons and targets were what the VM list said, which lags 30 s. Ruled out: writing the views from the VM list controller as well, since a field has one writer; polling a target's load from several daemons, which costs its bytes each time. A test with four daemons over real sockets passes (jest packages/daemon).

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -114,7 +114,7 @@
     this.#table.merge(this.#ownDelta());
   }
 
-  /** Grows with every change that a reader could see. */
+  /** Grows with every change of a daemon's, target's or zone's state. */
   get revision(): number {
     return this.#revision;
   }
@@ -124,6 +124,11 @@
     return this.#incarnation;
   }
 
+  /** Whether another daemon has answered since the start or a pause. */
+  get hasJoined(): boolean {
+    return this.#hasJoined;
+  }
+
   /** When a pause began that is not over yet, or undefined. */
   get pausedSinceMs(): number | undefined {
     return this.#guard.pausedSinceMs;
@@ -276,6 +281,16 @@
     );
   }
 
+  /** Names of the other zones that cannot be heard. */
+  unreachableZones(): string[] {
+    return this.#zoneMap().zones.filter((zone) => !this.isZoneReachable(zone));
+  }
+
+  /** The run of a target that its keeper reported last, else "". */
+  targetRun(name: string): string {
+    return this.#table.targets.get(name)?.run ?? "";
+  }
+
   /** The state of a target that the VM list names. */
   targetState(name: string): "live" | "leaving" | "dead" {
     const condition = this.#table.targets.get(name)?.condition;
@@ -494,8 +509,9 @@
   }
 
   #changed(delta?: Delta): void {
+    // Attachments change all the time; only one of them is part of a state.
+    if (delta?.[0] === "a" && delta[4] !== SILENT_ZONES_KEY) return;
     this.#revision += 1;
-    // Links follow the daemons only; attachments change all the time.
     if (delta === undefined || delta[0] === "d") this.#map = undefined;
   }
 }
--- a/packages/daemon/src/blackboard/blackboard.ts
+++ b/packages/daemon/src/blackboard/blackboard.ts
@@ -1,4 +1,9 @@
-import { createObjectSet, type ObjectSet } from "@coltsfootford/core";
+import {
+  createObjectSet,
+  type Keeper,
+  type ObjectSet,
+} from "@coltsfootford/core";
+import type { Vm } from "@coltsfootford/platform";
 import { Field } from "./field.ts";
 
 /** The configuration in force in this daemon. */
@@ -29,6 +34,16 @@
   readonly state: "live" | "leaving" | "suspect" | "dead";
 }
 
+/** What a target said of itself when its keeper, this daemon, asked last. */
+export interface LoadReport {
+  readonly target: string;
+  readonly runningRequests: number;
+  readonly waitingRequests: number;
+  readonly runningTokens: number;
+  /** When the answer came, on this daemon's monotonic clock. */
+  readonly receivedAtMs: number;
+}
+
 /** How far the daemon has come on its way from start to exit. */
 export type LifecyclePhase = "starting" | "serving" | "draining" | "stopped";
 
@@ -39,6 +54,12 @@
   readonly targets: Field<ReadonlyMap<string, TargetView>>;
   /** Daemons by VM name, this one included. */
   readonly daemons: Field<ReadonlyMap<string, DaemonView>>;
+  /** The platform's list of VMs as it was read last; undefined before. */
+  readonly vmList: Field<readonly Vm[] | undefined>;
+  /** Keepers by name of the target. */
+  readonly keepers: Field<ReadonlyMap<string, Keeper>>;
+  /** Reports of the targets that this daemon keeps, by name. */
+  readonly loadReports: Field<ReadonlyMap<string, LoadReport>>;
   readonly lifecycle: Field<LifecyclePhase>;
 }
 
@@ -52,6 +73,12 @@
     }),
     targets: new Field<ReadonlyMap<string, TargetView>>("targets", new Map()),
     daemons: new Field<ReadonlyMap<string, DaemonView>>("daemons", new Map()),
+    vmList: new Field<readonly Vm[] | undefined>("vmList", undefined),
+    keepers: new Field<ReadonlyMap<string, Keeper>>("keepers", new Map()),
+    loadReports: new Field<ReadonlyMap<string, LoadReport>>(
+      "loadReports",
+      new Map(),
+    ),
     lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,6 +12,10 @@
 import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
 import { closePort, listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
+import {
+  MembershipController,
+  TargetHealthController,
+} from "./membership/index.ts";
 import { Metrics } from "./metrics/index.ts";
 import { PeerAddressController, Peers } from "./peers/index.ts";
 import type { Settings } from "./settings/index.ts";
@@ -48,6 +52,15 @@
     timer,
     keys: settings.peerKeys,
   });
+  const membership = new MembershipController({
+    vm: settings.vm,
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    peers,
+    seeds: settings.peers,
+    timer,
+    logger,
+  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -63,6 +76,13 @@
       seeds: settings.peers,
       listen: settings.peerListen,
     }),
+    membership,
+    new TargetHealthController({
+      vm: settings.vm,
+      blackboard,
+      membership,
+      timer,
+    }),
     new ConfigController({
       vm: settings.vm,
       blackboard,
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -40,6 +40,38 @@
     level: "warn",
     text: "VM list cannot be read",
   },
+  memberChanged: {
+    number: 3003,
+    level: "info",
+    text: "state of a daemon has changed",
+  },
+  targetChanged: {
+    number: 3004,
+    level: "info",
+    text: "state of a target has changed",
+  },
+  zoneCut: { number: 3005, level: "warn", text: "zone cannot be heard" },
+  zoneHealed: { number: 3006, level: "info", text: "zone is heard again" },
+  pauseNoticed: {
+    number: 3007,
+    level: "warn",
+    text: "this process was paused and rejoins",
+  },
+  peerRefused: {
+    number: 3008,
+    level: "warn",
+    text: "connection between daemons was refused",
+  },
+  peerMalformed: {
+    number: 3009,
+    level: "error",
+    text: "daemon sent what cannot be read",
+  },
+  peerHandlerFailed: {
+    number: 3010,
+    level: "error",
+    text: "message of a daemon could not be handled",
+  },
   requestFailed: {
     number: 4001,
     level: "warn",
--- /dev/null
+++ b/packages/daemon/src/membership/views.ts
@@ -0,0 +1,68 @@
+import type { FleetList, Membership } from "@coltsfootford/core";
+import type { Vm } from "@coltsfootford/platform";
+import type { DaemonView, TargetView } from "../blackboard/index.ts";
+
+/** A daemon that the settings name. */
+export interface SeedPeer {
+  readonly vm: string;
+  readonly availabilityZone: string;
+  readonly host: string;
+  readonly peerPort: number;
+}
+
+/** The VM list in the shape that the membership takes. */
+export function toFleetList(vms: readonly Vm[]): FleetList {
+  return {
+    daemons: vms.filter((vm) => vm.role === "daemon").map((vm) => ({
+      vm: vm.name,
+      availabilityZone: vm.availabilityZone,
+      state: vm.state,
+    })),
+    targets: vms.filter((vm) => vm.role === "target").map((vm) => ({
+      name: vm.name,
+      availabilityZone: vm.availabilityZone,
+      state: vm.state,
+    })),
+  };
+}
+
+/** The targets of the VM list, each in the state that its keeper reported. */
+export function createTargetViews(
+  vms: readonly Vm[],
+  membership: Membership,
+): Map<string, TargetView> {
+  const views = new Map<string, TargetView>();
+  for (const vm of vms) {
+    if (vm.role !== "target") continue;
+    const { name, availabilityZone, host, port } = vm;
+    const state = membership.targetState(name);
+    const pool = vm.pool ?? "";
+    views.set(name, { name, availabilityZone, pool, host, port, state });
+  }
+  return views;
+}
+
+/** The daemons of the VM list, or of the settings before it was read. */
+export function createDaemonViews(
+  vms: readonly Vm[] | undefined,
+  seeds: readonly SeedPeer[],
+  membership: Membership,
+): Map<string, DaemonView> {
+  const views = new Map<string, DaemonView>();
+  const listed = vms?.filter((vm) => vm.role === "daemon").map((vm) => ({
+    vm: vm.name,
+    availabilityZone: vm.availabilityZone,
+    host: vm.host,
+    peerPort: vm.peerPort ?? 0,
+  }));
+  for (const daemon of listed ?? seeds) {
+    const member = membership.get(daemon.vm);
+    // A daemon that was never heard, or whose zone is silent, may be alive.
+    const isHeard = member !== undefined && member.isReachable;
+    const state = member?.state === "dead" || isHeard
+      ? member.state
+      : "suspect";
+    views.set(daemon.vm, { ...daemon, state });
+  }
+  return views;
+}
--- a/packages/daemon/src/vm_list/vm_list_controller.ts
+++ b/packages/daemon/src/vm_list/vm_list_controller.ts
@@ -1,11 +1,6 @@
 import type { CancelTimer, TimerService } from "@coltsfootford/core";
 import type { Vm, VmListClient } from "@coltsfootford/platform";
-import type {
-  Blackboard,
-  DaemonView,
-  FieldWriter,
-  TargetView,
-} from "../blackboard/index.ts";
+import type { Blackboard, FieldWriter } from "../blackboard/index.ts";
 import { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 
@@ -19,14 +14,12 @@
 }
 
 /**
- * Polls the platform's VM list. It alone writes `targets` and `daemons`; it
- * reads no field.
+ * Polls the platform's VM list. It alone writes `vmList`; it reads no field.
  */
 export class VmListController extends Controller {
   override readonly name = "vm-list";
   readonly #parts: VmListControllerParts;
-  readonly #targets: FieldWriter<ReadonlyMap<string, TargetView>>;
-  readonly #daemons: FieldWriter<ReadonlyMap<string, DaemonView>>;
+  readonly #vmList: FieldWriter<readonly Vm[] | undefined>;
   #revision = -1;
   #isReachable = true;
   #cancelTimer: CancelTimer | undefined;
@@ -34,8 +27,7 @@
   constructor(parts: VmListControllerParts) {
     super();
     this.#parts = parts;
-    this.#targets = parts.blackboard.targets.claimWriter(this.name);
-    this.#daemons = parts.blackboard.daemons.claimWriter(this.name);
+    this.#vmList = parts.blackboard.vmList.claimWriter(this.name);
   }
 
   override async start(): Promise<void> {
@@ -66,33 +58,8 @@
     this.#isReachable = true;
     if (answer.value.revision === this.#revision) return;
     this.#revision = answer.value.revision;
-    this.#apply(answer.value.vms);
+    const { vms, revision } = answer.value;
+    this.#vmList.write(vms);
+    this.#parts.logger.event("vmListApplied", { revision, vms: vms.length });
   }
-
-  #apply(vms: readonly Vm[]): void {
-    const targets = new Map<string, TargetView>();
-    const daemons = new Map<string, DaemonView>();
-    for (const vm of vms) {
-      if (vm.role === "target") targets.set(vm.name, toTargetView(vm));
-      else daemons.set(vm.name, toDaemonView(vm));
-    }
-    this.#targets.write(targets);
-    this.#daemons.write(daemons);
-    this.#parts.logger.event("vmListApplied", {
-      revision: this.#revision,
-      targets: targets.size,
-      daemons: daemons.size,
-    });
-  }
-}
-
-function toTargetView(vm: Vm): TargetView {
-  const { name, availabilityZone, host, port, state } = vm;
-  return { name, availabilityZone, pool: vm.pool ?? "", host, port, state };
-}
-
-function toDaemonView(vm: Vm): DaemonView {
-  const { name, availabilityZone, host, state } = vm;
-  const peerPort = vm.peerPort ?? 0;
-  return { vm: name, availabilityZone, host, peerPort, state };
 }
