Read the engine's events by line in its test

Cause: the engine now sends an event id before each data line, and the test took the first line of an event for its data. The expected text is as strict as before.

--- a/packages/standins/src/engine/model_engine_test.ts
+++ b/packages/standins/src/engine/model_engine_test.ts
@@ -46,9 +46,9 @@
 }
 
 function textOf(stream: string): string {
-  return stream.split("\n\n")
-    .filter((event) => event.startsWith("data: {"))
-    .map((event) => JSON.parse(event.slice("data: ".length)))
+  return stream.split("\n")
+    .filter((line) => line.startsWith("data: {"))
+    .map((line) => JSON.parse(line.slice("data: ".length)))
     .map((chunk) => chunk.choices[0].delta.content ?? "")
     .join("");
 }
