Announce new targets, name the keeper of a returned permit, add the load trace

Cause: a target that joins raises the number of targets under the mean before other keepers know it, and a permit returned to a replaced keeper would stay counted at the new one.

--- /dev/null
+++ b/packages/bench/src/load/generate_load.ts
@@ -0,0 +1,172 @@
+import type { Deployment, RequestKind } from "./deployments.ts";
+import { RandomSource } from "./random_source.ts";
+import type { Trace, TracePhase, TraceRequest } from "./trace.ts";
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+const WEEKEND_MS = 60 * HOUR_MS;
+/** Rate on the weekend over the calm rate. */
+const WEEKEND_RATE = 0.002;
+/** Share of the surge that the large teams send. */
+const LARGE_TEAM_SURGE_SHARE = 0.7;
+/** Pauses between turns: minutes, hours, over the weekend. */
+const PAUSE_WEIGHTS = [0.85, 0.07, 0.08] as const;
+const MEAN_PAUSE_MINUTES_MS = 2 * MINUTE_MS;
+const MEAN_PAUSE_HOURS_MS = 3 * HOUR_MS;
+/** After the weekend, chats come back within this mean time. */
+const MEAN_MONDAY_DELAY_MS = 5 * MINUTE_MS;
+
+/** Lengths of the busy spans of a load. */
+export interface LoadOptions {
+  readonly seed: number;
+  readonly calmMs: number;
+  readonly surgeMs: number;
+  readonly afterMs: number;
+}
+
+/** The load of a whole run and of a quick one. */
+export const FULL_LOAD = {
+  calmMs: 30 * MINUTE_MS,
+  surgeMs: 15 * MINUTE_MS,
+  afterMs: 15 * MINUTE_MS,
+};
+export const QUICK_LOAD = {
+  calmMs: 8 * MINUTE_MS,
+  surgeMs: 4 * MINUTE_MS,
+  afterMs: 4 * MINUTE_MS,
+};
+
+/**
+ * Draws an open-loop load of returning chats: a calm Friday, a weekend with
+ * next to no traffic, a Monday surge of a few teams, and the time after it.
+ * The same seed gives the same trace.
+ */
+export function generateLoad(
+  deployment: Deployment,
+  options: LoadOptions,
+): Trace {
+  const random = new RandomSource(options.seed);
+  const phases = createPhases(options);
+  const durationMs = phases.at(-1)!.endMs;
+  const requests: TraceRequest[] = [];
+  let chat = 0;
+  for (const phase of phases) {
+    const rate = chatsPerMs(deployment, phase);
+    let atMs = phase.startMs + random.exponential(1 / rate);
+    while (atMs < phase.endMs) {
+      chat += 1;
+      addChat(deployment, phases, chat, phase, atMs, random, requests);
+      atMs += random.exponential(1 / rate);
+    }
+  }
+  requests.sort((a, b) => a.atMs - b.atMs || a.chat - b.chat);
+  return {
+    head: {
+      kind: "head",
+      version: 1,
+      seed: options.seed,
+      deployment: deployment.name,
+      durationMs,
+      phases,
+    },
+    requests,
+  };
+}
+
+function createPhases(options: LoadOptions): TracePhase[] {
+  const calmEndMs = options.calmMs;
+  const mondayMs = calmEndMs + WEEKEND_MS;
+  const surgeEndMs = mondayMs + options.surgeMs;
+  return [
+    { name: "calm", startMs: 0, endMs: calmEndMs },
+    { name: "weekend", startMs: calmEndMs, endMs: mondayMs },
+    { name: "surge", startMs: mondayMs, endMs: surgeEndMs },
+    {
+      name: "after",
+      startMs: surgeEndMs,
+      endMs: surgeEndMs + options.afterMs,
+    },
+  ];
+}
+
+function chatsPerMs(deployment: Deployment, phase: TracePhase): number {
+  const meanTurns = deployment.kinds.reduce(
+    (sum, kind) => sum + kind.share * kind.meanTurns,
+    0,
+  );
+  const calm = deployment.calmRequestsPerSecond / 1_000 / meanTurns;
+  if (phase.name === "weekend") return calm * WEEKEND_RATE;
+  if (phase.name === "surge") return calm * deployment.surgeFactor;
+  return calm;
+}
+
+function addChat(
+  deployment: Deployment,
+  phases: readonly TracePhase[],
+  chat: number,
+  phase: TracePhase,
+  firstAtMs: number,
+  random: RandomSource,
+  requests: TraceRequest[],
+): void {
+  const requestKind = random.weightedIndex(
+    deployment.kinds.map((kind) => kind.share),
+  );
+  const kind = deployment.kinds[requestKind]!;
+  const team = drawTeam(deployment, phase, random);
+  const turns = drawTurns(kind, random);
+  const endMs = phases.at(-1)!.endMs;
+  let atMs = firstAtMs;
+  let prefixTokens = 0;
+  for (let turn = 1; turn <= turns && atMs < endMs; turn++) {
+    const addedTokens = turn === 1
+      ? random.logNormal(kind.firstPromptTokens, kind.promptSigma)
+      : random.logNormal(kind.turnTokens, kind.promptSigma);
+    const promptTokens = prefixTokens + Math.ceil(addedTokens);
+    const answerTokens = Math.ceil(random.logNormal(kind.answerTokens, 0.4));
+    requests.push({
+      atMs,
+      chat,
+      turn,
+      team,
+      requestKind,
+      prefixTokens,
+      promptTokens,
+      answerTokens,
+    });
+    prefixTokens = promptTokens + answerTokens;
+    atMs = drawNextTurn(phases, atMs, random);
+  }
+}
+
+/** Geometric with the mean of the kind, at least one turn. */
+function drawTurns(kind: RequestKind, random: RandomSource): number {
+  let turns = 1;
+  while (random.chance(1 - 1 / kind.meanTurns)) turns += 1;
+  return turns;
+}
+
+function drawTeam(
+  deployment: Deployment,
+  phase: TracePhase,
+  random: RandomSource,
+): number {
+  const isSurge = phase.name === "surge";
+  if (isSurge && random.chance(LARGE_TEAM_SURGE_SHARE)) {
+    return random.index(deployment.largeTeams);
+  }
+  return random.index(deployment.teams);
+}
+
+function drawNextTurn(
+  phases: readonly TracePhase[],
+  atMs: number,
+  random: RandomSource,
+): number {
+  const pause = random.weightedIndex(PAUSE_WEIGHTS);
+  if (pause === 0) return atMs + random.exponential(MEAN_PAUSE_MINUTES_MS);
+  if (pause === 1) return atMs + random.exponential(MEAN_PAUSE_HOURS_MS);
+  const mondayMs = phases.find((phase) => phase.name === "surge")!.startMs;
+  const fromMs = Math.max(atMs, mondayMs);
+  return fromMs + random.exponential(MEAN_MONDAY_DELAY_MS);
+}
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -21,6 +21,11 @@
    * below the time after which peers replace a silent keeper.
    */
   readonly pauseLimitMs: number;
+  /**
+   * A target that starts to serve is reported for this time before the first
+   * permit, so that every keeper of the pool counts it in the mean.
+   */
+  readonly announceMs: number;
   readonly poolMean: PoolMeanEstimateOptions;
 }
 
@@ -30,6 +35,7 @@
   maxRequestMs: 600_000,
   collectTimeoutMs: 300,
   pauseLimitMs: 800,
+  announceMs: 600,
   poolMean: DEFAULT_POOL_MEAN_OPTIONS,
 };
 
@@ -52,6 +58,8 @@
   readonly keeper: TargetKeeper;
   /** Reports of a former keeper no longer count from here on. */
   vouchedFromMs: number;
+  /** Nothing is granted before. */
+  grantsFromMs: number;
   warmingChats: WarmingChats | undefined;
 }
 
@@ -105,6 +113,7 @@
       pool,
       keeper: new TargetKeeper(target, this.#daemon, this.#options),
       vouchedFromMs: 0,
+      grantsFromMs: 0,
       warmingChats: undefined,
     };
     kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
@@ -128,10 +137,28 @@
     if (request.epoch.number >= keeper.epoch.number) keeper.dropState();
   }
 
-  /** Notes that the target started with an empty cache beside others. */
-  noteEmptyCache(target: string, nowMs: number): void {
+  /**
+   * Notes, after `beginKeeping`, that the target has just started to serve
+   * beside others, with an empty cache.
+   */
+  noteStarted(target: string, nowMs: number): void {
     const kept = this.#targets.get(target);
-    if (kept) kept.warmingChats = new WarmingChats(nowMs);
+    if (!kept) return;
+    kept.warmingChats = new WarmingChats(nowMs);
+    kept.grantsFromMs = nowMs + this.#options.announceMs;
+  }
+
+  /** Whether permits for the target may be granted now. */
+  isGranting(target: string, nowMs: number): boolean {
+    const kept = this.#targets.get(target);
+    if (!kept || nowMs < kept.grantsFromMs) return false;
+    return kept.keeper.isGranting;
+  }
+
+  /** Kept targets that need `beginKeeping` because their state was dropped. */
+  droppedTargets(): readonly string[] {
+    return [...this.#targets].filter(([, kept]) => kept.keeper.isDropped)
+      .map(([target]) => target);
   }
 
   /** Takes a holder's answer; see `TargetKeeper.noteCollectAnswer`. */
@@ -169,6 +196,9 @@
     const { askId, chat } = ask;
     const kept = this.#targets.get(ask.target);
     if (!kept) return { kind: "refused", askId, reason: "not-keeper" };
+    if (nowMs < kept.grantsFromMs) {
+      return { kind: "refused", askId, reason: "not-ready" };
+    }
     const warming = kept.warmingChats;
     if (chat?.isReturning && warming?.shouldPassOn(chat.hash, nowMs)) {
       return { kind: "refused", askId, reason: "pass-on" };
@@ -225,17 +255,16 @@
 
   /** Load of the kept targets of a pool, for the pool's other keepers. */
   ownReport(pool: string, nowMs: number): PoolLoadReport {
-    let targets = 0;
-    let loadRequests = 0;
+    const loadsRequests: number[] = [];
     let endedPerSecond = 0;
-    for (const kept of this.#targets.values()) {
+    for (const target of [...this.#targets.keys()].sort()) {
+      const kept = this.#targets.get(target)!;
       if (kept.pool !== pool) continue;
-      targets += 1;
-      if (nowMs < kept.vouchedFromMs) continue;
-      loadRequests += kept.keeper.vouchedRequests();
+      const isVouched = nowMs >= kept.vouchedFromMs;
+      loadsRequests.push(isVouched ? kept.keeper.vouchedRequests() : 0);
       endedPerSecond += kept.keeper.endedPerSecond(nowMs);
     }
-    return { pool, targets, loadRequests, endedPerSecond, measuredAtMs: nowMs };
+    return { pool, loadsRequests, endedPerSecond, measuredAtMs: nowMs };
   }
 
   /** The most load that a target of the pool may have at an admission. */
--- a/packages/core/src/bound/permit_codec.ts
+++ b/packages/core/src/bound/permit_codec.ts
@@ -24,8 +24,7 @@
 
 const reportSchema = z.tuple([
   z.string(),
-  z.int(),
-  z.int(),
+  z.array(z.int()),
   z.number(),
   z.int(),
 ]);
@@ -100,8 +99,7 @@
 export function encodeReport(report: PoolLoadReport): EncodedReport {
   return [
     report.pool,
-    report.targets,
-    report.loadRequests,
+    [...report.loadsRequests],
     Math.ceil(report.endedPerSecond * RATE_PRECISION) / RATE_PRECISION,
     Math.floor(report.measuredAtMs),
   ];
@@ -109,6 +107,6 @@
 
 /** The reverse of `encodeReport`. */
 export function decodeReport(encoded: EncodedReport): PoolLoadReport {
-  const [pool, targets, loadRequests, endedPerSecond, measuredAtMs] = encoded;
-  return { pool, targets, loadRequests, endedPerSecond, measuredAtMs };
+  const [pool, loadsRequests, endedPerSecond, measuredAtMs] = encoded;
+  return { pool, loadsRequests, endedPerSecond, measuredAtMs };
 }
--- a/packages/core/src/bound/permit_holder.ts
+++ b/packages/core/src/bound/permit_holder.ts
@@ -12,6 +12,8 @@
 interface HeldPermit {
   readonly askId: number;
   readonly target: string;
+  /** The keeper that was asked. */
+  readonly keeper: string;
   /** Read before the ask was sent. */
   readonly askedAtMs: number;
   state: "asked" | "granted" | "started";
@@ -22,6 +24,8 @@
 /** A permit to hand back to the keeper of its target. */
 export interface PermitReturn {
   readonly target: string;
+  /** Where it belongs: the newest keeper met, or the one that was asked. */
+  readonly keeper: string;
   readonly askId: number;
 }
 
@@ -44,11 +48,12 @@
   }
 
   /** Notes a new ask. Send it only after this call. */
-  createAsk(target: string, nowMs: number): number {
+  createAsk(target: string, keeper: string, nowMs: number): number {
     const askId = this.#nextAskId++;
     this.#permits.set(askId, {
       askId,
       target,
+      keeper,
       askedAtMs: nowMs,
       state: "asked",
       epoch: undefined,
@@ -108,7 +113,11 @@
     const started = this.#startedByTarget.get(permit.target);
     started?.delete(askId);
     if (started?.size === 0) this.#startedByTarget.delete(permit.target);
-    this.#returns.push({ target: permit.target, askId });
+    const epoch = permit.state === "asked"
+      ? undefined
+      : this.#epochs.get(permit.target);
+    const keeper = epoch?.keeper ?? permit.keeper;
+    this.#returns.push({ target: permit.target, keeper, askId });
   }
 
   /** Answers a new keeper. Permits of older epochs are void from here on. */
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -3,10 +3,11 @@
 /** Load of the targets of one pool that one daemon keeps. */
 export interface PoolLoadReport {
   readonly pool: string;
-  /** Targets that the daemon keeps. */
-  readonly targets: number;
-  /** Requests at these targets that holders vouch for. */
-  readonly loadRequests: number;
+  /**
+   * For each target that the daemon keeps, in order of their names, the
+   * requests that holders vouch for.
+   */
+  readonly loadsRequests: readonly number[];
   /** Permits of these targets that ended a second. */
   readonly endedPerSecond: number;
   /** Monotonic time of the sender at the measurement, in ms. */
@@ -47,7 +48,9 @@
 };
 
 interface StoredReport {
-  readonly report: PoolLoadReport;
+  readonly targets: number;
+  readonly loadRequests: number;
+  readonly endedPerSecond: number;
   /** Time of the measurement on this daemon's clock, in ms. */
   readonly measuredAtMs: number;
 }
@@ -90,7 +93,12 @@
     this.#clockOffsetsMs.set(keeper, offsetMs);
     const measuredAtMs = report.measuredAtMs + offsetMs -
       this.#options.reportDelayMs;
-    this.#reports.set(keeper, { report, measuredAtMs });
+    this.#reports.set(keeper, {
+      targets: report.loadsRequests.length,
+      loadRequests: sum(report.loadsRequests),
+      endedPerSecond: report.endedPerSecond,
+      measuredAtMs,
+    });
   }
 
   /** Drops what is known of a keeper that is gone, restarted or cut off. */
@@ -102,7 +110,7 @@
   /** The most load that a target may have at an admission at `nowMs`. */
   limitRequests(factor: number, nowMs: number): number {
     let reportedTargets = 0;
-    for (const { report } of this.#reports.values()) {
+    for (const report of this.#reports.values()) {
       reportedTargets += report.targets;
     }
     const poolTargets = Math.max(this.#poolTargets, reportedTargets, 1);
@@ -134,8 +142,8 @@
       squares: 0,
       expectedEnds: 0,
     };
-    for (const { report, measuredAtMs } of this.#reports.values()) {
-      const ageMs = nowMs - measuredAtMs;
+    for (const report of this.#reports.values()) {
+      const ageMs = nowMs - report.measuredAtMs;
       if (ageMs > this.#options.maxReportAgeMs || report.targets === 0) {
         continue;
       }
@@ -151,6 +159,10 @@
   }
 }
 
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
+
 interface ReportSums {
   readonly reports: number;
   readonly targets: number;
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -60,6 +60,11 @@
     return this.#epoch.number > 0 && this.#collection === undefined;
   }
 
+  /** Whether a take-over has to be started before anything is granted. */
+  get isDropped(): boolean {
+    return this.#collection?.startedAtMs === Number.POSITIVE_INFINITY;
+  }
+
   /** Upper bound of the load, for admission. */
   loadRequests(nowMs: number): number {
     return this.#ledger.loadRequests(nowMs);
--- a/packages/core/src/bound/target_keeper_test.ts
+++ b/packages/core/src/bound/target_keeper_test.ts
@@ -16,7 +16,7 @@
     maxConcurrentPerTarget: LIMIT,
     servingTargets: 2,
   });
-  const report = { pool: "writers", targets: 1, loadRequests: 100 };
+  const report = { pool: "writers", loadsRequests: [100] };
   for (const measuredAtMs of [nowMs, nowMs + 5]) {
     book.notePoolReport(
       "other",
@@ -52,7 +52,7 @@
   holder: PermitHolder,
   nowMs: number,
 ): number | undefined {
-  const askId = holder.createAsk(TARGET, nowMs);
+  const askId = holder.createAsk(TARGET, "a", nowMs);
   const answer = book.answer(name, { askId, target: TARGET }, nowMs);
   if (answer.kind === "refused") {
     holder.noteRefusal(askId);
@@ -93,13 +93,13 @@
     const old = createBook("a", 0);
     const holder = new PermitHolder();
     takeOver(old, { b: holder }, 0);
-    const askId = holder.createAsk(TARGET, 10);
+    const askId = holder.createAsk(TARGET, "a", 10);
     const answer = old.answer("b", { askId, target: TARGET }, 10);
     if (answer.kind !== "granted") throw new Error("no permit");
     holder.noteGrant(answer, 11);
     takeOver(createBook("b", 12), { b: holder }, 12);
     expect(holder.start(askId, 13)).toBe(false);
-    const lateId = holder.createAsk(TARGET, 14);
+    const lateId = holder.createAsk(TARGET, "a", 14);
     const late = old.answer("b", { askId: lateId, target: TARGET }, 15);
     if (late.kind !== "granted") throw new Error("no permit");
     expect(holder.noteGrant(late, 16)).toBe("stale-epoch");
@@ -109,12 +109,14 @@
     const book = createBook("a", 0);
     const holder = new PermitHolder();
     takeOver(book, { a: holder }, 0);
-    const askId = holder.createAsk(TARGET, 10);
+    const askId = holder.createAsk(TARGET, "a", 10);
     const answer = book.answer("a", { askId, target: TARGET }, 200);
     if (answer.kind !== "granted") throw new Error("no permit");
     expect(holder.noteGrant(answer, 300)).toBe("usable");
     expect(holder.start(askId, 410)).toBe(false);
-    expect(holder.takeReturns()).toEqual([{ target: TARGET, askId }]);
+    expect(holder.takeReturns()).toEqual([
+      { target: TARGET, keeper: "a", askId },
+    ]);
   });
 
   it("are not granted by a keeper that was paused beyond its limit", () => {
--- a/packages/core/src/placement/baseline_policies.ts
+++ b/packages/core/src/placement/baseline_policies.ts
@@ -41,8 +41,8 @@
     if (count === 0) return [];
     const left = this.#nextIndex(count);
     const right = this.#nextIndex(count);
-    const leftLoad = view.targets[left]!.loadRequests;
-    const rightLoad = view.targets[right]!.loadRequests;
+    const leftLoad = view.loadAt(left);
+    const rightLoad = view.loadAt(right);
     const first = leftLoad <= rightLoad ? left : right;
     return takeFrom(view, first, request.maxTargets);
   }
--- a/packages/core/src/placement/pool_view.ts
+++ b/packages/core/src/placement/pool_view.ts
@@ -23,6 +23,10 @@
   readonly zoneNumbers: Uint16Array;
   /** 1 where the target at the same index is on probation. */
   readonly probationFlags: Uint8Array;
+  /** Reported load of the target at the same index, in requests: a hint. */
+  readonly #loadsRequests: Float64Array;
+  readonly #indexByName = new Map<string, number>();
+  #sumLoadRequests = 0;
   readonly #zoneNumberByName = new Map<string, number>();
 
   constructor(targets: readonly PlacementTarget[]) {
@@ -39,6 +43,24 @@
       this.targets,
       (target) => target.onProbation ? 1 : 0,
     );
+    this.#loadsRequests = new Float64Array(this.targets.length);
+    this.targets.forEach((target, index) => {
+      this.#indexByName.set(target.name, index);
+      this.setLoad(target.name, target.loadRequests);
+    });
+  }
+
+  /** Takes a later report of a target's load. */
+  setLoad(target: string, loadRequests: number): void {
+    const index = this.#indexByName.get(target);
+    if (index === undefined) return;
+    this.#sumLoadRequests += loadRequests - this.#loadsRequests[index]!;
+    this.#loadsRequests[index] = loadRequests;
+  }
+
+  /** Reported load of the target at `index`, in requests. */
+  loadAt(index: number): number {
+    return this.#loadsRequests[index] ?? 0;
   }
 
   /** Number of a zone in `zoneNumbers`, or -1 if it has no target here. */
@@ -49,9 +71,7 @@
   /** Mean of the reported loads, in requests. */
   meanLoadRequests(): number {
     if (this.targets.length === 0) return 0;
-    let sumRequests = 0;
-    for (const target of this.targets) sumRequests += target.loadRequests;
-    return sumRequests / this.targets.length;
+    return this.#sumLoadRequests / this.targets.length;
   }
 
   #numberZone(availabilityZone: string): number {
--- a/packages/core/src/placement/rendezvous_policy.ts
+++ b/packages/core/src/placement/rendezvous_policy.ts
@@ -8,6 +8,7 @@
 const MIN_ZONE_WEIGHT = 1e-6;
 
 interface Candidate {
+  readonly index: number;
   readonly target: PlacementTarget;
   /** Lower is better: an exponential variate divided by the zone's weight. */
   readonly cost: number;
@@ -79,6 +80,7 @@
 ): Candidate[] {
   const scores = top.scores();
   return top.indexes().map((index, position) => ({
+    index,
     target: view.targets[index]!,
     cost: -Math.log((scores[position]! + 1) / HASH_RANGE) / weight,
   }));
@@ -96,8 +98,8 @@
   if (request.reuseWeight >= 1) return;
   const [first, second] = candidates;
   if (!first || !second) return;
-  const excessRequests = first.target.loadRequests -
-    second.target.loadRequests;
+  const excessRequests = view.loadAt(first.index) -
+    view.loadAt(second.index);
   const toleratedRequests = 1 +
     request.reuseWeight * view.meanLoadRequests();
   if (excessRequests <= toleratedRequests) return;
