Add retry budgets, the poison ledger and the fair queue to core

Retry: a first try fills the budget and a retry empties it, so tries stay within 1.1 of requests; a request that was never sent costs nothing. Admission: start-time fair queueing over teams.

--- /dev/null
+++ b/packages/core/src/admission/fair_queue_test.ts
@@ -0,0 +1,121 @@
+import { describe, expect, it } from "@jest/globals";
+import { DEFAULT_FAIR_QUEUE_SETTINGS, FairQueue } from "./fair_queue.ts";
+import type { WaitingRequest } from "./team_queue.ts";
+
+function createQueue(capacity: number, maxQueued = 100): FairQueue {
+  return new FairQueue(
+    { ...DEFAULT_FAIR_QUEUE_SETTINGS, maxQueued },
+    capacity,
+  );
+}
+
+function request(
+  requestId: string,
+  parts: Partial<WaitingRequest> = {},
+): WaitingRequest {
+  return {
+    requestId,
+    team: "a",
+    weight: 1,
+    priority: 5,
+    deadlineMs: 10_000,
+    ...parts,
+  };
+}
+
+/** Starts and ends requests one by one and lists their ids. */
+function drain(queue: FairQueue): string[] {
+  const order: string[] = [];
+  for (let nowMs = 0;; nowMs += 100) {
+    const next = queue.peek(nowMs);
+    if (!next) return order;
+    queue.start(next, nowMs);
+    order.push(next.requestId);
+    queue.finish(next, nowMs + 100);
+  }
+}
+
+describe("FairQueue", () => {
+  it("starts teams in proportion to their weights", () => {
+    const queue = createQueue(1);
+    for (let index = 0; index < 30; index++) {
+      queue.offer(request(`a${index}`), 0);
+      queue.offer(request(`b${index}`, { team: "b", weight: 3 }), 0);
+    }
+    const started = drain(queue).slice(0, 20);
+    const ofB = started.filter((id) => id.startsWith("b")).length;
+    expect(ofB).toBeGreaterThanOrEqual(14);
+    expect(ofB).toBeLessThanOrEqual(16);
+  });
+
+  it("starts a team's higher priorities first, then the oldest", () => {
+    const queue = createQueue(1);
+    queue.offer(request("low", { priority: 1 }), 0);
+    queue.offer(request("first"), 0);
+    queue.offer(request("second"), 0);
+    queue.offer(request("high", { priority: 9 }), 0);
+    expect(drain(queue)).toEqual(["high", "first", "second", "low"]);
+  });
+
+  it("lets the newest of the fullest team give way in a full queue", () => {
+    const queue = createQueue(0, 3);
+    for (const id of ["a1", "a2", "a3"]) queue.offer(request(id), 0);
+    const gaveWay = queue.offer(request("b1", { team: "b" }), 0);
+    expect(gaveWay?.request.requestId).toBe("a3");
+    const refused = queue.offer(request("a4"), 0);
+    expect(refused?.request.requestId).toBe("a4");
+    expect(refused?.reason).toBe("queue-full");
+    expect(refused?.retryAfterMs).toBeGreaterThan(0);
+    expect(queue.queued).toBe(3);
+  });
+
+  it("refuses at once what cannot start before its deadline", () => {
+    const queue = createQueue(1);
+    for (let index = 0; index < 20; index++) {
+      queue.offer(request(`a${index}`, { deadlineMs: 1e9 }), 0);
+    }
+    for (let nowMs = 0; nowMs < 5_000; nowMs += 1_000) {
+      const next = queue.peek(nowMs)!;
+      queue.start(next, nowMs);
+      queue.finish(next, nowMs + 1_000);
+    }
+    const refused = queue.offer(request("late", { deadlineMs: 9_000 }), 5_000);
+    expect(refused?.reason).toBe("deadline-unreachable");
+    expect(refused?.retryAfterMs).toBeGreaterThanOrEqual(10_000);
+  });
+
+  it("takes out requests whose deadline or caller is gone", () => {
+    const queue = createQueue(0);
+    const gone = request("gone");
+    queue.offer(gone, 0);
+    queue.offer(request("short", { deadlineMs: 500 }), 0);
+    expect(queue.cancel(gone)).toBe(true);
+    expect(queue.expire(499)).toEqual([]);
+    expect(queue.expire(500).map((refusal) => refusal.reason)).toEqual([
+      "deadline-passed",
+    ]);
+    expect(queue.queued).toBe(0);
+  });
+
+  it("holds nothing in reserve when every team surges", () => {
+    const places = 50;
+    const queue = createQueue(places, 10_000);
+    const running: { request: WaitingRequest; endMs: number }[] = [];
+    let nowMs = 0;
+    for (let round = 0; round < 400; round++, nowMs += 100) {
+      for (const { request } of running.filter((one) => one.endMs <= nowMs)) {
+        queue.finish(request, nowMs);
+      }
+      for (let index = 0; index < 20; index++) {
+        const id = `${round}-${index}`;
+        const team = `team-${index % 5}`;
+        queue.offer(request(id, { team, deadlineMs: 1e9 }), nowMs);
+      }
+      for (let next = queue.peek(nowMs); next; next = queue.peek(nowMs)) {
+        queue.start(next, nowMs);
+        running.push({ request: next, endMs: nowMs + 1_000 });
+      }
+    }
+    expect(queue.running).toBe(places);
+  });
+});
--- /dev/null
+++ b/packages/core/src/admission/team_queue.ts
@@ -0,0 +1,85 @@
+import { TeamDemand } from "./team_demand.ts";
+
+/** A request that waits for a place in a pool. */
+export interface WaitingRequest {
+  readonly requestId: string;
+  readonly team: string;
+  /** Weight of the team's share. */
+  readonly weight: number;
+  /** 0 is the lowest priority, 9 the highest. */
+  readonly priority: number;
+  /** Monotonic time after which the request is of no use. */
+  readonly deadlineMs: number;
+}
+
+/** The waiting requests of one team, by priority and then by arrival. */
+export class TeamQueue {
+  weight: number;
+  running = 0;
+  lastSeenMs = 0;
+  readonly demand = new TeamDemand();
+  /** Virtual time at which the team's next request is due. */
+  finishTag = 0;
+  #queued = 0;
+  /** Requests by priority; a set keeps the order of arrival. */
+  readonly #byPriority = new Map<number, Set<WaitingRequest>>();
+
+  constructor(weight: number) {
+    this.weight = weight;
+  }
+
+  get queued(): number {
+    return this.#queued;
+  }
+
+  add(request: WaitingRequest): void {
+    let level = this.#byPriority.get(request.priority);
+    if (!level) {
+      level = new Set();
+      this.#byPriority.set(request.priority, level);
+    }
+    level.add(request);
+    this.#queued += 1;
+  }
+
+  remove(request: WaitingRequest): boolean {
+    const level = this.#byPriority.get(request.priority);
+    if (!level?.delete(request)) return false;
+    if (level.size === 0) this.#byPriority.delete(request.priority);
+    this.#queued -= 1;
+    return true;
+  }
+
+  /** The oldest request of the highest priority. */
+  first(): WaitingRequest | undefined {
+    const highest = this.#findPriority(Math.max);
+    if (highest === undefined) return undefined;
+    return this.#byPriority.get(highest)?.values().next().value;
+  }
+
+  /** Removes the newest request of the lowest priority. */
+  removeNewest(): WaitingRequest | undefined {
+    const lowest = this.#findPriority(Math.min);
+    if (lowest === undefined) return undefined;
+    let newest: WaitingRequest | undefined;
+    for (const request of this.#byPriority.get(lowest) ?? []) newest = request;
+    if (newest) this.remove(newest);
+    return newest;
+  }
+
+  removeExpired(nowMs: number): WaitingRequest[] {
+    const expired: WaitingRequest[] = [];
+    for (const level of this.#byPriority.values()) {
+      for (const request of level) {
+        if (request.deadlineMs <= nowMs) expired.push(request);
+      }
+    }
+    for (const request of expired) this.remove(request);
+    return expired;
+  }
+
+  #findPriority(pick: (...values: number[]) => number): number | undefined {
+    if (this.#byPriority.size === 0) return undefined;
+    return pick(...this.#byPriority.keys());
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,9 +2,12 @@
  * The decisions of the fleet, free of sockets, clocks and randomness of their
  * own, so that a recorded trace replays to the same decisions.
  */
+export * from "./admission/index.ts";
 export * from "./claims/index.ts";
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
 export * from "./objects/index.ts";
 export * from "./outcome/index.ts";
+export * from "./poison/index.ts";
+export * from "./retry/index.ts";
 export * from "./timer/index.ts";
--- /dev/null
+++ b/packages/core/src/retry/index.ts
@@ -0,0 +1,2 @@
+export * from "./decide_retry.ts";
+export * from "./retry_budget.ts";
--- /dev/null
+++ b/packages/core/src/retry/retry_budget.ts
@@ -0,0 +1,43 @@
+/** Limits of the retries of one route. */
+export interface RetryBudgetSettings {
+  /** Retries earned by each first try, for example 0.1. */
+  readonly ratio: number;
+  /** Most retries that can be saved up in calm times. */
+  readonly maxSaved: number;
+}
+
+/** Retries that a route may have saved up, small against a second's load. */
+export const DEFAULT_MAX_SAVED_RETRIES = 10;
+
+/**
+ * A token bucket that is filled by first tries and emptied by retries, so that
+ * over any stretch of time: tries <= first tries * (1 + ratio) + maxSaved. It
+ * needs no clock, since the load itself fills it.
+ */
+export class RetryBudget {
+  readonly #settings: RetryBudgetSettings;
+  #savedRetries = 0;
+
+  constructor(settings: RetryBudgetSettings) {
+    this.#settings = settings;
+    // One retry is there at the start, for a route with little traffic.
+    this.#savedRetries = Math.min(1, settings.maxSaved);
+  }
+
+  get savedRetries(): number {
+    return this.#savedRetries;
+  }
+
+  /** Counts a first try. */
+  noteFirstTry(): void {
+    const { ratio, maxSaved } = this.#settings;
+    this.#savedRetries = Math.min(maxSaved, this.#savedRetries + ratio);
+  }
+
+  /** Takes one retry out, or returns false. */
+  tryTake(): boolean {
+    if (this.#savedRetries < 1) return false;
+    this.#savedRetries -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/core/src/retry/retry_test.ts
@@ -0,0 +1,67 @@
+import { describe, expect, it } from "@jest/globals";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { decideRetry, type RetryQuestion } from "./decide_retry.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+const SETTINGS = { ratio: 0.1, maxSaved: 10 };
+const QUESTION: RetryQuestion = {
+  failure: "maybe-run",
+  isIdempotent: true,
+  canResume: false,
+  triesMade: 1,
+  maxTries: 3,
+  nowMs: 0,
+  deadlineMs: 1_000,
+};
+
+function decide(change: Partial<RetryQuestion>): string {
+  const decision = decideRetry(
+    { ...QUESTION, ...change },
+    new RetryBudget(SETTINGS),
+  );
+  return decision.kind === "stop" ? decision.reason : decision.kind;
+}
+
+describe("decideRetry", () => {
+  it("repeats what may have run only on an idempotent route", () => {
+    expect(decide({})).toBe("retry");
+    expect(decide({ isIdempotent: false })).toBe("may-have-run");
+    expect(decide({ isIdempotent: false, failure: "refused" })).toBe("retry");
+    expect(decide({ isIdempotent: false, failure: "not-sent" })).toBe("retry");
+  });
+
+  it("repeats a cut answer only where it can be resumed", () => {
+    expect(decide({ failure: "cut" })).toBe("cannot-resume");
+    expect(decide({ failure: "cut", canResume: true })).toBe("retry");
+    expect(decide({ failure: "cut", canResume: true, isIdempotent: false }))
+      .toBe("may-have-run");
+  });
+
+  it("stops at the deadline and after the last try", () => {
+    expect(decide({ nowMs: 990 })).toBe("deadline");
+    expect(decide({ nowMs: 2_000, failure: "not-sent" })).toBe("deadline");
+    expect(decide({ triesMade: 3 })).toBe("tries-used-up");
+  });
+});
+
+describe("RetryBudget", () => {
+  it("keeps the offered load within 1.1 while half the targets fail", () => {
+    const requests = 20_000;
+    const random = xoroshiro128plus(7);
+    const budget = new RetryBudget(SETTINGS);
+    let tries = 0;
+    for (let request = 0; request < requests; request++) {
+      budget.noteFirstTry();
+      for (let triesMade = 1;; triesMade++) {
+        tries += 1;
+        const hasFailed = uniformInt(random, 0, 1) === 0;
+        if (!hasFailed) break;
+        const question = { ...QUESTION, triesMade };
+        if (decideRetry(question, budget).kind === "stop") break;
+      }
+    }
+    expect(tries).toBeLessThanOrEqual(requests * 1.1 + SETTINGS.maxSaved);
+    expect(tries).toBeGreaterThan(requests);
+  });
+});
