--- /dev/null
+++ b/packages/core/src/bound/keeper_book.ts
@@ -0,0 +1,251 @@
+import { WarmingChats } from "../placement/index.ts";
+import type {
+  CollectAnswer,
+  CollectRequest,
+  PermitAnswer,
+  PermitAsk,
+} from "./permit.ts";
+import {
+  DEFAULT_POOL_MEAN_OPTIONS,
+  type PoolLoadReport,
+  PoolMeanEstimate,
+  type PoolMeanEstimateOptions,
+} from "./pool_mean_estimate.ts";
+import { TargetKeeper, type TargetKeeperOptions } from "./target_keeper.ts";
+import type { TargetReport } from "./target_ledger.ts";
+
+/** Settings of a `KeeperBook`. */
+export interface KeeperBookOptions extends TargetKeeperOptions {
+  /**
+   * A keeper whose own timer was silent for longer drops its state. It must be
+   * below the time after which peers replace a silent keeper.
+   */
+  readonly pauseLimitMs: number;
+  readonly poolMean: PoolMeanEstimateOptions;
+}
+
+/** Settings for peers that replace a keeper after 1.5 s of silence. */
+export const DEFAULT_KEEPER_BOOK_OPTIONS: KeeperBookOptions = {
+  startWithinMs: 400,
+  maxRequestMs: 600_000,
+  collectTimeoutMs: 300,
+  pauseLimitMs: 800,
+  poolMean: DEFAULT_POOL_MEAN_OPTIONS,
+};
+
+/** The rules and the size of a pool, by configuration and view. */
+export interface KeptPool {
+  readonly name: string;
+  readonly loadFactor: number;
+  readonly maxConcurrentPerTarget: number;
+  /** Serving targets of the whole pool in this daemon's view. */
+  readonly servingTargets: number;
+}
+
+interface PoolState {
+  pool: KeptPool;
+  readonly mean: PoolMeanEstimate;
+}
+
+interface KeptTarget {
+  readonly pool: string;
+  readonly keeper: TargetKeeper;
+  /** Reports of a former keeper no longer count from here on. */
+  vouchedFromMs: number;
+  warmingChats: WarmingChats | undefined;
+}
+
+/** Everything that one daemon keeps: its targets and the means of their pools. */
+export class KeeperBook {
+  readonly #daemon: string;
+  readonly #options: KeeperBookOptions;
+  readonly #pools = new Map<string, PoolState>();
+  readonly #targets = new Map<string, KeptTarget>();
+  #aliveAtMs: number | undefined;
+
+  constructor(
+    daemon: string,
+    options: KeeperBookOptions = DEFAULT_KEEPER_BOOK_OPTIONS,
+  ) {
+    this.#daemon = daemon;
+    this.#options = options;
+  }
+
+  /** Names of the targets that this daemon keeps. */
+  keptTargets(): readonly string[] {
+    return [...this.#targets.keys()];
+  }
+
+  /** The keeper of one target, for dumps and tests. */
+  keeperOf(target: string): TargetKeeper | undefined {
+    return this.#targets.get(target)?.keeper;
+  }
+
+  /** Adds a pool or replaces what is known of it. */
+  setPool(pool: KeptPool): void {
+    const state = this.#pools.get(pool.name) ??
+      { pool, mean: new PoolMeanEstimate(this.#options.poolMean) };
+    state.pool = pool;
+    state.mean.setPoolTargets(pool.servingTargets);
+    this.#pools.set(pool.name, state);
+  }
+
+  /**
+   * Starts to keep a target, or starts its take-over anew. The result is to be
+   * sent to all `holders`, this daemon included.
+   */
+  beginKeeping(
+    target: string,
+    pool: string,
+    holders: Iterable<string>,
+    nowMs: number,
+  ): CollectRequest {
+    this.noteAlive(nowMs);
+    const kept = this.#targets.get(target) ?? {
+      pool,
+      keeper: new TargetKeeper(target, this.#daemon, this.#options),
+      vouchedFromMs: 0,
+      warmingChats: undefined,
+    };
+    kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
+    this.#targets.set(target, kept);
+    return kept.keeper.beginTakeOver(holders, nowMs);
+  }
+
+  /** Stops keeping a target that another daemon keeps now, or that is gone. */
+  stopKeeping(target: string): void {
+    this.#targets.delete(target);
+  }
+
+  /**
+   * Notes that another daemon collects the permits of a target that this one
+   * keeps: nothing is granted for it any longer. If this daemon is still its
+   * keeper by its own view, it has to call `beginKeeping`.
+   */
+  noteCollectRequest(request: CollectRequest): void {
+    const keeper = this.keeperOf(request.target);
+    if (!keeper || request.epoch.keeper === this.#daemon) return;
+    if (request.epoch.number >= keeper.epoch.number) keeper.dropState();
+  }
+
+  /** Notes that the target started with an empty cache beside others. */
+  noteEmptyCache(target: string, nowMs: number): void {
+    const kept = this.#targets.get(target);
+    if (kept) kept.warmingChats = new WarmingChats(nowMs);
+  }
+
+  /** Takes a holder's answer; see `TargetKeeper.noteCollectAnswer`. */
+  noteCollectAnswer(
+    holder: string,
+    answer: CollectAnswer,
+    holders: Iterable<string>,
+    nowMs: number,
+  ): CollectRequest | undefined {
+    const keeper = this.keeperOf(answer.target);
+    return keeper?.noteCollectAnswer(holder, answer, holders, nowMs);
+  }
+
+  /**
+   * Call it at every turn of the daemon's timer and before every decision. It
+   * returns false when the daemon was paused for longer than its limit: its
+   * state is dropped then, and every kept target needs `beginKeeping`.
+   */
+  noteAlive(nowMs: number): boolean {
+    const silentMs = nowMs - (this.#aliveAtMs ?? nowMs);
+    this.#aliveAtMs = nowMs;
+    if (silentMs <= this.#options.pauseLimitMs) return true;
+    for (const kept of this.#targets.values()) kept.keeper.dropState();
+    return false;
+  }
+
+  /** Ends take-overs that wait for their time. Call it regularly. */
+  advance(nowMs: number): void {
+    for (const kept of this.#targets.values()) kept.keeper.advance(nowMs);
+  }
+
+  /** Answers a holder's ask for a permit. */
+  answer(holder: string, ask: PermitAsk, nowMs: number): PermitAnswer {
+    this.noteAlive(nowMs);
+    const { askId, chat } = ask;
+    const kept = this.#targets.get(ask.target);
+    if (!kept) return { kind: "refused", askId, reason: "not-keeper" };
+    const warming = kept.warmingChats;
+    if (chat?.isReturning && warming?.shouldPassOn(chat.hash, nowMs)) {
+      return { kind: "refused", askId, reason: "pass-on" };
+    }
+    const limitRequests = this.limitRequests(kept.pool, nowMs);
+    const answer = kept.keeper.answer(holder, ask, limitRequests, nowMs);
+    if (chat && answer.kind === "granted") warming?.noteRun(chat.hash, nowMs);
+    return answer;
+  }
+
+  /** Takes a permit back. A daemon keeps few targets, so all are tried. */
+  release(holder: string, askId: number, nowMs: number): void {
+    for (const kept of this.#targets.values()) {
+      if (kept.keeper.release(holder, askId, nowMs)) return;
+    }
+  }
+
+  /** Counts requests that run on permits of an older keeper. */
+  adopt(
+    holder: string,
+    target: string,
+    askIds: readonly number[],
+    nowMs: number,
+  ): void {
+    this.keeperOf(target)?.adopt(holder, askIds, nowMs);
+  }
+
+  /** A daemon is gone, or the connection to it was lost. */
+  noteHolderGone(holder: string, nowMs: number): void {
+    for (const kept of this.#targets.values()) {
+      kept.keeper.noteHolderGone(holder, nowMs);
+    }
+  }
+
+  /** Takes a target's own count. */
+  noteTargetReport(target: string, report: TargetReport, nowMs: number): void {
+    this.keeperOf(target)?.noteReport(report, nowMs);
+  }
+
+  /** Takes the report of another keeper of a pool. */
+  notePoolReport(
+    keeper: string,
+    report: PoolLoadReport,
+    receivedAtMs: number,
+  ): void {
+    if (keeper === this.#daemon) return;
+    this.#pools.get(report.pool)?.mean.noteReport(keeper, report, receivedAtMs);
+  }
+
+  /** Drops the reports of a daemon that is gone, restarted or cut off. */
+  forgetKeeper(keeper: string): void {
+    for (const state of this.#pools.values()) state.mean.forget(keeper);
+  }
+
+  /** Load of the kept targets of a pool, for the pool's other keepers. */
+  ownReport(pool: string, nowMs: number): PoolLoadReport {
+    let targets = 0;
+    let loadRequests = 0;
+    let endedPerSecond = 0;
+    for (const kept of this.#targets.values()) {
+      if (kept.pool !== pool) continue;
+      targets += 1;
+      if (nowMs < kept.vouchedFromMs) continue;
+      loadRequests += kept.keeper.vouchedRequests();
+      endedPerSecond += kept.keeper.endedPerSecond(nowMs);
+    }
+    return { pool, targets, loadRequests, endedPerSecond, measuredAtMs: nowMs };
+  }
+
+  /** The most load that a target of the pool may have at an admission. */
+  limitRequests(pool: string, nowMs: number): number {
+    const state = this.#pools.get(pool);
+    if (!state) return 0;
+    state.mean.noteReport(this.#daemon, this.ownReport(pool, nowMs), nowMs);
+    return Math.min(
+      state.pool.maxConcurrentPerTarget,
+      state.mean.limitRequests(state.pool.loadFactor, nowMs),
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/pool_view.ts
@@ -0,0 +1,64 @@
+import { hash32 } from "../hash/index.ts";
+
+/** What a daemon knows of one target when it places a request. */
+export interface PlacementTarget {
+  readonly name: string;
+  readonly availabilityZone: string;
+  /** Load by the last report, in requests. It lags and is only a hint. */
+  readonly loadRequests: number;
+  /** True while a target that keeps flapping is placed last. */
+  readonly onProbation: boolean;
+}
+
+/**
+ * The serving targets of one pool as one daemon knows them, with the hashes
+ * of their names. Leaving targets and targets of zones that are cut off are
+ * not in it. Create a new view when the set changes, not for every request.
+ */
+export class PoolView {
+  readonly targets: readonly PlacementTarget[];
+  /** Hash of the name of the target at the same index. */
+  readonly nameHashes: Uint32Array;
+  /** Number of the availability zone of the target at the same index. */
+  readonly zoneNumbers: Uint16Array;
+  /** 1 where the target at the same index is on probation. */
+  readonly probationFlags: Uint8Array;
+  readonly #zoneNumberByName = new Map<string, number>();
+
+  constructor(targets: readonly PlacementTarget[]) {
+    this.targets = [...targets].sort((a, b) => a.name < b.name ? -1 : 1);
+    this.nameHashes = Uint32Array.from(
+      this.targets,
+      (target) => hash32(target.name),
+    );
+    this.zoneNumbers = Uint16Array.from(
+      this.targets,
+      (target) => this.#numberZone(target.availabilityZone),
+    );
+    this.probationFlags = Uint8Array.from(
+      this.targets,
+      (target) => target.onProbation ? 1 : 0,
+    );
+  }
+
+  /** Number of a zone in `zoneNumbers`, or -1 if it has no target here. */
+  zoneNumberOf(availabilityZone: string): number {
+    return this.#zoneNumberByName.get(availabilityZone) ?? -1;
+  }
+
+  /** Mean of the reported loads, in requests. */
+  meanLoadRequests(): number {
+    if (this.targets.length === 0) return 0;
+    let sumRequests = 0;
+    for (const target of this.targets) sumRequests += target.loadRequests;
+    return sumRequests / this.targets.length;
+  }
+
+  #numberZone(availabilityZone: string): number {
+    const known = this.#zoneNumberByName.get(availabilityZone);
+    if (known !== undefined) return known;
+    const number = this.#zoneNumberByName.size;
+    this.#zoneNumberByName.set(availabilityZone, number);
+    return number;
+  }
+}
