--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,8 @@
 export * from "./config/index.ts";
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
+export * from "./keepers/index.ts";
+export * from "./membership/index.ts";
 export * from "./objects/index.ts";
 export * from "./outcome/index.ts";
 export * from "./placement/index.ts";
