Wire claims, retries, crash search and admission into the entry path

Cause: the thin path retried by route alone, ran keyed calls without a claim and polled for a place without any order between teams. Change: the dispatcher takes every request through admission (fair queue per pool), then its claim where the route is not idempotent and a key is given, then tries under a retry budget. Touched in entry: dispatcher (search for a place moved to place_finder, decision on tries to next_try), answer_relay (not-run split into not-sent and refused; recorded answers), whole_relay, stream_relay, service_handler and caller_signal (a claimed call runs on without its caller).

--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -62,9 +62,13 @@
  */
 export class FairQueue {
   readonly #settings: FairQueueSettings;
+  #maxQueued: number;
   readonly #teams = new Map<string, TeamQueue>();
   readonly #startedMs = new Map<WaitingRequest, number>();
+  /** Places for which shares and the reserve are reckoned. */
   #capacity: number;
+  /** Most requests that run at a time, whatever the shares. */
+  #maxRunning: number;
   #virtualTime = 0;
   #queued = 0;
   #running = 0;
@@ -74,7 +78,9 @@
   /** `capacity` is the number of requests that may run at a time. */
   constructor(settings: FairQueueSettings, capacity: number) {
     this.#settings = settings;
+    this.#maxQueued = settings.maxQueued;
     this.#capacity = capacity;
+    this.#maxRunning = capacity;
   }
 
   get queued(): number {
@@ -85,8 +91,18 @@
     return this.#running;
   }
 
-  setCapacity(capacity: number): void {
-    this.#capacity = capacity;
+  /**
+   * Sets the places of the pool and this daemon's even part of them. Shares
+   * and the reserve are reckoned from the part, so that surging teams leave
+   * room in every daemon; the others may use whatever place they find.
+   */
+  setCapacity(places: { all: number; evenPart: number }): void {
+    this.#capacity = places.evenPart;
+    this.#maxRunning = places.all;
+  }
+
+  setMaxQueued(maxQueued: number): void {
+    this.#maxQueued = maxQueued;
   }
 
   /**
@@ -102,7 +118,7 @@
       return this.#refuse(request, "deadline-unreachable", waitMs);
     }
     let refusal: QueueRefusal | undefined;
-    if (this.#queued >= this.#settings.maxQueued) {
+    if (this.#queued >= this.#maxQueued) {
       const fullest = this.#findFullest(nowMs) ?? team;
       if (this.#overuse(fullest) <= this.#overuse(team)) {
         return this.#refuse(request, "queue-full", waitMs);
@@ -183,7 +199,7 @@
   }
 
   #nextTeam(nowMs: number): TeamQueue | undefined {
-    if (this.#capacity <= this.#running) return undefined;
+    if (this.#running >= this.#maxRunning) return undefined;
     const weights = this.#sumWeights(nowMs);
     let next: TeamQueue | undefined;
     for (const team of this.#teams.values()) {
--- a/packages/core/src/retry/decide_retry.ts
+++ b/packages/core/src/retry/decide_retry.ts
@@ -16,7 +16,10 @@
   readonly isIdempotent: boolean;
   /** Whether a cut answer can go on where it ended. */
   readonly canResume: boolean;
-  readonly triesMade: number;
+  /** Tries that may have reached a target. */
+  readonly triesSent: number;
+  /** Tries that reached no target. */
+  readonly triesUnsent: number;
   readonly maxTries: number;
   readonly nowMs: number;
   readonly deadlineMs: number;
@@ -41,6 +44,9 @@
  */
 export const MIN_TIME_FOR_RETRY_MS = 20;
 
+/** Most tries that reached no target, since each costs a connect. */
+export const MAX_UNSENT_TRIES = 8;
+
 /**
  * Decides on a retry and takes it out of the budget. A request that was never
  * sent costs nothing of the budget, since it put no load on any target.
@@ -53,7 +59,8 @@
   const mayHaveRun = failure === "maybe-run" || failure === "cut";
   if (mayHaveRun && !isIdempotent) return stop("may-have-run");
   if (failure === "cut" && !question.canResume) return stop("cannot-resume");
-  if (question.triesMade >= question.maxTries) return stop("tries-used-up");
+  if (question.triesSent >= question.maxTries) return stop("tries-used-up");
+  if (question.triesUnsent >= MAX_UNSENT_TRIES) return stop("tries-used-up");
   const leftMs = question.deadlineMs - question.nowMs;
   if (leftMs < MIN_TIME_FOR_RETRY_MS) return stop("deadline");
   if (failure === "not-sent") return { kind: "retry" };
--- a/packages/core/src/retry/retry_test.ts
+++ b/packages/core/src/retry/retry_test.ts
@@ -9,7 +9,8 @@
   failure: "maybe-run",
   isIdempotent: true,
   canResume: false,
-  triesMade: 1,
+  triesSent: 1,
+  triesUnsent: 0,
   maxTries: 3,
   nowMs: 0,
   deadlineMs: 1_000,
@@ -41,7 +42,10 @@
   it("stops at the deadline and after the last try", () => {
     expect(decide({ nowMs: 990 })).toBe("deadline");
     expect(decide({ nowMs: 2_000, failure: "not-sent" })).toBe("deadline");
-    expect(decide({ triesMade: 3 })).toBe("tries-used-up");
+    expect(decide({ triesSent: 3 })).toBe("tries-used-up");
+    expect(decide({ triesUnsent: 8, failure: "not-sent" })).toBe(
+      "tries-used-up",
+    );
   });
 });
 
@@ -53,11 +57,11 @@
     let tries = 0;
     for (let request = 0; request < requests; request++) {
       budget.noteFirstTry();
-      for (let triesMade = 1;; triesMade++) {
+      for (let triesSent = 1;; triesSent++) {
         tries += 1;
         const hasFailed = uniformInt(random, 0, 1) === 0;
         if (!hasFailed) break;
-        const question = { ...QUESTION, triesMade };
+        const question = { ...QUESTION, triesSent };
         if (decideRetry(question, budget).kind === "stop") break;
       }
     }
--- /dev/null
+++ b/packages/daemon/src/admission/index.ts
@@ -0,0 +1,1 @@
+export * from "./admission_controller.ts";
--- /dev/null
+++ b/packages/daemon/src/claims/claim_store.ts
@@ -0,0 +1,134 @@
+import {
+  type ClaimEvent,
+  type ClaimRecord,
+  type ClaimTransaction,
+  type ClaimWrite,
+  type FoundClaim,
+  parseClaimRecord,
+  parseRecordedAnswer,
+} from "@coltsfootford/core";
+import {
+  type Compare,
+  isCertainlyNotApplied,
+  type KeyValueClient,
+  type KeyValueEntry,
+  type TxnAnswer,
+  type TxnOperation,
+} from "@coltsfootford/platform";
+import type { ClaimLeases } from "./claim_leases.ts";
+
+/** How a transaction of claims ended; the caller adds the time. */
+export type ClaimStoreEvent = ClaimEvent extends infer Event
+  ? Event extends { readonly kind: "committed" | "conflicted" | "failed" }
+    ? Omit<Event, "nowMs">
+  : never
+  : never;
+
+/** Writes the transactions of a claim book to the platform, one call each. */
+export class ClaimStore {
+  readonly #keyValue: KeyValueClient;
+  readonly #leases: ClaimLeases;
+
+  constructor(keyValue: KeyValueClient, leases: ClaimLeases) {
+    this.#keyValue = keyValue;
+    this.#leases = leases;
+  }
+
+  async write(transaction: ClaimTransaction): Promise<ClaimStoreEvent> {
+    const { transactionId, writes } = transaction;
+    let leaseId: string | undefined;
+    if (writes.some(needsLease)) {
+      const lease = await this.#leases.current();
+      if (lease.isErr()) {
+        return { kind: "failed", transactionId, maybeApplied: false };
+      }
+      leaseId = lease.value;
+    }
+    const answer = await this.#keyValue.txn({
+      compares: writes.map(createCompare),
+      success: writes.flatMap((write) => createPuts(write, leaseId)),
+      failure: writes.map(createRange),
+    });
+    if (answer.isErr()) {
+      const maybeApplied = !isCertainlyNotApplied(answer.error);
+      return { kind: "failed", transactionId, maybeApplied };
+    }
+    const { succeeded, revision } = answer.value;
+    if (succeeded) return { kind: "committed", transactionId, revision };
+    const found = readFound(writes, answer.value);
+    return { kind: "conflicted", transactionId, found };
+  }
+}
+
+function needsLease(write: ClaimWrite): boolean {
+  return write.place.leased || write.answer !== undefined;
+}
+
+function createCompare(write: ClaimWrite): Compare {
+  const { place, expectation } = write;
+  const key = place.claimKey;
+  if (expectation.kind === "absent") {
+    return { target: "create", key, comparison: "equal", operand: 0 };
+  }
+  const operand = expectation.modRevision;
+  return { target: "mod", key, comparison: "equal", operand };
+}
+
+function createPuts(
+  write: ClaimWrite,
+  leaseId: string | undefined,
+): TxnOperation[] {
+  const { place, record, answer } = write;
+  const puts: TxnOperation[] = [{
+    kind: "put",
+    key: place.claimKey,
+    value: JSON.stringify(record),
+    leaseId: place.leased ? leaseId : undefined,
+  }];
+  if (answer) {
+    const value = JSON.stringify(answer);
+    puts.push({ kind: "put", key: place.answerKey, value, leaseId });
+  }
+  return puts;
+}
+
+/** Reads claim and recorded answer, which share a prefix, in one range. */
+function createRange(write: ClaimWrite): TxnOperation {
+  const { claimKey } = write.place;
+  const prefix = claimKey.slice(0, claimKey.lastIndexOf("/") + 1);
+  return { kind: "range", selection: { prefix } };
+}
+
+function readFound(
+  writes: readonly ClaimWrite[],
+  answer: TxnAnswer,
+): FoundClaim[] {
+  return writes.flatMap((write, index) => {
+    const entries = answer.operations[index]?.entries ?? [];
+    return readClaim(write, entries) ?? [];
+  });
+}
+
+function readClaim(
+  write: ClaimWrite,
+  entries: readonly KeyValueEntry[],
+): FoundClaim | undefined {
+  const { claimKey, answerKey } = write.place;
+  const claim = entries.find((entry) => entry.key === claimKey);
+  if (!claim) return undefined;
+  const answer = entries.find((entry) => entry.key === answerKey);
+  // A record that cannot be read still holds the key: nothing may run on it.
+  const unreadable: ClaimRecord = {
+    state: "unknown",
+    nonce: "",
+    bodyDigest: write.record.bodyDigest,
+    claimedAtMs: 0,
+  };
+  const record = parseClaimRecord(claim.value).unwrapOr(unreadable);
+  return {
+    claimKey,
+    modRevision: claim.modRevision,
+    record,
+    answer: answer && parseRecordedAnswer(answer.value).unwrapOr(undefined),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/claims/index.ts
@@ -0,0 +1,2 @@
+export * from "./claim_controller.ts";
+export * from "./claimed_calls.ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import type { StepError } from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
@@ -10,6 +11,7 @@
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
+import { createGuards } from "./guards.ts";
 import { closePort, listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import { Metrics } from "./metrics/index.ts";
@@ -79,7 +81,19 @@
       random: Math.random,
     }),
   ];
+  const { guards, controllers: guardControllers } = createGuards({
+    ...settings,
+    incarnation: randomUUID(),
+    blackboard,
+    timer,
+    keyValue,
+    peers,
+    logger,
+    metrics,
+  });
+  controllers.push(...guardControllers);
   const entry = new EntryServer(settings.vm, {
+    guards,
     blackboard,
     timer,
     targetClient,
--- a/packages/daemon/src/entry/answer_relay.ts
+++ b/packages/daemon/src/entry/answer_relay.ts
@@ -1,3 +1,4 @@
+import type { RecordedAnswer } from "@coltsfootford/core";
 import type { Dispatcher } from "undici";
 import type { RequestContext } from "./request_context.ts";
 
@@ -5,8 +6,10 @@
 export type AttemptResult =
   /** The whole answer was passed on to the caller. */
   | { readonly kind: "answered" }
-  /** The target certainly did not run the request. */
-  | { readonly kind: "not-run"; readonly message: string }
+  /** No byte of the request reached the target. */
+  | { readonly kind: "not-sent"; readonly message: string }
+  /** The target said that it did not run the request. */
+  | { readonly kind: "refused"; readonly message: string }
   /** The target may have run it; nothing was passed on. */
   | { readonly kind: "unknown"; readonly message: string }
   /** The answer broke off after a part of it was passed on. */
@@ -18,6 +21,13 @@
 /** The header that names the request towards targets. */
 export const REQUEST_ID_HEADER = "x-request-id";
 
+/** An answer that was passed on as a whole, for the record of its call. */
+export interface RelayedAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
 /** Passes answers of one request on to its caller, over several tries. */
 export abstract class AnswerRelay {
   /** Whether another target can go on where a cut answer ended. */
@@ -31,6 +41,12 @@
     response: Dispatcher.ResponseData,
     context: RequestContext,
   ): Promise<AttemptResult>;
+
+  /** The answer that was passed on, where the relay still has it. */
+  abstract relayedAnswer(): RelayedAnswer | undefined;
+
+  /** Passes the recorded answer of an earlier call on. */
+  abstract replay(answer: RecordedAnswer): void;
 }
 
 /** Whether the target says that it refused the request without running it. */
--- a/packages/daemon/src/entry/caller_signal.ts
+++ b/packages/daemon/src/entry/caller_signal.ts
@@ -8,16 +8,17 @@
   dispose(): void;
 }
 
-/** Aborts when the caller hangs up or the deadline passes. */
+/** Aborts when the deadline passes or, if so asked, the caller hangs up. */
 export function createCallerSignal(
   outgoing: ServerResponse,
   timer: TimerService,
   deadlineMs: number,
+  endsWithCaller = true,
 ): CallerSignal {
   const controller = new AbortController();
   const abort = () => controller.abort();
   const onClose = () => {
-    if (!outgoing.writableFinished) abort();
+    if (endsWithCaller && !outgoing.writableFinished) abort();
   };
   outgoing.once("close", onClose);
   const cancelTimer = timer.after(deadlineMs, abort);
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -1,20 +1,24 @@
 import type { TimerService } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
+import type { AdmissionTicket } from "../admission/index.ts";
 import type { Blackboard, TargetView } from "../blackboard/index.ts";
+import { needsClaim } from "../claims/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
+import { digestRequest, type RunningMark } from "../poison/index.ts";
 import type { TargetClient } from "../targets/index.ts";
 import {
   type AnswerRelay,
   type AttemptResult,
   REQUEST_ID_HEADER,
 } from "./answer_relay.ts";
-import type { Permit, PermitGate } from "./permit_gate.ts";
+import { TryHistory } from "./next_try.ts";
+import type { PermitGate } from "./permit_gate.ts";
+import { type Place, PlaceFinder } from "./place_finder.ts";
 import { createRefusal, type Refusal } from "./refusal.ts";
 import type { RequestContext } from "./request_context.ts";
-import { orderTargets } from "./target_order.ts";
+import type { RequestGuards } from "./request_guards.ts";
 
-const FULL_POOL_WAIT_MS = 10;
 const RETRY_AFTER_MS = 1_000;
 
 /** What the dispatcher needs from the rest of the daemon. */
@@ -23,22 +27,19 @@
   readonly timer: TimerService;
   readonly targetClient: TargetClient;
   readonly permitGate: PermitGate;
+  readonly guards: RequestGuards;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
-/** A target that may take the request, with the permit for it. */
-interface Place {
-  readonly target: TargetView;
-  readonly permit: Permit;
-}
-
-/** Takes a checked request through permits and tries to an answer. */
+/** Takes a checked request through its guards and tries to an answer. */
 export class RequestDispatcher {
   readonly #parts: DispatcherParts;
+  readonly #places: PlaceFinder;
 
   constructor(parts: DispatcherParts) {
     this.#parts = parts;
+    this.#places = new PlaceFinder({ ...parts, poison: parts.guards.poison });
   }
 
   /** Resolves once the answer was passed on, or with why it was not. */
@@ -46,60 +47,99 @@
     context: RequestContext,
     relay: AnswerRelay,
   ): Promise<Result<void, Refusal>> {
-    const tried = new Set<string>();
-    let mayHaveRun = false;
-    let message = "no target was free before the deadline";
-    for (let attempt = 1; attempt <= context.route.maxAttempts; attempt++) {
-      const place = await this.#findPlace(context, tried);
-      if (!place) break;
-      tried.add(place.target.name);
-      const result = await this.#tryTarget(place, context, relay);
-      if (result.kind === "answered") return ok(undefined);
-      message = result.message;
-      if (result.kind !== "not-run") mayHaveRun = true;
-      if (!mayTryAgain(result, context, relay)) break;
+    const { admission, claims, poison } = this.#parts.guards;
+    const digest = digestRequest(context);
+    if (poison.judge(digest) === "quarantined") {
+      return err(createQuarantineRefusal(false));
+    }
+    const ticket = await admission.admit(context);
+    if (ticket.isErr()) return err(ticket.error);
+    const run = () => this.#runTries(context, relay, ticket.value, digest);
+    try {
+      if (!needsClaim(context)) return await run();
+      return await claims.run(context, relay, run);
+    } finally {
+      ticket.value.release();
     }
-    return err(createFinalRefusal(mayHaveRun, message));
   }
 
-  /** Waits for the first target in order that gives a permit. */
-  async #findPlace(
+  async #runTries(
     context: RequestContext,
-    tried: ReadonlySet<string>,
-  ): Promise<Place | undefined> {
-    while (!context.signal.aborted) {
-      const targets = this.#parts.blackboard.targets.read();
-      const ordered = orderTargets(targets, context);
-      const untried = ordered.filter((target) => !tried.has(target.name));
-      for (const target of untried.length > 0 ? untried : ordered) {
-        const permit = await this.#parts.permitGate.acquire(target, context);
-        if (permit.isOk()) return { target, permit: permit.value };
+    relay: AnswerRelay,
+    ticket: AdmissionTicket,
+    digest: string,
+  ): Promise<Result<void, Refusal>> {
+    const { guards, timer } = this.#parts;
+    const budget = guards.retries.of(context.route);
+    const history = new TryHistory();
+    let message = "no target was free before the deadline";
+    budget.noteFirstTry();
+    for (;;) {
+      const verdict = guards.poison.judge(digest);
+      if (verdict === "quarantined") {
+        return err(createQuarantineRefusal(history.mayHaveRun));
       }
-      await this.#wait(FULL_POOL_WAIT_MS);
+      const isSuspect = verdict === "suspect";
+      const tried = history.targets;
+      const place = await this.#places.find({
+        context,
+        ticket,
+        tried,
+        isSuspect,
+      });
+      if (!place) break;
+      const result = await this.#tryTarget(place, context, relay, digest);
+      if (result.kind === "answered") return ok(undefined);
+      message = result.message;
+      history.note(place.target.name, result);
+      if (context.signal.aborted) break;
+      const nowMs = timer.nowMs();
+      const next = history.decide(result, context, relay, budget, nowMs);
+      if (next.kind === "stop") break;
+      this.#parts.metrics.count("retries_total");
     }
-    return undefined;
+    return err(createFinalRefusal(history.mayHaveRun, message));
   }
 
   async #tryTarget(
     place: Place,
     context: RequestContext,
     relay: AnswerRelay,
+    digest: string,
   ): Promise<AttemptResult> {
+    const { claims, poison } = this.#parts.guards;
+    const { target, permit } = place;
+    const mark = poison.begin(target, context.requestId, digest);
     try {
-      if (context.signal.aborted || !place.permit.start()) {
-        return {
-          kind: "not-run",
-          message: "the permit ended before the start",
-        };
+      // Nothing may be awaited between these checks and the send.
+      const mayStart = mark !== undefined && !context.signal.aborted &&
+        claims.mayStart(context) && permit.start();
+      if (!mayStart) {
+        const message = "the right to start ended before the request was sent";
+        return { kind: "not-sent", message };
       }
-      const result = await this.#send(place.target, context, relay);
+      const result = await this.#send(target, context, relay);
+      await this.#judgeEnd(mark, result, context);
       if (result.kind !== "answered") this.#logFailure(place, context, result);
       return result;
     } finally {
-      place.permit.release();
+      mark?.end();
+      permit.release();
     }
   }
 
+  /** Tells the search for crashing requests how a try ended. */
+  async #judgeEnd(
+    mark: RunningMark,
+    result: AttemptResult,
+    context: RequestContext,
+  ): Promise<void> {
+    if (result.kind === "answered") return mark.endCompleted();
+    const isLost = result.kind === "unknown" || result.kind === "cut";
+    // After an abort it was this daemon that dropped the connection.
+    if (isLost && !context.signal.aborted) await mark.endLost();
+  }
+
   async #send(
     target: TargetView,
     context: RequestContext,
@@ -119,7 +159,7 @@
     });
     if (response.isOk()) return relay.relay(response.value, context);
     const { kind, message } = response.error;
-    return { kind: kind === "not-sent" ? "not-run" : "unknown", message };
+    return { kind: kind === "not-sent" ? "not-sent" : "unknown", message };
   }
 
   #logFailure(
@@ -134,24 +174,6 @@
       result,
     });
   }
-
-  #wait(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.#parts.timer.after(durationMs, resolve);
-    });
-  }
-}
-
-/** Whether a failed try may be followed by another one. */
-function mayTryAgain(
-  result: AttemptResult,
-  context: RequestContext,
-  relay: AnswerRelay,
-): boolean {
-  if (context.signal.aborted) return false;
-  if (result.kind === "not-run") return true;
-  if (!context.route.idempotent) return false;
-  return result.kind === "unknown" || relay.canResume();
 }
 
 function createFinalRefusal(mayHaveRun: boolean, message: string): Refusal {
@@ -162,3 +184,12 @@
     retryAfterMs: RETRY_AFTER_MS,
   });
 }
+
+function createQuarantineRefusal(mayHaveRun: boolean): Refusal {
+  return createRefusal(
+    422,
+    "request_quarantined",
+    "targets crashed each time that they ran this request; ask the operators to release it",
+    { outcome: mayHaveRun ? "unknown" : "not-run" },
+  );
+}
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -1,3 +1,5 @@
+export type { RequestGuards } from "./request_guards.ts";
+export * from "./retry_budgets.ts";
 export * from "./entry_server.ts";
 export * from "./local_permit_gate.ts";
 export * from "./permit_gate.ts";
--- /dev/null
+++ b/packages/daemon/src/entry/next_try.ts
@@ -0,0 +1,57 @@
+import {
+  decideRetry,
+  type RetryBudget,
+  type RetryDecision,
+  type TryFailure,
+} from "@coltsfootford/core";
+import type { AnswerRelay, AttemptResult } from "./answer_relay.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** A try that did not lead to an answer. */
+export type FailedAttempt = Exclude<AttemptResult, { kind: "answered" }>;
+
+/** The tries of one request so far. */
+export class TryHistory {
+  readonly targets = new Set<string>();
+  #sent = 0;
+  #unsent = 0;
+  #mayHaveRun = false;
+
+  /** Whether a target may have run the request in one of the tries. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  /** Notes a failed try at a target. */
+  note(target: string, result: FailedAttempt): void {
+    this.targets.add(target);
+    if (result.kind === "not-sent") this.#unsent += 1;
+    else this.#sent += 1;
+    if (result.kind === "unknown" || result.kind === "cut") {
+      this.#mayHaveRun = true;
+    }
+  }
+
+  /** Decides whether another try follows, and pays for it. */
+  decide(
+    result: FailedAttempt,
+    context: RequestContext,
+    relay: AnswerRelay,
+    budget: RetryBudget,
+    nowMs: number,
+  ): RetryDecision {
+    const failure: TryFailure = result.kind === "unknown"
+      ? "maybe-run"
+      : result.kind;
+    return decideRetry({
+      failure,
+      isIdempotent: context.route.idempotent,
+      canResume: relay.canResume(),
+      triesSent: this.#sent,
+      triesUnsent: this.#unsent,
+      maxTries: context.route.maxAttempts,
+      nowMs,
+      deadlineMs: context.deadlineAtMs,
+    }, budget);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/request_guards.ts
@@ -0,0 +1,12 @@
+import type { AdmissionController } from "../admission/index.ts";
+import type { ClaimedCalls } from "../claims/index.ts";
+import type { PoisonController } from "../poison/index.ts";
+import type { RetryBudgets } from "./retry_budgets.ts";
+
+/** What a request must pass before and between its tries at targets. */
+export interface RequestGuards {
+  readonly admission: AdmissionController;
+  readonly claims: ClaimedCalls;
+  readonly poison: PoisonController;
+  readonly retries: RetryBudgets;
+}
--- a/packages/daemon/src/entry/service_handler.ts
+++ b/packages/daemon/src/entry/service_handler.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, type Result } from "neverthrow";
+import { needsClaim } from "../claims/index.ts";
 import { createCallerSignal } from "./caller_signal.ts";
 import type { EntryServices } from "./entry_server.ts";
 import { checkRouteTeam, findServiceRoute } from "./find_route.ts";
@@ -32,7 +33,14 @@
   if (body.isErr()) return err(body.error);
   const deadlineMs = headers.value["x-coltsfoot-deadline-ms"] ??
     route.deadlineMs;
-  const caller = createCallerSignal(outgoing, services.timer, deadlineMs);
+  const caller = createCallerSignal(
+    outgoing,
+    services.timer,
+    deadlineMs,
+    // A claimed call that was sent runs on without its caller, so that its
+    // answer is recorded for the resend.
+    !needsClaim({ route, idempotencyKey: headers.value["idempotency-key"] }),
+  );
   const requestId = services.nextRequestId();
   const context: RequestContext = {
     requestId,
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import type { RecordedAnswer } from "@coltsfootford/core";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { Dispatcher } from "undici";
 import {
@@ -61,6 +62,14 @@
     return this.#relayEvents(response);
   }
 
+  override relayedAnswer(): undefined {
+    return undefined;
+  }
+
+  override replay(answer: RecordedAnswer): void {
+    new WholeRelay(this.#outgoing).replay(answer);
+  }
+
   /** An error of the target is passed on whole, unless a part was streamed. */
   #relayError(
     response: Dispatcher.ResponseData,
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -2,10 +2,13 @@
 import type { AddressInfo } from "node:net";
 import { createObjectSet, objectSchema } from "@coltsfootford/core";
 import { SystemTimerService } from "@coltsfootford/platform";
+import { FakeKeyValue } from "@coltsfootford/platform/testing";
 import { createBlackboard, type TargetView } from "../../blackboard/index.ts";
+import { createGuards } from "../../guards.ts";
 import { listen, type OpenPort } from "../../http/index.ts";
 import type { Logger } from "../../log/index.ts";
 import { Metrics } from "../../metrics/index.ts";
+import { Peers } from "../../peers/index.ts";
 import { TargetClient } from "../../targets/index.ts";
 import { createEntryApp } from "../entry_app.ts";
 import { EntryServer } from "../entry_server.ts";
@@ -74,13 +77,27 @@
   blackboard.targets.claimWriter("test").write(targets);
   const logger: Logger = { event: () => undefined };
   const targetClient = new TargetClient();
+  const timer = new SystemTimerService();
+  const metrics = new Metrics();
+  const { guards } = createGuards({
+    vm: "d1",
+    availabilityZone: "z",
+    incarnation: "test",
+    blackboard,
+    timer,
+    keyValue: new FakeKeyValue(timer),
+    peers: new Peers({ vm: "d1", timer, keys: [] }),
+    logger,
+    metrics,
+  });
   const entry = new EntryServer("d1", {
+    guards,
     blackboard,
-    timer: new SystemTimerService(),
+    timer,
     targetClient,
     permitGate: new LocalPermitGate(),
     logger,
-    metrics: new Metrics(),
+    metrics,
   });
   const open: OpenPort = (await listen(createEntryApp(entry), "listen", {
     host: HOST,
--- a/packages/daemon/src/entry/whole_relay.ts
+++ b/packages/daemon/src/entry/whole_relay.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { RecordedAnswer } from "@coltsfootford/core";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
 import {
@@ -7,12 +8,17 @@
   discardBody,
   isForeignAnswer,
   isRefusedByTarget,
+  type RelayedAnswer,
 } from "./answer_relay.ts";
 import type { RequestContext } from "./request_context.ts";
 
 const FIRST_SERVER_ERROR = 500;
 const FIRST_CLIENT_ERROR = 400;
 
+/** Marks an answer that was recorded when the call ran. */
+const REPLAYED_HEADER = "x-coltsfoot-replayed";
+const DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
 /** Headers that belong to one connection and are not passed on. */
 const HOP_HEADERS = new Set([
   "connection",
@@ -28,6 +34,7 @@
 /** Passes an answer on only once all of it has arrived and was checked. */
 export class WholeRelay extends AnswerRelay {
   readonly #outgoing: ServerResponse;
+  #relayed: RelayedAnswer | undefined;
 
   constructor(outgoing: ServerResponse) {
     super();
@@ -49,7 +56,7 @@
     if (isRefusedByTarget(response)) {
       discardBody(response);
       return {
-        kind: "not-run",
+        kind: "refused",
         message: `the target refused with status ${response.statusCode}`,
       };
     }
@@ -79,7 +86,29 @@
     return { kind: "answered" };
   }
 
+  override relayedAnswer(): RelayedAnswer | undefined {
+    return this.#relayed;
+  }
+
+  override replay(answer: RecordedAnswer): void {
+    const body = Buffer.from(answer.body);
+    this.#outgoing.setHeader("content-type", answer.contentType);
+    this.#outgoing.setHeader("x-coltsfoot-outcome", "completed");
+    this.#outgoing.setHeader(REPLAYED_HEADER, "true");
+    this.#outgoing.setHeader("content-length", body.length);
+    this.#outgoing.writeHead(answer.status);
+    this.#outgoing.end(body);
+  }
+
   #send(response: Dispatcher.ResponseData, body: Buffer): void {
+    const contentType = response.headers["content-type"];
+    this.#relayed = {
+      status: response.statusCode,
+      contentType: typeof contentType === "string"
+        ? contentType
+        : DEFAULT_CONTENT_TYPE,
+      body,
+    };
     for (const [name, value] of Object.entries(response.headers)) {
       if (value === undefined || HOP_HEADERS.has(name)) continue;
       this.#outgoing.setHeader(name, value);
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -55,6 +55,26 @@
     level: "error",
     text: "target sent an answer that belongs to another request",
   },
+  claimWriteFailed: {
+    number: 5001,
+    level: "warn",
+    text: "a write of claims was not confirmed by the platform",
+  },
+  claimLost: {
+    number: 5002,
+    level: "error",
+    text: "a claim was changed by another while its call was running",
+  },
+  targetCrashed: {
+    number: 5101,
+    level: "warn",
+    text: "a target crashed with requests running",
+  },
+  requestQuarantined: {
+    number: 5102,
+    level: "error",
+    text: "a request that crashes targets is refused from now on",
+  },
   internalFault: {
     number: 9001,
     level: "error",
