Add the operators' command line with check, diff, publish and status

Cause: operators race one another, and a publication whose answer is lost may or may not have taken effect.

Ruled out: deciding a lost answer by one read back, since the write may still arrive; comparing only with the head, since another publication may already stand above the own; deleting unused parts without a condition, since a publication in progress may have written the same part again.

Change: Publisher writes parts, then head and record in one transaction on the head's mod revision, and sends that transaction again until its outcome is certain. Files carry the publication they are based on, so that a later operator is told what the earlier one changed. Schemas carry the text of each field, for the JSON Schema and the reference page.

Conclusion: race, lost answer, lost write and superseded write are told apart in unit tests with the fake service; process tests follow.

--- /dev/null
+++ b/packages/cli/src/commands/check.ts
@@ -0,0 +1,47 @@
+import type { ObjectSet } from "@coltsfootford/core";
+import {
+  Command,
+  type CommandContext,
+  type CommandResult,
+} from "../command.ts";
+import { loadObjects } from "../objects/index.ts";
+
+/** Checks the object files without the platform. */
+export class CheckCommand extends Command {
+  override readonly name = "check";
+  override readonly summary = "check the object files as one set";
+  override readonly argumentsHelp = "[DIRECTORY]";
+  override readonly maxArguments = 1;
+  override readonly examples = [
+    { line: "coltsfoot check", text: "Check the directory of the settings." },
+    {
+      line: "coltsfoot check examples/batinah/objects --json",
+      text: "Check another directory, for a program.",
+    },
+  ];
+
+  override run(context: CommandContext): CommandResult {
+    const directory = context.positionals[0] ?? context.settings.objects;
+    const output = loadObjects(directory).map((set) => {
+      const counts = countObjects(set);
+      const parts = Object.entries(counts).map(([kind, count]) =>
+        `${count} ${kind}`
+      );
+      return {
+        lines: [`${directory} is in order: ${parts.join(", ")}`],
+        json: { directory, counts },
+      };
+    });
+    return Promise.resolve(output);
+  }
+}
+
+function countObjects(set: ObjectSet): Record<string, number> {
+  return {
+    teams: set.teams.size,
+    models: set.models.size,
+    services: set.services.size,
+    pools: set.pools.size,
+    routes: set.routes.size,
+  };
+}
--- /dev/null
+++ b/packages/cli/src/daemons/index.ts
@@ -0,0 +1,2 @@
+/** Talks to the daemons' admin ports. */
+export * from "./admin_client.ts";
--- /dev/null
+++ b/packages/cli/src/objects/index.ts
@@ -0,0 +1,3 @@
+/** Reads and checks the operators' object files. */
+export * from "./base_file.ts";
+export * from "./load_objects.ts";
--- /dev/null
+++ b/packages/cli/src/objects/load_objects.ts
@@ -0,0 +1,81 @@
+import { err, ok, type Result } from "neverthrow";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import {
+  checkObjects,
+  type ConfigFault,
+  formatConfigFault,
+  type ObjectSet,
+  type SourceObject,
+} from "@coltsfootford/core";
+import { type CliError, createCliError } from "../cli_error.ts";
+
+/**
+ * Reads every `.json` file below a directory and checks the objects together.
+ * A file holds one object or an array of them; names with a leading dot are
+ * left out.
+ */
+export function loadObjects(directory: string): Result<ObjectSet, CliError> {
+  return listFiles(directory).andThen((files) => {
+    const faults: ConfigFault[] = [];
+    const sources: SourceObject[] = [];
+    for (const file of files) {
+      readSources(join(directory, file)).match(
+        (found) => sources.push(...found),
+        (fault) => faults.push(fault),
+      );
+    }
+    const checked = checkObjects(sources);
+    if (checked.isErr()) faults.push(...checked.error);
+    if (checked.isOk() && faults.length === 0) return ok(checked.value);
+    return err(createFaultsError(directory, faults));
+  });
+}
+
+function createFaultsError(
+  directory: string,
+  faults: readonly ConfigFault[],
+): CliError {
+  const count = faults.length === 1 ? "1 fault" : `${faults.length} faults`;
+  const message = `${directory} has ${count}; mend what the lines below name`;
+  return createCliError("invalid-objects", "objects.check", message, {
+    details: faults.map(formatConfigFault),
+  });
+}
+
+function listFiles(directory: string): Result<string[], CliError> {
+  try {
+    const names = readdirSync(directory, {
+      recursive: true,
+      encoding: "utf8",
+    });
+    const files = names.filter((name) =>
+      name.endsWith(".json") && !/(^|[\\/])\./.test(name)
+    );
+    if (files.length > 0) return ok(files.sort());
+    return err(createDirectoryError(directory, "holds no .json file"));
+  } catch (cause) {
+    return err(createDirectoryError(directory, "can't be read", cause));
+  }
+}
+
+function createDirectoryError(
+  directory: string,
+  fault: string,
+  cause?: unknown,
+): CliError {
+  const message =
+    `the directory ${directory} ${fault}; name another, or make one with coltsfoot init`;
+  return createCliError("invalid-usage", "objects.read", message, { cause });
+}
+
+function readSources(file: string): Result<SourceObject[], ConfigFault> {
+  try {
+    const raw: unknown = JSON.parse(readFileSync(file, "utf8"));
+    if (!Array.isArray(raw)) return ok([{ file, path: [], value: raw }]);
+    return ok(raw.map((value, index) => ({ file, path: [index], value })));
+  } catch (cause) {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    return err({ file, field: "", message: `this is no JSON: ${reason}` });
+  }
+}
--- /dev/null
+++ b/packages/cli/src/publishing/publish_checks.ts
@@ -0,0 +1,96 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  parseJson,
+  publicationRecordKey,
+  publicationRecordSchema,
+} from "@coltsfootford/core";
+import type { KeyValueClient } from "@coltsfootford/platform";
+import {
+  type CliError,
+  createCliError,
+  createPlatformError,
+} from "../cli_error.ts";
+import type { AdminClient } from "../daemons/index.ts";
+import type { BaseFile } from "../objects/index.ts";
+import type { PublishedSet } from "./published_set.ts";
+import { createConflictError } from "./publisher.ts";
+
+/**
+ * Takes a begun publication of an earlier run as the base where it turns out
+ * to have taken effect.
+ */
+export async function recognisePending(
+  client: KeyValueClient,
+  file: BaseFile,
+  current: PublishedSet | undefined,
+): Promise<Result<BaseFile, CliError>> {
+  const { base, pending } = file;
+  const withoutPending = base ? { base } : {};
+  if (!pending) return ok(withoutPending);
+  if (current?.head.nonce === pending.nonce) return ok({ base: pending });
+  const entry = await client.get(publicationRecordKey(pending.revision));
+  if (entry.isErr()) return err(createPlatformError(entry.error));
+  const record = publicationRecordSchema.safeParse(
+    parseJson(entry.value?.value ?? ""),
+  );
+  const isOwn = record.success && record.data.nonce === pending.nonce;
+  return ok(isOwn ? { base: pending } : withoutPending);
+}
+
+/**
+ * Refuses files that are not based on what is published: publishing them
+ * would undo what others changed since.
+ */
+export async function checkBase(
+  client: KeyValueClient,
+  file: BaseFile,
+  givenRevision: number | undefined,
+  current: PublishedSet | undefined,
+): Promise<CliError | undefined> {
+  const currentRevision = current?.head.revision ?? 0;
+  if (givenRevision !== undefined) {
+    if (givenRevision === currentRevision) return undefined;
+    return await createConflictError(client, givenRevision);
+  }
+  if (!current) return undefined;
+  if (file.base?.nonce === current.head.nonce) return undefined;
+  if (file.base) return await createConflictError(client, file.base.revision);
+  const message =
+    `revision ${currentRevision} is published and these files name no base`;
+  return createCliError("conflict", "publish.base", message, {
+    details: [
+      `See coltsfoot diff; to replace what is published, give --base ${currentRevision}.`,
+    ],
+  });
+}
+
+/**
+ * Chooses the next revision. Daemons ahead of the platform mean that it was
+ * restored to an older state; they would refuse the next number.
+ */
+export async function checkFleetRevision(
+  admin: AdminClient,
+  daemons: readonly string[],
+  currentRevision: number,
+  isAfterRestore: boolean,
+): Promise<Result<number, CliError>> {
+  const statuses = await Promise.all(
+    daemons.map((url) => admin.getStatus(url)),
+  );
+  const revisions = statuses.map((status) =>
+    status.isOk() ? status.value.configRevision : 0
+  );
+  const fleetRevision = Math.max(0, ...revisions);
+  if (fleetRevision <= currentRevision) return ok(currentRevision + 1);
+  if (isAfterRestore) return ok(fleetRevision + 1);
+  const message =
+    `the daemons have revision ${fleetRevision} in force and the ` +
+    `platform holds ${currentRevision}: it was restored to an older state`;
+  return err(
+    createCliError("platform-restored", "publish.revision", message, {
+      details: [
+        `Compare your files with what was in force, then publish with --after-restore --base ${currentRevision}.`,
+      ],
+    }),
+  );
+}
--- /dev/null
+++ b/packages/cli/src/table.ts
@@ -0,0 +1,14 @@
+/** Lays out rows in columns of equal width, two spaces apart. */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string[] {
+  const all = [header, ...rows];
+  const widths = header.map((_title, column) =>
+    Math.max(...all.map((row) => row[column]?.length ?? 0))
+  );
+  return all.map((row) =>
+    row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ")
+      .trimEnd()
+  );
+}
--- a/packages/core/src/config/config_head.ts
+++ b/packages/core/src/config/config_head.ts
@@ -8,7 +8,7 @@
 export const CONFIG_HEAD_KEY = "coltsfoot/config/head";
 /** Prefix of the keys of parts; the digest follows. */
 export const CONFIG_PART_PREFIX = "coltsfoot/config/part/";
-/** Prefix of the keys of publication records; the revision follows. */
+/** Prefix of the keys of publication records; see `publicationRecordKey`. */
 export const CONFIG_RECORD_PREFIX = "coltsfoot/config/record/";
 
 /** The root of a published set. Revisions only grow. */
--- a/packages/core/src/objects/schemas.ts
+++ b/packages/core/src/objects/schemas.ts
@@ -8,6 +8,9 @@
 
 const NAME_PATTERN = /^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$/;
 
+const NAME_DESCRIPTION =
+  "Name of the object, unique among objects of its kind.";
+
 /** The name of an object: lower case letters, digits and hyphens. */
 export const objectNameSchema = z.string().regex(
   NAME_PATTERN,
@@ -22,67 +25,93 @@
 /** A customer of the fleet, with its share of the capacity. */
 export const teamSchema = z.strictObject({
   kind: z.literal("team"),
-  name: objectNameSchema,
-  /** SHA-256 digests of the API keys that prove a caller is of this team. */
-  apiKeySha256: z.array(sha256Schema).default([]),
-  /** Weight of the team's share where several teams compete. */
-  shareWeight: z.number().positive().max(1000).default(1),
-  /** Most requests the team may have running at a time in a zone. */
-  maxConcurrentRequests: z.int().positive().max(1_000_000).default(10_000),
+  name: objectNameSchema.describe(NAME_DESCRIPTION),
+  apiKeySha256: z.array(sha256Schema).default([]).describe(
+    "SHA-256 digests of the API keys that prove a caller is of this team.",
+  ),
+  shareWeight: z.number().positive().max(1000).default(1).describe(
+    "Weight of the team's share where several teams compete.",
+  ),
+  maxConcurrentRequests: z.int().positive().max(1_000_000).default(10_000)
+    .describe(
+      "Most requests the team may have running at a time in a zone.",
+    ),
 });
 
 /** A model that engines serve. */
 export const modelSchema = z.strictObject({
   kind: z.literal("model"),
-  name: objectNameSchema,
-  version: z.string().min(1).max(64),
-  /** Names of adapters that may be asked for as `model:adapter`. */
-  adapters: z.array(objectNameSchema).default([]),
+  name: objectNameSchema.describe(NAME_DESCRIPTION),
+  version: z.string().min(1).max(64).describe(
+    "Version of the weights that the engines load.",
+  ),
+  adapters: z.array(objectNameSchema).default([]).describe(
+    "Names of adapters that may be asked for as `model:adapter`.",
+  ),
 });
 
 /** A plain application beside the engines. */
 export const serviceSchema = z.strictObject({
   kind: z.literal("service"),
-  name: objectNameSchema,
+  name: objectNameSchema.describe(NAME_DESCRIPTION),
 });
 
 /** A set of interchangeable targets and the rules of their load. */
 export const poolSchema = z.strictObject({
   kind: z.literal("pool"),
-  name: objectNameSchema,
-  /** Name of the model or service that the targets run. */
-  model: objectNameSchema.optional(),
-  service: objectNameSchema.optional(),
-  /** No target carries more than this multiple of the mean load. */
-  loadFactor: z.number().min(1.05).max(10).default(1.25),
-  /** Most requests a target may run at a time, whatever the mean. */
-  maxConcurrentPerTarget: z.int().positive().max(100_000).default(64),
-  /** Requests that may wait in one daemon for a place in the pool. */
-  maxQueuedRequests: z.int().nonnegative().max(1_000_000).default(1_000),
+  name: objectNameSchema.describe(NAME_DESCRIPTION),
+  model: objectNameSchema.optional().describe(
+    "Name of the model that the targets run, for a pool of engines.",
+  ),
+  service: objectNameSchema.optional().describe(
+    "Name of the service that the targets run, for a pool of a service.",
+  ),
+  loadFactor: z.number().min(1.05).max(10).default(1.25).describe(
+    "No target carries more than this multiple of the mean load.",
+  ),
+  maxConcurrentPerTarget: z.int().positive().max(100_000).default(64).describe(
+    "Most requests a target may run at a time, whatever the mean.",
+  ),
+  maxQueuedRequests: z.int().nonnegative().max(1_000_000).default(1_000)
+    .describe(
+      "Requests that may wait in one daemon for a place in the pool.",
+    ),
 });
 
 /** How callers reach a pool, and how their requests are treated. */
 export const routeSchema = z.strictObject({
   kind: z.literal("route"),
-  name: objectNameSchema,
-  /** `chat` is reached at /v1/chat/completions, `service` at /services/NAME. */
-  protocol: z.enum(["chat", "service"]),
-  pool: objectNameSchema,
-  /** Route whose pool is used while this route's pool serves no request. */
-  fallback: objectNameSchema.optional(),
-  /** Teams that may use the route; empty means every team. */
-  teams: z.array(objectNameSchema).default([]),
-  /** 1 favours cache reuse alone, 0 even load alone. */
-  reuseWeight: z.number().min(0).max(1).default(0.5),
-  /** How much a target of another zone costs against one of the own zone. */
-  crossZonePenalty: z.number().min(0).max(1).default(0.1),
-  /** Whether a request may be run again after a failure. */
-  idempotent: z.boolean().default(false),
-  /** Share of requests that may be retried, for example 0.1. */
-  retryBudgetRatio: z.number().min(0).max(1).default(0.1),
-  maxAttempts: z.int().min(1).max(10).default(3),
-  deadlineMs: z.int().positive().max(86_400_000).default(60_000),
-  maxBodyBytes: z.int().positive().max(64 * 1024 * 1024).default(1024 * 1024),
+  name: objectNameSchema.describe(NAME_DESCRIPTION),
+  protocol: z.enum(["chat", "service"]).describe(
+    "`chat` is reached at /v1/chat/completions, `service` at /services/NAME.",
+  ),
+  pool: objectNameSchema.describe("Name of the pool that serves the route."),
+  fallback: objectNameSchema.optional().describe(
+    "Route whose pool is used while this route's pool serves no request.",
+  ),
+  teams: z.array(objectNameSchema).default([]).describe(
+    "Teams that may use the route; empty means every team.",
+  ),
+  reuseWeight: z.number().min(0).max(1).default(0.5).describe(
+    "1 favours cache reuse alone, 0 even load alone.",
+  ),
+  crossZonePenalty: z.number().min(0).max(1).default(0.1).describe(
+    "How much a target of another zone costs against one of the own zone.",
+  ),
+  idempotent: z.boolean().default(false).describe(
+    "Whether a request may be run again after a failure.",
+  ),
+  retryBudgetRatio: z.number().min(0).max(1).default(0.1).describe(
+    "Share of requests that may be retried, for example 0.1.",
+  ),
+  maxAttempts: z.int().min(1).max(10).default(3).describe(
+    "Most tries of one request, the first included.",
+  ),
+  deadlineMs: z.int().positive().max(86_400_000).default(60_000).describe(
+    "Time for a request whose caller sets no deadline, in ms.",
+  ),
+  maxBodyBytes: z.int().positive().max(64 * 1024 * 1024).default(1024 * 1024)
+    .describe("Longest body of a request, in bytes."),
 });
 
 /** The schema of each kind. */
--- a/packages/daemon/src/config/part_fetcher.ts
+++ b/packages/daemon/src/config/part_fetcher.ts
@@ -1,9 +1,5 @@
-import {
-  CONFIG_PART_PREFIX,
-  type ConfigSource,
-  type WantedParts,
-} from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { ConfigSource, WantedParts } from "@coltsfootford/core";
+import { type KeyValueClient, readConfigParts } from "@coltsfootford/platform";
 import { MAX_PARTS_PER_CALL } from "./config_messages.ts";
 import type { ConfigPeers } from "./config_peers.ts";
 
@@ -69,22 +65,13 @@
   }
 
   async #fetchFromPlatform(digests: readonly string[]): Promise<FetchedPart[]> {
-    const answer = await this.#keyValue.txn({
-      compares: [],
-      success: digests.map((digest) => ({
-        kind: "range",
-        selection: { key: CONFIG_PART_PREFIX + digest },
-      })),
-      failure: [],
-    });
+    const answer = await readConfigParts(this.#keyValue, digests);
     if (answer.isErr()) return [];
-    return answer.value.operations.flatMap(({ entries }) =>
-      entries.map((entry) => ({
-        digest: entry.key.slice(CONFIG_PART_PREFIX.length),
-        text: entry.value,
-        source: { kind: "platform" },
-      }))
-    );
+    return [...answer.value].map(([digest, text]) => ({
+      digest,
+      text,
+      source: { kind: "platform" },
+    }));
   }
 
   async #fetchFromPeer(
--- a/packages/platform/src/etcd_gateway_client.ts
+++ b/packages/platform/src/etcd_gateway_client.ts
@@ -88,7 +88,8 @@
   }
 
   override txn(request: TxnRequest): KeyValueResult<TxnAnswer> {
-    this.calls.writes += 1;
+    if (isReadOnly(request)) this.calls.reads += 1;
+    else this.calls.writes += 1;
     return this.#call({
       path: "/v3/kv/txn",
       body: encodeTxn(request),
@@ -241,6 +242,10 @@
   }
 }
 
+function isReadOnly({ success, failure }: TxnRequest): boolean {
+  return [...success, ...failure].every(({ kind }) => kind === "range");
+}
+
 /**
  * A status below 500 other than 200 is a refusal. From 500 on the service may
  * have applied the call before it failed.
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Clients of what the platform gives: the key-value service and the VM list.
  */
+export * from "./config_parts.ts";
 export * from "./etcd_gateway_client.ts";
 export * from "./key_value_client.ts";
 export * from "./key_value_error.ts";
--- a/packages/platform/src/testing/fake_key_value.ts
+++ b/packages/platform/src/testing/fake_key_value.ts
@@ -23,6 +23,8 @@
   lostWriteAnswers: number;
   /** The next so many writes are lost on the way, as if they timed out. */
   lostWriteRequests: number;
+  /** Only writes to keys with this prefix are lost. */
+  lossKeyPrefix: string;
   /** Wait before each answer. */
   answerDelayMs: number;
 }
@@ -37,6 +39,7 @@
     isDown: false,
     lostWriteAnswers: 0,
     lostWriteRequests: 0,
+    lossKeyPrefix: "",
     answerDelayMs: 0,
   };
   readonly #openSinks = new Set<WatchSink>();
@@ -69,14 +72,18 @@
   override async txn(request: TxnRequest): KeyValueResult<TxnAnswer> {
     this.calls.writes += 1;
     const step = "key-value.txn";
-    if (this.faults.lostWriteRequests > 0) {
+    const lost = err(createKeyValueError("answer-lost", step, PEER, "lost"));
+    const mayBeLost = writesTo(request, this.faults.lossKeyPrefix);
+    if (mayBeLost && this.faults.lostWriteRequests > 0) {
       this.faults.lostWriteRequests -= 1;
-      return err(createKeyValueError("answer-lost", step, PEER, "lost"));
+      return lost;
     }
     const answer = await this.#answer(step, () => this.store.txn(request));
-    if (answer.isErr() || this.faults.lostWriteAnswers === 0) return answer;
+    if (answer.isErr() || !mayBeLost || this.faults.lostWriteAnswers === 0) {
+      return answer;
+    }
     this.faults.lostWriteAnswers -= 1;
-    return err(createKeyValueError("answer-lost", step, PEER, "lost"));
+    return lost;
   }
 
   override async grantLease(ttlMs: number): KeyValueResult<Lease> {
@@ -176,3 +183,13 @@
 function readKey(event: WatchEvent): string {
   return event.kind === "put" ? event.entry.key : event.key;
 }
+
+function writesTo(request: TxnRequest, prefix: string): boolean {
+  return [...request.success, ...request.failure].some((operation) => {
+    if (operation.kind === "put") return operation.key.startsWith(prefix);
+    if (operation.kind === "range") return false;
+    const { selection } = operation;
+    const key = "key" in selection ? selection.key : selection.prefix;
+    return key.startsWith(prefix);
+  });
+}
