Ask the keeper of a target for a permit before every request

The keeper controller joins the ledgers and pool means of core with the membership: it takes over from former keepers by collecting the running permits, gives up what it holds after a pause, and exchanges pool loads with each permit message and as an attachment of the membership.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from "node:crypto";
-import type { StepError } from "@coltsfootford/core";
+import { PermitHolder, type StepError } from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -10,8 +10,14 @@
 import { createBlackboard, type LifecyclePhase } from "./blackboard/index.ts";
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
-import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
+import { createEntryApp, EntryServer } from "./entry/index.ts";
 import { createGuards } from "./guards.ts";
+import {
+  KeeperController,
+  KeeperPermitGate,
+  PermitExchange,
+  START_WITHIN_MS,
+} from "./keepers/index.ts";
 import { closePort, listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import {
@@ -112,12 +118,32 @@
     metrics,
   });
   controllers.push(...guardControllers);
+  const holder = new PermitHolder();
+  const keepers = new KeeperController({
+    vm: settings.vm,
+    blackboard,
+    membership,
+    peers,
+    timer,
+    holder,
+  });
+  controllers.push(keepers);
+  const keeperOf = (target: string) => keepers.keeperOf(target);
+  const exchange = new PermitExchange({
+    vm: settings.vm,
+    timer,
+    peers,
+    holder,
+    localKeeper: keepers,
+    startWithinMs: START_WITHIN_MS,
+    keeperOf,
+  });
   const entry = new EntryServer(settings.vm, {
     guards,
     blackboard,
     timer,
     targetClient,
-    permitGate: new LocalPermitGate(),
+    permitGate: new KeeperPermitGate({ timer, holder, exchange, keeperOf }),
     logger,
     metrics,
   });
--- /dev/null
+++ b/packages/daemon/src/keepers/index.ts
@@ -0,0 +1,4 @@
+export * from "./keeper_controller.ts";
+export * from "./keeper_membership.ts";
+export * from "./keeper_permit_gate.ts";
+export * from "./permit_exchange.ts";
--- /dev/null
+++ b/packages/daemon/src/keepers/wire.ts
@@ -0,0 +1,48 @@
+import type { CollectAnswer, CollectRequest } from "@coltsfootford/core";
+import { z } from "zod";
+
+/**
+ * The messages of a take-over. Those of every request, asks and returns, are
+ * encoded by the permit codec of core.
+ */
+
+/** Method by which a holder names requests that a new keeper must count. */
+export const ADOPT_METHOD = "pa";
+/** Method by which a new keeper collects the permits of its predecessor. */
+export const COLLECT_METHOD = "pc";
+
+const askIdsSchema = z.array(z.int());
+
+/** Target, and the ask numbers of running requests. */
+export const adoptParamsSchema = z.tuple([z.string(), askIdsSchema]);
+
+/** Target and epoch number; the keeper is the sender. */
+export const collectParamsSchema = z.tuple([z.string(), z.int().positive()]);
+
+/** 1 and the running asks, or 0 and the newer epoch that was met. */
+export const collectAnswerSchema = z.union([
+  z.tuple([z.literal(1), askIdsSchema]),
+  z.tuple([z.literal(0), z.int().positive(), z.string()]),
+]);
+
+/** A holder's answer to a collect request on the wire. */
+export type WireCollectAnswer = z.infer<typeof collectAnswerSchema>;
+
+/** Writes a holder's answer to a collect request. */
+export function encodeCollectAnswer(answer: CollectAnswer): WireCollectAnswer {
+  if (answer.kind === "collected") return [1, [...answer.startedAskIds]];
+  return [0, answer.epoch.number, answer.epoch.keeper];
+}
+
+/** Reads a holder's answer to `request`. */
+export function decodeCollectAnswer(
+  wire: WireCollectAnswer,
+  request: CollectRequest,
+): CollectAnswer {
+  const { target, epoch } = request;
+  if (wire[0] === 1) {
+    return { kind: "collected", target, epoch, startedAskIds: wire[1] };
+  }
+  const [, number, keeper] = wire;
+  return { kind: "newer-epoch", target, epoch: { number, keeper } };
+}
