End a daemon without cutting requests on kept connections

Cause: closing idle connections at once cuts a request that a client is just writing on one of them, and a second signal did not say what it cut. Ruled out: the close of Node's HTTP server, which closes idle connections. Change: packages/daemon/src/shutdown: unready, answers ask to close, no new connections after the grace, idle ones closed after the promised time, named hand-over steps, the cut requests in the log at the limit and at the second signal; log event 1007.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,11 +6,11 @@
 } from "@coltsfootford/platform";
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
-import { createBlackboard, type LifecyclePhase } from "./blackboard/index.ts";
+import { createBlackboard } from "./blackboard/index.ts";
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
-import { closePort, listen, type OpenPort } from "./http/index.ts";
+import { listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import {
   MembershipController,
@@ -19,6 +19,7 @@
 import { Metrics } from "./metrics/index.ts";
 import { PeerAddressController, Peers } from "./peers/index.ts";
 import type { Settings } from "./settings/index.ts";
+import { ConnectionDrain, GracefulShutdown } from "./shutdown/index.ts";
 import { TargetClient } from "./targets/index.ts";
 import { VmListController } from "./vm_list/index.ts";
 
@@ -27,6 +28,8 @@
   readonly ports: { readonly callers: number; readonly admin: number };
   /** Ends gracefully; resolves with the number of requests that were cut. */
   stop(): Promise<number>;
+  /** Logs the requests that an end at this moment cuts, and counts them. */
+  reportCut(): number;
 }
 
 /** Starts every part of a daemon; the caller's port opens last. */
@@ -128,33 +131,28 @@
   const ports = { callers: callers.value.port, admin: admin.value.port };
   logger.event("daemonReady", { ports });
 
+  const shutdown = new GracefulShutdown({
+    lifecycle,
+    timer,
+    logger,
+    running: entry.running,
+    drain: new ConnectionDrain(callers.value.server, timer),
+    readinessGraceMs: settings.readinessGraceMs,
+    limitMs: settings.shutdownLimitMs,
+    handOverSteps: [],
+  });
   const stop = async (): Promise<number> => {
-    const write = (phase: LifecyclePhase) => lifecycle.write(phase);
-    write("draining");
-    logger.event("daemonStopping", { running: entry.running.count });
-    await wait(timer, settings.readinessGraceMs);
-    const limit = wait(timer, settings.shutdownLimitMs);
-    const closed = closePort(callers.value);
-    await Promise.race([entry.running.waitUntilIdle(), limit]);
-    const cut = entry.running.list();
-    if (cut.length > 0) logger.event("requestsCut", { cut });
-    else await Promise.race([closed, limit]);
+    const cut = await shutdown.run();
     for (const controller of controllers) await controller.stop();
     entry.close();
     await targetClient.close();
     await keyValue.close();
     closeNow(admin.value);
-    write("stopped");
-    logger.event("daemonStopped", { cut: cut.length });
-    return cut.length;
+    lifecycle.write("stopped");
+    logger.event("daemonStopped", { cut });
+    return cut;
   };
-  return ok({ ports, stop });
-}
-
-function wait(timer: SystemTimerService, durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    timer.after(durationMs, resolve);
-  });
+  return ok({ ports, stop, reportCut: () => shutdown.reportCut() });
 }
 
 function closeNow(open: OpenPort): void {
--- a/packages/daemon/src/http/listen.ts
+++ b/packages/daemon/src/http/listen.ts
@@ -34,11 +34,3 @@
     });
   });
 }
-
-/** Closes a port; connections that are still busy end first. */
-export function closePort(open: OpenPort): Promise<void> {
-  return new Promise((resolve) => {
-    open.server.close(() => resolve());
-    open.server.closeIdleConnections();
-  });
-}
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -14,6 +14,11 @@
     level: "error",
     text: "shutdown limit reached with requests still running",
   },
+  handOverFailed: {
+    number: 1007,
+    level: "warn",
+    text: "a step of the shutdown's hand-over failed",
+  },
   configApplied: {
     number: 2001,
     level: "info",
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -19,7 +19,8 @@
   --check          only check the settings
   --help           show this text
 
-SIGTERM ends gracefully: running requests are finished first.
+SIGTERM ends gracefully: running requests are finished first. A second signal
+ends at once and logs what it cuts.
 Exit codes: 0 ended well, 1 requests were cut, 2 bad settings or arguments.
 `;
 
@@ -43,7 +44,10 @@
   const daemon = await startDaemon(settings.value);
   if (daemon.isErr()) return fail(formatStepError(daemon.error));
   await waitForSignal();
-  process.once("SIGTERM", () => process.exit(EXIT_CUT));
+  onNextSignal(() => {
+    daemon.value.reportCut();
+    process.exit(EXIT_CUT);
+  });
   const cutRequests = await daemon.value.stop();
   return cutRequests === 0 ? EXIT_OK : EXIT_CUT;
 }
@@ -69,10 +73,17 @@
 }
 
 function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
+  return new Promise((resolve) => onNextSignal(resolve));
+}
+
+function onNextSignal(action: () => void): void {
+  const onSignal = () => {
+    process.off("SIGTERM", onSignal);
+    process.off("SIGINT", onSignal);
+    action();
+  };
+  process.on("SIGTERM", onSignal);
+  process.on("SIGINT", onSignal);
 }
 
 process.exit(await main());
--- /dev/null
+++ b/packages/daemon/src/shutdown/graceful_shutdown_test.ts
@@ -0,0 +1,133 @@
+import { Agent, createServer, request, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, expect, it } from "@jest/globals";
+import { SystemTimerService } from "@coltsfootford/platform";
+import { createBlackboard } from "../blackboard/index.ts";
+import { RunningRequests } from "../entry/index.ts";
+import { ConnectionDrain } from "./connection_drain.ts";
+import { GracefulShutdown } from "./graceful_shutdown.ts";
+
+const HOST = "127.0.0.1";
+const KEEP_ALIVE_MS = 3000;
+
+interface Setup {
+  readonly server: Server;
+  readonly port: number;
+  readonly shutdown: GracefulShutdown;
+  readonly events: string[];
+  readonly steps: string[];
+  readonly phase: () => string;
+  /** Ends the answer of a request that hangs. */
+  readonly release: () => void;
+}
+
+const agents: Agent[] = [];
+
+async function startServer(limitMs: number): Promise<Setup> {
+  const timer = new SystemTimerService();
+  const running = new RunningRequests();
+  let release = () => {};
+  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
+  server.on("request", (incoming, response) => {
+    const done = running.begin(incoming.url ?? "");
+    response.once("close", done);
+    if (incoming.url !== "/hang") return void response.end("ok");
+    response.write("first ");
+    release = () => void response.end("last");
+  });
+  const drain = new ConnectionDrain(server, timer);
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const blackboard = createBlackboard();
+  const events: string[] = [];
+  const steps: string[] = [];
+  const shutdown = new GracefulShutdown({
+    lifecycle: blackboard.lifecycle.claimWriter("test"),
+    timer,
+    logger: { event: (name) => void events.push(name) },
+    running,
+    drain,
+    readinessGraceMs: 50,
+    limitMs,
+    handOverSteps: [
+      { name: "broken", run: () => Promise.reject(new Error("broken")) },
+      {
+        name: "permits",
+        run: () => Promise.resolve(void steps.push("permits")),
+      },
+    ],
+  });
+  return {
+    server,
+    port: (server.address() as AddressInfo).port,
+    shutdown,
+    events,
+    steps,
+    phase: () => blackboard.lifecycle.read(),
+    release: () => release(),
+  };
+}
+
+function createAgent(): Agent {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  agents.push(agent);
+  return agent;
+}
+
+function get(
+  port: number,
+  path: string,
+  agent: Agent,
+): Promise<{ text: string; connection: string | undefined }> {
+  return new Promise((resolve, reject) => {
+    const sent = request({ host: HOST, port, path, agent }, (response) => {
+      let text = "";
+      response.on("data", (chunk) => text += chunk);
+      response.on("end", () => {
+        resolve({ text, connection: response.headers.connection });
+      });
+      response.on("error", reject);
+    });
+    sent.on("error", reject);
+    sent.end();
+  });
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+afterEach(() => {
+  for (const agent of agents.splice(0)) agent.destroy();
+});
+
+describe("GracefulShutdown", () => {
+  it("finishes what runs and serves kept connections meanwhile", async () => {
+    const setup = await startServer(60_000);
+    const kept = createAgent();
+    await get(setup.port, "/", kept);
+    const long = get(setup.port, "/hang", createAgent());
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    const ended = setup.shutdown.run();
+    expect(setup.phase()).toBe("draining");
+    await until(() => !setup.server.listening);
+    // A client that holds a kept connection may be sending just now.
+    const late = await get(setup.port, "/", kept);
+    expect(late).toEqual({ text: "ok", connection: "close" });
+    await expect(get(setup.port, "/", createAgent())).rejects.toThrow();
+    setup.release();
+    expect((await long).text).toBe("first last");
+    expect(await ended).toBe(0);
+    expect(setup.steps).toEqual(["permits"]);
+    expect(setup.events).toEqual(["daemonStopping", "handOverFailed"]);
+  });
+
+  it("names what it cuts at its limit", async () => {
+    const setup = await startServer(100);
+    const long = get(setup.port, "/hang", createAgent());
+    const cut = expect(long).rejects.toThrow();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(await setup.shutdown.run()).toBe(1);
+    await cut;
+    expect(setup.events).toContain("requestsCut");
+  });
+});
