--- a/packages/daemon/src/blackboard/blackboard.ts
+++ b/packages/daemon/src/blackboard/blackboard.ts
@@ -60,6 +60,8 @@
   readonly keepers: Field<ReadonlyMap<string, Keeper>>;
   /** Reports of the targets that this daemon keeps, by name. */
   readonly loadReports: Field<ReadonlyMap<string, LoadReport>>;
+  /** Loads of targets as their keepers told them last: a hint. */
+  readonly targetLoads: Field<ReadonlyMap<string, number>>;
   readonly lifecycle: Field<LifecyclePhase>;
 }
 
@@ -79,6 +81,10 @@
       "loadReports",
       new Map(),
     ),
+    targetLoads: new Field<ReadonlyMap<string, number>>(
+      "targetLoads",
+      new Map(),
+    ),
     lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
   };
 }
--- a/packages/daemon/src/keepers/load_reports.ts
+++ b/packages/daemon/src/keepers/load_reports.ts
@@ -5,6 +5,7 @@
   type PoolLoadReport,
 } from "@coltsfootford/core";
 import { z } from "zod";
+import type { Blackboard, FieldWriter } from "../blackboard/index.ts";
 import type { KeeperMembership } from "./keeper_membership.ts";
 
 /** Key of the attachment that carries the loads of a keeper's targets. */
@@ -21,12 +22,21 @@
   readonly #vm: string;
   readonly #membership: KeeperMembership;
   readonly #book: KeeperBook;
+  readonly #blackboard: Blackboard;
+  readonly #loads: FieldWriter<ReadonlyMap<string, number>>;
   readonly #lastMeasuredAtMs = new Map<string, number>();
   #sentAtMs = 0;
   #sentLoads = "";
 
-  constructor(vm: string, membership: KeeperMembership, book: KeeperBook) {
+  constructor(
+    vm: string,
+    membership: KeeperMembership,
+    book: KeeperBook,
+    blackboard: Blackboard,
+  ) {
     this.#vm = vm;
+    this.#blackboard = blackboard;
+    this.#loads = blackboard.targetLoads.claimWriter("keepers");
     this.#membership = membership;
     this.#book = book;
   }
@@ -43,7 +53,31 @@
       if (member.vm === this.#vm || !member.isReachable) continue;
       this.#read(member.vm, nowMs);
     }
-    this.#tell(this.own(pools, nowMs), nowMs);
+    const own = this.own(pools, nowMs);
+    this.#showLoads(this.#vm, own);
+    this.#tell(own, nowMs);
+  }
+
+  /** A report lists loads in order of names; it may be of an older view. */
+  #showLoads(vm: string, reports: readonly PoolLoadReport[]): void {
+    const loads = new Map(this.#blackboard.targetLoads.read());
+    for (const { pool, loadsRequests } of reports) {
+      const names = this.#keptBy(vm, pool);
+      if (names.length !== loadsRequests.length) continue;
+      names.forEach((name, index) => loads.set(name, loadsRequests[index]!));
+    }
+    this.#loads.write(loads);
+  }
+
+  #keptBy(vm: string, pool: string): string[] {
+    const targets = this.#blackboard.targets.read();
+    const names: string[] = [];
+    for (const [name, keeper] of this.#blackboard.keepers.read()) {
+      if (keeper.vm === vm && targets.get(name)?.pool === pool) {
+        names.push(name);
+      }
+    }
+    return names.sort();
   }
 
   #read(vm: string, nowMs: number): void {
@@ -59,9 +93,9 @@
       this.#book.forgetKeeper(vm);
     }
     this.#lastMeasuredAtMs.set(vm, measuredAtMs);
-    for (const encoded of parsed.data ?? []) {
-      this.#book.notePoolReport(vm, decodeReport(encoded), nowMs);
-    }
+    const reports = (parsed.data ?? []).map(decodeReport);
+    for (const report of reports) this.#book.notePoolReport(vm, report, nowMs);
+    this.#showLoads(vm, reports);
   }
 
   #tell(reports: readonly PoolLoadReport[], nowMs: number): void {
