--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -157,7 +157,8 @@
   });
   const stop = async (): Promise<number> => {
     const cut = await shutdown.run();
-    for (const controller of controllers) await controller.stop();
+    // The connections between daemons were opened first and end last.
+    for (const controller of controllers.reverse()) await controller.stop();
     entry.close();
     await targetClient.close();
     await keyValue.close();
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -5,7 +5,7 @@
   loopbackHost: "127.0.0.1",
   anyPort: 0,
   logLevel: "info",
-  vmListPollMs: 1_000,
+  vmListPollMs: 10_000,
   shutdownLimitMs: 60_000,
   readinessGraceMs: 1_000,
 } as const;
