Publish nothing where the files equal what is published

Cause: trying the tool as a new user, a second publish of the same files made a new revision.

One run of publish has a module of its own; counts agree with their nouns.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -4,6 +4,7 @@
   type CommandContext,
   type CommandResult,
 } from "../command.ts";
+import { formatCount } from "../format_count.ts";
 import { loadObjects } from "../objects/index.ts";
 
 /** Checks the object files without the platform. */
@@ -25,7 +26,7 @@
     const output = loadObjects(directory).map((set) => {
       const counts = countObjects(set);
       const parts = Object.entries(counts).map(([kind, count]) =>
-        `${count} ${kind}`
+        formatCount(count, kind)
       );
       return {
         lines: [`${directory} is in order: ${parts.join(", ")}`],
@@ -38,10 +39,10 @@
 
 function countObjects(set: ObjectSet): Record<string, number> {
   return {
-    teams: set.teams.size,
-    models: set.models.size,
-    services: set.services.size,
-    pools: set.pools.size,
-    routes: set.routes.size,
+    team: set.teams.size,
+    model: set.models.size,
+    service: set.services.size,
+    pool: set.pools.size,
+    route: set.routes.size,
   };
 }
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -5,6 +5,7 @@
   type CommandContext,
   type CommandResult,
 } from "../command.ts";
+import { formatCount } from "../format_count.ts";
 import { loadObjects } from "../objects/index.ts";
 import { readPublishedSet } from "../publishing/index.ts";
 import { withPlatform } from "../connections.ts";
@@ -33,7 +34,9 @@
       const revision = published.value?.head.revision ?? 0;
       const title = changes.length === 0
         ? `no difference to revision ${revision}`
-        : `${changes.length} differences to revision ${revision}:`;
+        : `${
+          formatCount(changes.length, "difference")
+        } to revision ${revision}:`;
       const lines = [title, ...changes.map(formatObjectChange)];
       return ok({ lines, json: { revision, changes } });
     });
--- a/packages/cli/src/objects/load_objects.ts
+++ b/packages/cli/src/objects/load_objects.ts
@@ -8,6 +8,7 @@
   type ObjectSet,
   type SourceObject,
 } from "@coltsfootford/core";
+import { formatCount } from "../format_count.ts";
 import { type CliError, createCliError } from "../cli_error.ts";
 
 /**
@@ -36,7 +37,7 @@
   directory: string,
   faults: readonly ConfigFault[],
 ): CliError {
-  const count = faults.length === 1 ? "1 fault" : `${faults.length} faults`;
+  const count = formatCount(faults.length, "fault");
   const message = `${directory} has ${count}; mend what the lines below name`;
   return createCliError("invalid-objects", "objects.check", message, {
     details: faults.map(formatConfigFault),
--- /dev/null
+++ b/packages/cli/src/publishing/publish_run.ts
@@ -0,0 +1,218 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  diffObjects,
+  formatObjectChange,
+  type ObjectSet,
+  type PublicationFacts,
+} from "@coltsfootford/core";
+import type { KeyValueClient } from "@coltsfootford/platform";
+import { type CliError, createCliError } from "../cli_error.ts";
+import type {
+  CommandContext,
+  CommandOutput,
+  CommandResult,
+} from "../command.ts";
+import type { AdminClient } from "../daemons/index.ts";
+import { formatCount } from "../format_count.ts";
+import {
+  type BaseFile,
+  loadObjects,
+  readBaseFile,
+  writeBaseFile,
+} from "../objects/index.ts";
+import {
+  checkBase,
+  checkFleetRevision,
+  recognisePending,
+} from "./publish_checks.ts";
+import { type PublishedSet, readPublishedSet } from "./published_set.ts";
+import { type PublishedOutcome, Publisher } from "./publisher.ts";
+import { type InForceReport, waitInForce } from "./wait_in_force.ts";
+
+/** The options of one run. */
+export interface PublishOptions {
+  readonly directory: string;
+  readonly baseRevision: number | undefined;
+  readonly mustWait: boolean;
+  readonly waitLimitMs: number;
+  readonly isAfterRestore: boolean;
+}
+
+interface DescribedOutput {
+  readonly lines: readonly string[];
+  readonly json: object;
+}
+
+/** One run of `coltsfoot publish`. */
+export class PublishRun {
+  readonly #context: CommandContext;
+  readonly #options: PublishOptions;
+  readonly #client: KeyValueClient;
+  readonly #admin: AdminClient;
+
+  constructor(
+    context: CommandContext,
+    options: PublishOptions,
+    client: KeyValueClient,
+    admin: AdminClient,
+  ) {
+    this.#context = context;
+    this.#options = options;
+    this.#client = client;
+    this.#admin = admin;
+  }
+
+  async run(): CommandResult {
+    const { directory } = this.#options;
+    const set = loadObjects(directory);
+    if (set.isErr()) return err(set.error);
+    const baseFile = readBaseFile(directory);
+    if (baseFile.isErr()) return err(baseFile.error);
+    const published = await readPublishedSet(this.#client);
+    if (published.isErr()) return err(published.error);
+    const current = published.value;
+    const base = await this.#findBase(baseFile.value, current);
+    if (base.isErr()) return err(base.error);
+    const revision = await this.#chooseRevision(current);
+    if (revision.isErr()) return err(revision.error);
+    if (current && this.#isUnchanged(current, set.value)) {
+      return await this.#finishUnchanged(current);
+    }
+    const outcome = await this.#publish(
+      { set: set.value, current, facts: this.#createFacts(revision.value) },
+      base.value,
+    );
+    if (outcome.isErr()) return err(outcome.error);
+    return await this.#finish(outcome.value);
+  }
+
+  /** After a restore, the same set must be published under a new number. */
+  #isUnchanged(current: PublishedSet, set: ObjectSet): boolean {
+    if (this.#options.isAfterRestore) return false;
+    return diffObjects(current.set, set).length === 0;
+  }
+
+  async #finishUnchanged({ head }: PublishedSet): CommandResult {
+    const { revision, nonce } = head;
+    const base = { revision, nonce };
+    const written = writeBaseFile(this.#options.directory, { base });
+    if (written.isErr()) return err(written.error);
+    const line = `nothing to publish: the files equal revision ${revision}`;
+    const { publishedBy, publishedAtMs } = head;
+    const facts = { revision, nonce, publishedBy, publishedAtMs };
+    const json = { ...facts, changes: [], wasReadBack: false };
+    return await this.#waitWhereAsked({ lines: [line], json }, facts);
+  }
+
+  async #findBase(
+    file: BaseFile,
+    current: PublishedSet | undefined,
+  ): Promise<Result<BaseFile, CliError>> {
+    const recognised = await recognisePending(this.#client, file, current);
+    if (recognised.isErr()) return err(recognised.error);
+    const { baseRevision } = this.#options;
+    const base = recognised.value;
+    const refusal = await checkBase(this.#client, base, baseRevision, current);
+    return refusal ? err(refusal) : ok(base);
+  }
+
+  async #chooseRevision(
+    current: PublishedSet | undefined,
+  ): Promise<Result<number, CliError>> {
+    return await checkFleetRevision(
+      this.#admin,
+      this.#context.settings.daemons,
+      current?.head.revision ?? 0,
+      this.#options.isAfterRestore,
+    );
+  }
+
+  #createFacts(revision: number): PublicationFacts {
+    return {
+      revision,
+      nonce: this.#context.createNonce(),
+      publishedBy: this.#context.settings.operator,
+      publishedAtMs: this.#context.timer.wallClockMs(),
+    };
+  }
+
+  async #publish(
+    request: Parameters<Publisher["publish"]>[0],
+    baseFile: BaseFile,
+  ): Promise<Result<PublishedOutcome, CliError>> {
+    const { directory } = this.#options;
+    const { revision, nonce } = request.facts;
+    const mark = { revision, nonce };
+    const begun = writeBaseFile(directory, { ...baseFile, pending: mark });
+    if (begun.isErr()) return err(begun.error);
+    const { timer } = this.#context;
+    const publisher = new Publisher({ client: this.#client, timer });
+    const outcome = await publisher.publish(request);
+    if (outcome.isOk()) {
+      const done = writeBaseFile(directory, { base: mark });
+      return done.isErr() ? err(done.error) : outcome;
+    }
+    if (outcome.error.kind !== "outcome-unknown") {
+      const { base } = baseFile;
+      writeBaseFile(directory, base ? { base } : {});
+    }
+    return outcome;
+  }
+
+  #finish(outcome: PublishedOutcome): CommandResult {
+    const { facts, changes, wasReadBack } = outcome;
+    const lines = describeOutcome(outcome);
+    const json = { ...facts, changes, wasReadBack };
+    return this.#waitWhereAsked({ lines, json }, facts);
+  }
+
+  async #waitWhereAsked(
+    output: DescribedOutput,
+    facts: PublicationFacts,
+  ): CommandResult {
+    if (!this.#options.mustWait) return ok(output);
+    const { daemons } = this.#context.settings;
+    const report = await waitInForce(
+      this.#admin,
+      daemons,
+      facts,
+      this.#context.timer,
+      this.#options.waitLimitMs,
+    );
+    return describeWait(output, report, daemons.length);
+  }
+}
+
+function describeOutcome(outcome: PublishedOutcome): string[] {
+  const { facts, changes, wasReadBack } = outcome;
+  const how = wasReadBack ? " (an answer was lost; read back)" : "";
+  return [
+    `published revision ${facts.revision}${how}: ${
+      formatCount(changes.length, "change")
+    }`,
+    ...changes.map(formatObjectChange),
+  ];
+}
+
+function describeWait(
+  output: DescribedOutput,
+  report: InForceReport,
+  daemonCount: number,
+): Result<CommandOutput, CliError> {
+  const elapsedMs = Math.round(report.elapsedMs);
+  if (report.behind.length === 0) {
+    const line = `in force in ${daemonCount} daemons after ${elapsedMs} ms`;
+    return ok({
+      lines: [...output.lines, line],
+      json: { ...output.json, inForceAfterMs: elapsedMs },
+    });
+  }
+  const details = report.behind.map(({ url, revision }) =>
+    `${url}: ${revision === undefined ? "not reached" : `revision ${revision}`}`
+  );
+  const message = `published, but ${report.behind.length} of ${daemonCount} ` +
+    `daemons do not have it in force after ${elapsedMs} ms`;
+  return err(
+    createCliError("not-in-force", "publish.wait", message, { details }),
+  );
+}
