--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,9 @@
 import { randomUUID } from "node:crypto";
-import { PermitHolder, type StepError } from "@coltsfootford/core";
+import {
+  createStepError,
+  PermitHolder,
+  type StepError,
+} from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -34,7 +38,11 @@
 
 /** A running daemon. */
 export interface Daemon {
-  readonly ports: { readonly callers: number; readonly admin: number };
+  readonly ports: {
+    readonly callers: number;
+    readonly peers: number;
+    readonly admin: number;
+  };
   /** Ends gracefully; resolves with the number of requests that were cut. */
   stop(): Promise<number>;
   /** Logs the requests that an end at this moment cuts, and counts them. */
@@ -73,6 +81,13 @@
     timer,
     logger,
   });
+  const peerAddresses = new PeerAddressController({
+    vm: settings.vm,
+    blackboard,
+    peers,
+    seeds: settings.peers,
+    listen: settings.peerListen,
+  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -81,13 +96,7 @@
       logger,
       pollMs: settings.vmList.pollMs,
     }),
-    new PeerAddressController({
-      vm: settings.vm,
-      blackboard,
-      peers,
-      seeds: settings.peers,
-      listen: settings.peerListen,
-    }),
+    peerAddresses,
     membership,
     new TargetHealthController({
       vm: settings.vm,
@@ -168,7 +177,8 @@
   });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
-  for (const controller of controllers) await controller.start();
+  const started = await startControllers(controllers);
+  if (started.isErr()) return err(started.error);
   const callers = await listen(
     createEntryApp(entry),
     "listen",
@@ -176,7 +186,11 @@
   );
   if (callers.isErr()) return err(callers.error);
   lifecycle.write("serving");
-  const ports = { callers: callers.value.port, admin: admin.value.port };
+  const ports = {
+    callers: callers.value.port,
+    peers: peerAddresses.port,
+    admin: admin.value.port,
+  };
   logger.event("daemonReady", { ports });
 
   const shutdown = new GracefulShutdown({
@@ -204,6 +218,23 @@
   return ok({ ports, stop, reportCut: () => shutdown.reportCut() });
 }
 
+/** Starts controllers in turn; the first that cannot start ends the daemon. */
+async function startControllers(
+  controllers: readonly Controller[],
+): Promise<Result<void, StepError<"start-failed">>> {
+  for (const controller of controllers) {
+    try {
+      await controller.start();
+    } catch (cause) {
+      const step = `${controller.name}.start`;
+      const message = "cannot start; mend what the cause names, for example " +
+        `choose a free port: ${cause instanceof Error ? cause.message : cause}`;
+      return err(createStepError("start-failed", step, message, { cause }));
+    }
+  }
+  return ok(undefined);
+}
+
 function closeNow(open: OpenPort): void {
   open.server.close();
   open.server.closeAllConnections();
--- a/packages/daemon/src/peers/peer_address_controller.ts
+++ b/packages/daemon/src/peers/peer_address_controller.ts
@@ -25,15 +25,21 @@
   override readonly name = "peer-addresses";
   readonly #parts: PeerAddressControllerParts;
   #cancel: CancelSubscription | undefined;
+  #port = 0;
 
   constructor(parts: PeerAddressControllerParts) {
     super();
     this.#parts = parts;
   }
 
+  /** The port that was opened; 0 before the start. */
+  get port(): number {
+    return this.#port;
+  }
+
   override async start(): Promise<void> {
     const { blackboard, peers, listen } = this.#parts;
-    await peers.listen(listen);
+    this.#port = (await peers.listen(listen)).port;
     this.#cancel = blackboard.daemons.subscribe(() => this.#update());
     this.#update();
   }
