--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,13 +16,20 @@
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer } from "./entry/index.ts";
 import { createGuards } from "./guards.ts";
+<<<<<<< HEAD
+=======
+import { listen, type OpenPort } from "./http/index.ts";
+>>>>>>> membership
 import {
   KeeperController,
   KeeperPermitGate,
   PermitExchange,
   START_WITHIN_MS,
 } from "./keepers/index.ts";
+<<<<<<< HEAD
 import { listen, type OpenPort } from "./http/index.ts";
+=======
+>>>>>>> membership
 import { createLogger } from "./log/index.ts";
 import {
   MembershipController,
