--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,9 +1,5 @@
 import { randomUUID } from "node:crypto";
-import {
-  createStepError,
-  PermitHolder,
-  type StepError,
-} from "@coltsfootford/core";
+import { PermitHolder, type StepError } from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -16,20 +12,13 @@
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer } from "./entry/index.ts";
 import { createGuards } from "./guards.ts";
-<<<<<<< HEAD
-=======
-import { listen, type OpenPort } from "./http/index.ts";
->>>>>>> membership
 import {
   KeeperController,
   KeeperPermitGate,
   PermitExchange,
   START_WITHIN_MS,
 } from "./keepers/index.ts";
-<<<<<<< HEAD
 import { listen, type OpenPort } from "./http/index.ts";
-=======
->>>>>>> membership
 import { createLogger } from "./log/index.ts";
 import {
   MembershipController,
@@ -47,8 +36,8 @@
 export interface Daemon {
   readonly ports: {
     readonly callers: number;
-    readonly peers: number;
     readonly admin: number;
+    readonly peers: number;
   };
   /** Ends gracefully; resolves with the number of requests that were cut. */
   stop(): Promise<number>;
@@ -88,13 +77,6 @@
     timer,
     logger,
   });
-  const peerAddresses = new PeerAddressController({
-    vm: settings.vm,
-    blackboard,
-    peers,
-    seeds: settings.peers,
-    listen: settings.peerListen,
-  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -103,7 +85,13 @@
       logger,
       pollMs: settings.vmList.pollMs,
     }),
-    peerAddresses,
+    new PeerAddressController({
+      vm: settings.vm,
+      blackboard,
+      peers,
+      seeds: settings.peers,
+      listen: settings.peerListen,
+    }),
     membership,
     new TargetHealthController({
       vm: settings.vm,
@@ -184,8 +172,7 @@
   });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
-  const started = await startControllers(controllers);
-  if (started.isErr()) return err(started.error);
+  for (const controller of controllers) await controller.start();
   const callers = await listen(
     createEntryApp(entry),
     "listen",
@@ -195,8 +182,8 @@
   lifecycle.write("serving");
   const ports = {
     callers: callers.value.port,
-    peers: peerAddresses.port,
     admin: admin.value.port,
+    peers: peers.port,
   };
   logger.event("daemonReady", { ports });
 
@@ -225,23 +212,6 @@
   return ok({ ports, stop, reportCut: () => shutdown.reportCut() });
 }
 
-/** Starts controllers in turn; the first that cannot start ends the daemon. */
-async function startControllers(
-  controllers: readonly Controller[],
-): Promise<Result<void, StepError<"start-failed">>> {
-  for (const controller of controllers) {
-    try {
-      await controller.start();
-    } catch (cause) {
-      const step = `${controller.name}.start`;
-      const message = "cannot start; mend what the cause names, for example " +
-        `choose a free port: ${cause instanceof Error ? cause.message : cause}`;
-      return err(createStepError("start-failed", step, message, { cause }));
-    }
-  }
-  return ok(undefined);
-}
-
 function closeNow(open: OpenPort): void {
   open.server.close();
   open.server.closeAllConnections();
