--- a/packages/bench/src/membership/membership_test.ts
+++ b/packages/bench/src/membership/membership_test.ts
@@ -73,6 +73,18 @@
       .toBe(true);
   });
 
+  it("lets the pair of a small zone refute past one dead link", () => {
+    const fleet = startFleet();
+    fleet.blockLink("entry-0-1", "entry-0-0");
+    const incarnation = fleet.daemon("entry-0-1").membership.incarnation;
+    for (let second = 0; second < 60; second++) {
+      fleet.advance(1000);
+      expect(seesState(fleet, "entry-0-0", "entry-0-1")).not.toBe("dead");
+    }
+    expect(fleet.daemon("entry-0-1").membership.incarnation)
+      .toBeGreaterThan(incarnation);
+  });
+
   it("spreads a leaving daemon and a leaving target within the bound", () => {
     const fleet = startFleet({ links: LOSSY_LINKS, seed: 7 });
     fleet.daemon("entry-2-1").membership.leave();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,19 +12,20 @@
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer } from "./entry/index.ts";
 import { createGuards } from "./guards.ts";
-import { listen, type OpenPort } from "./http/index.ts";
 import {
   KeeperController,
   KeeperPermitGate,
   PermitExchange,
   START_WITHIN_MS,
 } from "./keepers/index.ts";
+import { listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import {
   MembershipController,
   TargetHealthController,
 } from "./membership/index.ts";
 import { Metrics } from "./metrics/index.ts";
+import { PlacementController } from "./placement/index.ts";
 import { PeerAddressController, Peers } from "./peers/index.ts";
 import type { Settings } from "./settings/index.ts";
 import { ConnectionDrain, GracefulShutdown } from "./shutdown/index.ts";
@@ -141,11 +142,18 @@
     startWithinMs: START_WITHIN_MS,
     keeperOf,
   });
+  const placement = new PlacementController({
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    timer,
+  });
+  controllers.push(placement);
   const entry = new EntryServer(settings.vm, {
     guards,
     blackboard,
     timer,
     targetClient,
+    placement,
     permitGate: new KeeperPermitGate({ timer, holder, exchange, keeperOf }),
     logger,
     metrics,
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -18,6 +18,7 @@
 import { createRefusal, type Refusal } from "./refusal.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { RequestGuards } from "./request_guards.ts";
+import type { TargetOrder } from "./target_order.ts";
 
 const RETRY_AFTER_MS = 1_000;
 
@@ -27,6 +28,7 @@
   readonly timer: TimerService;
   readonly targetClient: TargetClient;
   readonly permitGate: PermitGate;
+  readonly placement: TargetOrder;
   readonly guards: RequestGuards;
   readonly logger: Logger;
   readonly metrics: Metrics;
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -4,7 +4,7 @@
 import type { PoisonController } from "../poison/index.ts";
 import type { Permit, PermitGate } from "./permit_gate.ts";
 import type { RequestContext } from "./request_context.ts";
-import { orderTargets } from "./target_order.ts";
+import type { TargetOrder } from "./target_order.ts";
 
 const FULL_POOL_WAIT_MS = 10;
 
@@ -30,6 +30,7 @@
   readonly timer: TimerService;
   readonly permitGate: PermitGate;
   readonly poison: PoisonController;
+  readonly placement: TargetOrder;
 }
 
 /** Finds the first target in order that gives a permit. */
@@ -59,7 +60,7 @@
 
   async #findNow(question: PlaceQuestion): Promise<Place | undefined> {
     const { context, tried } = question;
-    const all = orderTargets(this.#parts.blackboard.targets.read(), context);
+    const all = this.#parts.placement.orderTargets(context);
     const ordered = question.isSuspect ? this.#keepIsolated(all) : all;
     const untried = ordered.filter((target) => !tried.has(target.name));
     for (const target of untried.length > 0 ? untried : ordered) {
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -96,6 +96,10 @@
     timer,
     targetClient,
     permitGate: new LocalPermitGate(),
+    placement: {
+      orderTargets: (context) =>
+        [...targets.values()].filter((it) => it.pool === context.pool.name),
+    },
     logger,
     metrics,
   });
--- a/packages/daemon/src/keepers/keeper_controller.ts
+++ b/packages/daemon/src/keepers/keeper_controller.ts
@@ -61,7 +61,8 @@
 /**
  * Keeps the targets that fall to this daemon: it answers asks for permits,
  * takes over from former keepers and tells other keepers the loads. It reads
- * `config`, `targets`, `keepers` and `loadReports` and writes no field.
+ * `config`, `targets`, `keepers` and `loadReports` and alone writes
+ * `targetLoads`.
  */
 export class KeeperController extends Controller implements LocalKeeper {
   override readonly name = "keepers";
@@ -77,7 +78,12 @@
     super();
     this.#parts = parts;
     this.#book = new KeeperBook(parts.vm);
-    this.#reports = new LoadReports(parts.vm, parts.membership, this.#book);
+    this.#reports = new LoadReports(
+      parts.vm,
+      parts.membership,
+      this.#book,
+      parts.blackboard,
+    );
   }
 
   override start(): Promise<void> {
