--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -34,7 +34,11 @@
 
 /** A running daemon. */
 export interface Daemon {
-  readonly ports: { readonly callers: number; readonly admin: number };
+  readonly ports: {
+    readonly callers: number;
+    readonly admin: number;
+    readonly peers: number;
+  };
   /** Ends gracefully; resolves with the number of requests that were cut. */
   stop(): Promise<number>;
   /** Logs the requests that an end at this moment cuts, and counts them. */
@@ -176,7 +180,11 @@
   );
   if (callers.isErr()) return err(callers.error);
   lifecycle.write("serving");
-  const ports = { callers: callers.value.port, admin: admin.value.port };
+  const ports = {
+    callers: callers.value.port,
+    admin: admin.value.port,
+    peers: peers.port,
+  };
   logger.event("daemonReady", { ports });
 
   const shutdown = new GracefulShutdown({
--- a/packages/daemon/src/peers/peers.ts
+++ b/packages/daemon/src/peers/peers.ts
@@ -27,6 +27,7 @@
   readonly #handlers: PeerHandlers;
   readonly #pool: PeerPool;
   readonly #server: PeerServer;
+  #port = 0;
 
   constructor(parts: PeersParts) {
     const onEvent = (event: PeerEvent) => this.#publish(event);
@@ -109,9 +110,16 @@
     return this.#traffic.snapshot();
   }
 
+  /** The port for other daemons; zero before `listen`. */
+  get port(): number {
+    return this.#port;
+  }
+
   /** Starts to listen and gives the address that was bound. */
-  listen(address: PeerAddress): Promise<PeerAddress> {
-    return this.#server.listen(address);
+  async listen(address: PeerAddress): Promise<PeerAddress> {
+    const bound = await this.#server.listen(address);
+    this.#port = bound.port;
+    return bound;
   }
 
   /** Stops listening and drops every connection. */
