--- a/packages/bench/src/membership/fake_fleet.ts
+++ b/packages/bench/src/membership/fake_fleet.ts
@@ -53,6 +53,7 @@
   readonly #byName = new Map<string, FakeDaemon>();
   readonly #links = new Map<string, FakeLink>();
   readonly #waiting = new Map<string, (() => void)[]>();
+  readonly #blockedLinks = new Set<string>();
   #cutZones = new Set<string>();
 
   constructor(options: FakeFleetOptions) {
@@ -125,6 +126,11 @@
     this.#cutZones = new Set(zones);
   }
 
+  /** Loses all that one daemon sends to another, and not the other way. */
+  blockLink(fromVm: string, toVm: string): void {
+    this.#blockedLinks.add(`${fromVm}>${toVm}`);
+  }
+
   /** Sets the byte counters to zero. */
   resetBytes(): void {
     for (const daemon of this.daemons) {
@@ -258,6 +264,7 @@
     const isWithinZone = from.availabilityZone === to.availabilityZone;
     if (!isWithinZone && this.#isCut(from, to)) return;
     const key = `${fromVm}>${toVm}`;
+    if (this.#blockedLinks.has(key)) return;
     const link = this.#links.get(key) ??
       new FakeLink(this.#options.links, isWithinZone, this.#random);
     this.#links.set(key, link);
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -23,7 +23,7 @@
   type PullParams,
   TARGET_CONDITION,
 } from "./wire.ts";
-import { createZoneMap, type ZoneMap } from "./zone_map.ts";
+import { createZoneMap, type ReportLink, type ZoneMap } from "./zone_map.ts";
 import { ZoneWatch } from "./zone_watch.ts";
 
 /** Attachment that lists the zones which a receiver does not hear. */
@@ -411,20 +411,25 @@
     for (const link of map.spreadLinks) {
       if (link !== from) this.#outbox.addDelta(link, delta);
     }
-    if (!this.#crossesZones(delta, from)) return;
+    if (delta[0] === "d" && delta[3] === HEALTH.suspect) return;
+    const source = this.#candidates.daemons.get(from)?.availabilityZone;
     for (const link of map.reportLinks) {
-      if (delta[0] === "a" && link.rank > 0) continue;
-      this.#outbox.addDelta(link.to, delta);
+      if (this.#goesTo(link, delta, source)) {
+        this.#outbox.addDelta(link.to, delta);
+      }
     }
   }
 
-  #crossesZones(delta: Delta, from: string): boolean {
-    if (delta[0] === "d" && delta[3] === HEALTH.suspect) return false;
-    const isOwnZone = this.#table.zoneOf(delta) === this.#zone;
-    if (delta[0] !== "t") return isOwnZone;
+  /** Whether a change that came from zone `source` goes over a report link. */
+  #goesTo(link: ReportLink, delta: Delta, source: string | undefined): boolean {
+    const home = this.#table.zoneOf(delta);
+    if (delta[0] === "a") return home === this.#zone && link.rank === 0;
     // A keeper may stand in for another zone, so its word comes from here.
-    const source = this.#candidates.daemons.get(from)?.availabilityZone;
-    return source === this.#zone;
+    if (delta[0] === "t") return source === this.#zone;
+    if (home === this.#zone) return true;
+    // A daemon's own word also returns to its zone by way of others, since a
+    // small zone has no second path past one bad link.
+    return home === link.zone && delta[3] === HEALTH.live;
   }
 
   #sendHeartbeats(nowMs: number): void {
