--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,9 @@
 import { randomUUID } from "node:crypto";
-import { PermitHolder, type StepError } from "@coltsfootford/core";
+import {
+  createStepError,
+  PermitHolder,
+  type StepError,
+} from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -172,7 +176,8 @@
   });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
-  for (const controller of controllers) await controller.start();
+  const started = await startControllers(controllers);
+  if (started.isErr()) return err(started.error);
   const callers = await listen(
     createEntryApp(entry),
     "listen",
@@ -212,6 +217,23 @@
   return ok({ ports, stop, reportCut: () => shutdown.reportCut() });
 }
 
+/** Starts controllers in turn; the first that cannot start ends the daemon. */
+async function startControllers(
+  controllers: readonly Controller[],
+): Promise<Result<void, StepError<"start-failed">>> {
+  for (const controller of controllers) {
+    try {
+      await controller.start();
+    } catch (cause) {
+      const step = `${controller.name}.start`;
+      const message = "cannot start; mend what the cause names, for example " +
+        `choose a free port: ${cause instanceof Error ? cause.message : cause}`;
+      return err(createStepError("start-failed", step, message, { cause }));
+    }
+  }
+  return ok(undefined);
+}
+
 function closeNow(open: OpenPort): void {
   open.server.close();
   open.server.closeAllConnections();
--- a/packages/daemon/src/peers/peer_address_controller.ts
+++ b/packages/daemon/src/peers/peer_address_controller.ts
@@ -25,21 +25,15 @@
   override readonly name = "peer-addresses";
   readonly #parts: PeerAddressControllerParts;
   #cancel: CancelSubscription | undefined;
-  #port = 0;
 
   constructor(parts: PeerAddressControllerParts) {
     super();
     this.#parts = parts;
   }
 
-  /** The port that was opened; 0 before the start. */
-  get port(): number {
-    return this.#port;
-  }
-
   override async start(): Promise<void> {
     const { blackboard, peers, listen } = this.#parts;
-    this.#port = (await peers.listen(listen)).port;
+    await peers.listen(listen);
     this.#cancel = blackboard.daemons.subscribe(() => this.#update());
     this.#update();
   }
