--- /dev/null
+++ b/packages/bench/src/replay/index.ts
@@ -0,0 +1,4 @@
+export * from "./faults.ts";
+export * from "./permit_admission.ts";
+export * from "./replay.ts";
+export * from "./replay_metrics.ts";
--- /dev/null
+++ b/packages/bench/src/replay/permit_admission.ts
@@ -0,0 +1,93 @@
+import { DEFAULT_KEEPER_BOOK_OPTIONS, hash32 } from "@coltsfootford/core";
+import { AdmissionGate, type GateAsk } from "./admission_gate.ts";
+import type { FakeDaemon } from "./fake_daemon.ts";
+import { countMessageBytes, type PermitMessage } from "./permit_messages.ts";
+import { PermitNode, type PermitNodeOptions } from "./permit_node.ts";
+import type { World } from "./world.ts";
+
+/** Settings for a few daemons; reports are sent alone when nothing else is. */
+export const DEFAULT_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
+  book: DEFAULT_KEEPER_BOOK_OPTIONS,
+  returnBatchMs: 60,
+  askTimeoutMs: 500,
+  reportPeriodMs: 250,
+  loneReportMs: 400,
+  tickMs: 100,
+  pollMs: 500,
+  maxReportLagMs: 300,
+};
+
+/** Settings for hundreds of daemons: reports only ride on other messages. */
+export const LARGE_ZONE_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
+  ...DEFAULT_PERMIT_NODE_OPTIONS,
+  loneReportMs: 0,
+};
+
+/** Permits of keepers, by messages between the daemons. */
+export class PermitAdmission extends AdmissionGate {
+  override readonly name = "permits";
+  readonly #world: World;
+  readonly #options: PermitNodeOptions;
+  readonly #nodes = new Map<string, PermitNode>();
+  readonly #bytes = new Map<string, number>();
+  messages = 0;
+
+  constructor(
+    world: World,
+    options: PermitNodeOptions = DEFAULT_PERMIT_NODE_OPTIONS,
+  ) {
+    super();
+    this.#world = world;
+    this.#options = options;
+  }
+
+  /** Starts the part of one daemon. */
+  addDaemon(daemon: FakeDaemon): void {
+    const node = new PermitNode(
+      daemon,
+      this.#world,
+      this.#options,
+      (to, message) => this.#send(daemon, to, message),
+    );
+    this.#nodes.set(daemon.name, node);
+    const startMs = this.#world.random.between(0, this.#options.tickMs);
+    this.#world.heap.after(startMs, () => node.start());
+  }
+
+  node(daemon: string): PermitNode | undefined {
+    return this.#nodes.get(daemon);
+  }
+
+  override ask(ask: GateAsk): void {
+    const node = this.#nodes.get(ask.daemon.name)!;
+    const hash = hash32(String(ask.request.chat));
+    const isReturning = ask.request.turn > 1 && ask.mayPassOn;
+    node.ask(ask.target, { hash, isReturning }, ask.onAnswer);
+  }
+
+  override controlBytesOf(daemon: string): number {
+    return this.#bytes.get(daemon) ?? 0;
+  }
+
+  #send(from: FakeDaemon, to: string, message: PermitMessage): void {
+    const peer = this.#world.daemon(to);
+    if (!peer) return;
+    const bytes = countMessageBytes(message);
+    this.messages += 1;
+    this.#addBytes(from.name, bytes);
+    this.#world.network.deliver(
+      `${from.name}>${to}`,
+      from.availabilityZone,
+      peer.availabilityZone,
+      () => {
+        if (!peer.isUp) return;
+        this.#addBytes(to, bytes);
+        peer.run(() => this.#nodes.get(to)?.receive(from.name, message));
+      },
+    );
+  }
+
+  #addBytes(daemon: string, bytes: number): void {
+    this.#bytes.set(daemon, (this.#bytes.get(daemon) ?? 0) + bytes);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/replay/view_spreader.ts
@@ -0,0 +1,214 @@
+import { FlapDamper } from "@coltsfootford/core";
+import type { FakeDaemon } from "./fake_daemon.ts";
+import type { FakeEngine } from "./fake_engine.ts";
+import type { World } from "./world.ts";
+
+/** Bounds of a random lag, in ms. */
+interface Lag {
+  readonly lowMs: number;
+  readonly highMs: number;
+}
+
+const JOIN_LAG: Lag = { lowMs: 300, highMs: 3_000 };
+const LEAVE_LAG: Lag = { lowMs: 100, highMs: 2_000 };
+const DOWN_LAG: Lag = { lowMs: 500, highMs: 2_000 };
+const SUSPICION_LAG: Lag = { lowMs: 1_500, highMs: 2_500 };
+const HEAL_LAG: Lag = { lowMs: 300, highMs: 1_000 };
+const PROBATION_CHECK_MS = 5_000;
+
+/** Told of changes in a daemon's view of its peers. */
+export interface PeerListener {
+  peerLost(daemon: FakeDaemon, peer: string): void;
+  peerBack(daemon: FakeDaemon, peer: string): void;
+}
+
+/** Spreads changes to the views of the daemons, each with its own lag. */
+export class ViewSpreader {
+  readonly #world: World;
+  readonly #listener: PeerListener;
+  readonly #dampers = new Map<string, FlapDamper>();
+
+  constructor(world: World, listener: PeerListener) {
+    this.#world = world;
+    this.#listener = listener;
+  }
+
+  /** Gives every daemon the whole fleet at the start, without lag. */
+  fillViews(): void {
+    for (const daemon of this.#world.daemons()) this.fillView(daemon);
+  }
+
+  /** Gives one daemon what lives now. */
+  fillView(daemon: FakeDaemon): void {
+    for (const peer of this.#world.daemons()) {
+      if (peer.isUp) daemon.view.addDaemon(peer.name, peer.availabilityZone);
+    }
+    for (const engine of this.#world.engines()) {
+      if (engine.isInPool) this.#addTarget(daemon, engine, undefined);
+    }
+  }
+
+  targetJoined(engine: FakeEngine): void {
+    const startedAtMs = this.#world.heap.nowMs;
+    this.#spread(JOIN_LAG, engine.availabilityZone, (daemon) => {
+      if (!engine.isUp || engine.isLeaving) return;
+      this.#damperOf(daemon).noteReturn(engine.name, this.#world.heap.nowMs);
+      this.#addTarget(daemon, engine, startedAtMs);
+    });
+  }
+
+  targetLeaving(engine: FakeEngine): void {
+    this.#spread(LEAVE_LAG, engine.availabilityZone, (daemon) => {
+      daemon.view.removeTarget(engine.name);
+    });
+  }
+
+  targetDown(engine: FakeEngine): void {
+    this.#spread(DOWN_LAG, engine.availabilityZone, (daemon) => {
+      if (engine.isUp) return;
+      this.#damperOf(daemon).noteDeparture(engine.name, this.#world.heap.nowMs);
+      daemon.view.removeTarget(engine.name);
+    });
+  }
+
+  /** Each daemon sees the target down for a while, at its own time. */
+  targetBlip(engine: FakeEngine, downMs: number): void {
+    this.#spread(DOWN_LAG, engine.availabilityZone, (daemon) => {
+      const known = daemon.view.target(engine.name);
+      if (!known) return;
+      daemon.view.removeTarget(engine.name);
+      this.#world.heap.after(downMs, () =>
+        daemon.run(() => {
+          if (engine.isUp && !engine.isLeaving) daemon.view.addTarget(known);
+        }));
+    });
+  }
+
+  daemonJoined(joined: FakeDaemon): void {
+    this.fillView(joined);
+    this.#spread(JOIN_LAG, joined.availabilityZone, (daemon) => {
+      if (joined.isUp) this.#addPeer(daemon, joined);
+    });
+  }
+
+  /** A closed connection tells at once; belief in the death takes longer. */
+  daemonKilled(killed: FakeDaemon): void {
+    for (const daemon of this.#world.daemons()) {
+      const delayMs = this.#world.network.drawDelayMs(
+        killed.availabilityZone,
+        daemon.availabilityZone,
+      );
+      this.#world.heap.after(
+        delayMs,
+        () => daemon.run(() => this.#listener.peerLost(daemon, killed.name)),
+      );
+    }
+    this.daemonSilent(killed);
+  }
+
+  /** Peers believe the daemon dead unless it is back by then. */
+  daemonSilent(silent: FakeDaemon): void {
+    this.#spread(SUSPICION_LAG, silent.availabilityZone, (daemon) => {
+      if (silent.isReady || daemon === silent) return;
+      this.#removePeer(daemon, silent.name);
+    });
+  }
+
+  daemonResumed(resumed: FakeDaemon): void {
+    for (const peer of resumed.view.daemons().keys()) {
+      if (peer !== resumed.name) this.#listener.peerBack(resumed, peer);
+    }
+    this.#spread(HEAL_LAG, resumed.availabilityZone, (daemon) => {
+      if (resumed.isReady) this.#addPeer(daemon, resumed);
+    });
+  }
+
+  /** Both sides of a cut find out, each daemon at its own time. */
+  zoneCut(): void {
+    this.#atEachDaemon(SUSPICION_LAG, (daemon) => {
+      for (const peer of this.#world.daemons()) {
+        if (!this.#canReach(daemon, peer.availabilityZone)) {
+          this.#removePeer(daemon, peer.name);
+        }
+      }
+      for (const target of daemon.view.targets()) {
+        if (this.#canReach(daemon, target.availabilityZone)) continue;
+        daemon.view.removeTarget(target.name);
+      }
+    });
+  }
+
+  zoneHealed(): void {
+    this.#atEachDaemon(HEAL_LAG, (daemon) => {
+      for (const peer of this.#world.daemons()) {
+        if (!this.#canReach(daemon, peer.availabilityZone)) continue;
+        if (peer.isReady) this.#addPeer(daemon, peer);
+      }
+      for (const engine of this.#world.engines()) {
+        if (!engine.isInPool) daemon.view.removeTarget(engine.name);
+        if (!engine.isInPool || daemon.view.target(engine.name)) continue;
+        if (!this.#canReach(daemon, engine.availabilityZone)) continue;
+        this.#addTarget(daemon, engine, undefined);
+      }
+    });
+  }
+
+  #addTarget(
+    daemon: FakeDaemon,
+    engine: FakeEngine,
+    startedAtMs: number | undefined,
+  ): void {
+    const { name, availabilityZone } = engine;
+    const nowMs = this.#world.heap.nowMs;
+    const onProbation = this.#damperOf(daemon).isOnProbation(name, nowMs);
+    daemon.view.addTarget({ name, availabilityZone, startedAtMs, onProbation });
+    if (!onProbation) return;
+    this.#world.heap.after(PROBATION_CHECK_MS, () => {
+      if (!daemon.view.target(name)) return;
+      this.#addTarget(daemon, engine, startedAtMs);
+    });
+  }
+
+  #addPeer(daemon: FakeDaemon, peer: FakeDaemon): void {
+    if (daemon === peer || daemon.view.daemons().has(peer.name)) return;
+    daemon.view.addDaemon(peer.name, peer.availabilityZone);
+    this.#listener.peerBack(daemon, peer.name);
+  }
+
+  #removePeer(daemon: FakeDaemon, peer: string): void {
+    if (!daemon.view.daemons().has(peer)) return;
+    daemon.view.removeDaemon(peer, this.#world.heap.nowMs);
+    this.#listener.peerLost(daemon, peer);
+  }
+
+  /** Runs at every daemon that can reach the zone by then. */
+  #spread(
+    lag: Lag,
+    availabilityZone: string,
+    action: (daemon: FakeDaemon) => void,
+  ): void {
+    this.#atEachDaemon(lag, (daemon) => {
+      if (this.#canReach(daemon, availabilityZone)) action(daemon);
+    });
+  }
+
+  #atEachDaemon(lag: Lag, action: (daemon: FakeDaemon) => void): void {
+    for (const daemon of this.#world.daemons()) {
+      const lagMs = this.#world.random.between(lag.lowMs, lag.highMs);
+      this.#world.heap.after(lagMs, () => daemon.run(() => action(daemon)));
+    }
+  }
+
+  #canReach(daemon: FakeDaemon, availabilityZone: string): boolean {
+    return this.#world.network.isLinked(
+      daemon.availabilityZone,
+      availabilityZone,
+    );
+  }
+
+  #damperOf(daemon: FakeDaemon): FlapDamper {
+    const damper = this.#dampers.get(daemon.name) ?? new FlapDamper();
+    this.#dampers.set(daemon.name, damper);
+    return damper;
+  }
+}
--- /dev/null
+++ b/packages/bench/src/replay/world.ts
@@ -0,0 +1,153 @@
+import { maxLoadRequests } from "@coltsfootford/core";
+import { RandomSource } from "../load/index.ts";
+import { EventHeap } from "./event_heap.ts";
+import { FakeDaemon } from "./fake_daemon.ts";
+import { type EngineOptions, FakeEngine } from "./fake_engine.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import { daemonName, targetName } from "./faults.ts";
+
+/** Sizes, delays and lags of a replayed fleet. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly zones: readonly string[];
+  readonly zoneDelayMs: number;
+  readonly daemons: number;
+  readonly targets: number;
+  readonly loadFactor: number;
+  readonly maxConcurrentPerTarget: number;
+  readonly lossProbability: number;
+  readonly engine: EngineOptions;
+}
+
+const SAME_ZONE_DELAY_MS = 0.3;
+const JITTER_RATIO = 0.3;
+const RETRANSMIT_MS = 200;
+const MEASURE_PERIOD_MS = 250;
+/** A cut changes views at some time within this span. */
+const CUT_TRANSITION_MS = 3_000;
+
+/** The true state of a replayed fleet: targets, daemons and links. */
+export class World {
+  readonly options: WorldOptions;
+  readonly heap = new EventHeap();
+  readonly random: RandomSource;
+  readonly network: FakeNetwork;
+  readonly #engines = new Map<string, FakeEngine>();
+  readonly #daemons = new Map<string, FakeDaemon>();
+  #transitionEndsMs = -Infinity;
+
+  constructor(options: WorldOptions) {
+    this.options = options;
+    this.random = new RandomSource(options.seed);
+    this.network = new FakeNetwork(this.heap, this.random, {
+      sameZoneDelayMs: SAME_ZONE_DELAY_MS,
+      otherZoneDelayMs: options.zoneDelayMs,
+      jitterRatio: JITTER_RATIO,
+      lossProbability: options.lossProbability,
+      retransmitMs: RETRANSMIT_MS,
+    });
+    const zoneOf = (index: number) =>
+      options.zones[index % options.zones.length]!;
+    for (let index = 0; index < options.targets; index++) {
+      this.addEngine(targetName(index), zoneOf(index)).isServing = true;
+    }
+    for (let index = 0; index < options.daemons; index++) {
+      this.addDaemon(daemonName(index), zoneOf(index));
+    }
+    this.#measureRegularly();
+  }
+
+  addEngine(name: string, availabilityZone: string): FakeEngine {
+    const engine = new FakeEngine(
+      name,
+      availabilityZone,
+      this.heap,
+      this.options.engine,
+    );
+    this.#engines.set(name, engine);
+    return engine;
+  }
+
+  addDaemon(name: string, availabilityZone: string): FakeDaemon {
+    const daemon = new FakeDaemon(name, availabilityZone);
+    this.#daemons.set(name, daemon);
+    return daemon;
+  }
+
+  engine(name: string): FakeEngine | undefined {
+    return this.#engines.get(name);
+  }
+
+  engines(): readonly FakeEngine[] {
+    return [...this.#engines.values()];
+  }
+
+  daemon(name: string): FakeDaemon | undefined {
+    return this.#daemons.get(name);
+  }
+
+  daemons(): readonly FakeDaemon[] {
+    return [...this.#daemons.values()];
+  }
+
+  /** Daemons that the balancer sends requests to. */
+  readyDaemons(): readonly FakeDaemon[] {
+    return this.daemons().filter((daemon) => daemon.isReady);
+  }
+
+  /** Load of the serving targets, of those linked with a zone if one is given. */
+  poolLoadRequests(linkedWith?: string): number {
+    let sumRequests = 0;
+    for (const engine of this.#pool(linkedWith)) {
+      sumRequests += engine.loadRequests;
+    }
+    return sumRequests;
+  }
+
+  poolSize(linkedWith?: string): number {
+    return this.#pool(linkedWith).length;
+  }
+
+  /** Cuts a zone off from the others, or heals the cut. */
+  setCut(zone: string, isCut: boolean): void {
+    this.network.setCut(zone, isCut);
+    this.#transitionEndsMs = this.heap.nowMs + CUT_TRANSITION_MS;
+  }
+
+  /**
+   * The stated bound at this moment, before a request is added at the engine:
+   * over the targets that its zone can reach. While daemons are finding out
+   * about a cut or its end, the whole pool may be meant instead.
+   */
+  allowedLoadRequests(engine: FakeEngine): number {
+    const linkedWith = engine.availabilityZone;
+    const reachable = maxLoadRequests(
+      this.options.loadFactor,
+      this.poolLoadRequests(linkedWith),
+      this.poolSize(linkedWith),
+    );
+    if (this.heap.nowMs >= this.#transitionEndsMs) return reachable;
+    const whole = maxLoadRequests(
+      this.options.loadFactor,
+      this.poolLoadRequests(),
+      this.poolSize(),
+    );
+    return Math.max(reachable, whole);
+  }
+
+  #pool(linkedWith: string | undefined): readonly FakeEngine[] {
+    const pool: FakeEngine[] = [];
+    for (const engine of this.#engines.values()) {
+      if (!engine.isInPool) continue;
+      const isLinked = linkedWith === undefined ||
+        this.network.isLinked(linkedWith, engine.availabilityZone);
+      if (isLinked) pool.push(engine);
+    }
+    return pool;
+  }
+
+  #measureRegularly(): void {
+    for (const engine of this.#engines.values()) engine.measure();
+    this.heap.after(MEASURE_PERIOD_MS, () => this.#measureRegularly());
+  }
+}
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -100,13 +100,15 @@
 
   /**
    * Starts to keep a target, or starts its take-over anew. The result is to be
-   * sent to all `holders`, this daemon included.
+   * sent to all `holders`, this daemon included. `knownEpochNumber` is the
+   * newest that this daemon's `PermitHolder` met for the target.
    */
   beginKeeping(
     target: string,
     pool: string,
     holders: Iterable<string>,
     nowMs: number,
+    knownEpochNumber = 0,
   ): CollectRequest {
     this.noteAlive(nowMs);
     const kept = this.#targets.get(target) ?? {
@@ -118,7 +120,7 @@
     };
     kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
     this.#targets.set(target, kept);
-    return kept.keeper.beginTakeOver(holders, nowMs);
+    return kept.keeper.beginTakeOver(holders, nowMs, knownEpochNumber);
   }
 
   /** Stops keeping a target that another daemon keeps now, or that is gone. */
@@ -132,9 +134,7 @@
    * keeper by its own view, it has to call `beginKeeping`.
    */
   noteCollectRequest(request: CollectRequest): void {
-    const keeper = this.keeperOf(request.target);
-    if (!keeper || request.epoch.keeper === this.#daemon) return;
-    if (request.epoch.number >= keeper.epoch.number) keeper.dropState();
+    this.keeperOf(request.target)?.noteNewerEpoch(request.epoch);
   }
 
   /**
@@ -155,7 +155,11 @@
     return kept.keeper.isGranting;
   }
 
-  /** Kept targets that need `beginKeeping` because their state was dropped. */
+  /**
+   * Kept targets that need `beginKeeping` because their state was dropped. Wait
+   * a random time of some hundred ms before: another daemon may hold that it
+   * keeps the target, and its view may be the newer one.
+   */
   droppedTargets(): readonly string[] {
     return [...this.#targets].filter(([, kept]) => kept.keeper.isDropped)
       .map(([target]) => target);
@@ -165,11 +169,9 @@
   noteCollectAnswer(
     holder: string,
     answer: CollectAnswer,
-    holders: Iterable<string>,
     nowMs: number,
-  ): CollectRequest | undefined {
-    const keeper = this.keeperOf(answer.target);
-    return keeper?.noteCollectAnswer(holder, answer, holders, nowMs);
+  ): void {
+    this.keeperOf(answer.target)?.noteCollectAnswer(holder, answer, nowMs);
   }
 
   /**
--- a/packages/core/src/bound/permit_codec.ts
+++ b/packages/core/src/bound/permit_codec.ts
@@ -5,47 +5,61 @@
 /**
  * The permit messages between daemons as short arrays, because every request
  * costs one exchange and a daemon has a few kilobytes a second for all of its
- * control traffic. Names of targets stand for themselves; the keeper of a
- * grant and the holder of an ask are known by the connection.
+ * control traffic. Parts that are absent are 0, or left out at the end. The
+ * holder of an ask and the keeper of a grant are known by the connection.
  */
 
-/** Method of the message with asks and returned permits. */
-export const PERMIT_METHOD = "p";
-
-const askSchema = z.union([
-  z.tuple([z.int(), z.string()]),
-  z.tuple([
-    z.int(),
-    z.string(),
-    z.int(),
-    z.union([z.literal(0), z.literal(1)]),
-  ]),
-]);
+/** Method of a call that asks for one permit. */
+export const PERMIT_ASK_METHOD = "p";
+/** Method of a notification that hands permits back or reports loads. */
+export const PERMIT_RETURN_METHOD = "r";
 
+const absentSchema = z.literal(0);
+const returnsSchema = z.union([absentSchema, z.array(z.int())]);
+/** Pool, load of each kept target, ends a second, time in ms. */
 const reportSchema = z.tuple([
   z.string(),
   z.array(z.int()),
   z.number(),
   z.int(),
 ]);
+const reportsSchema = z.union([absentSchema, z.array(reportSchema)]);
+/** Hash of the chat's key, and 1 if the chat returns. */
+const chatSchema = z.tuple([z.int(), z.union([absentSchema, z.literal(1)])]);
 
-/** Asks, ids of returned permits, and reports of pools, in this order. */
-export const permitParamsSchema = z.tuple([
-  z.array(askSchema),
-  z.array(z.int()),
-  z.array(reportSchema),
+/** `[askId, target, returns, reports, chat]`. */
+export const permitAskParamsSchema = z.tuple([
+  z.int(),
+  z.string(),
+  returnsSchema.optional(),
+  reportsSchema.optional(),
+  z.union([absentSchema, chatSchema]).optional(),
 ]);
 
-/** Answers in any order, and reports of pools. */
-export const permitResultSchema = z.tuple([
-  z.array(z.tuple([z.int(), z.int()])),
-  z.array(reportSchema),
+/** `[epoch number or minus the refusal, returns, reports]`. */
+export const permitAskResultSchema = z.tuple([
+  z.int(),
+  returnsSchema.optional(),
+  reportsSchema.optional(),
 ]);
 
-export type PermitParams = z.infer<typeof permitParamsSchema>;
-export type PermitResult = z.infer<typeof permitResultSchema>;
-export type EncodedReport = z.infer<typeof reportSchema>;
-type EncodedAsk = z.infer<typeof askSchema>;
+/** `[returns, reports]`. */
+export const permitReturnParamsSchema = z.tuple([
+  returnsSchema.optional(),
+  reportsSchema.optional(),
+]);
+
+export type PermitAskParams = z.infer<typeof permitAskParamsSchema>;
+export type PermitAskResult = z.infer<typeof permitAskResultSchema>;
+export type PermitReturnParams = z.infer<typeof permitReturnParamsSchema>;
+type EncodedReport = z.infer<typeof reportSchema>;
+
+/** What every permit message may carry beside its own content. */
+export interface PermitExtras {
+  /** Ids of asks whose permits are handed back. */
+  readonly returns: readonly number[];
+  readonly reports: readonly PoolLoadReport[];
+}
 
 const REFUSAL_REASONS: readonly RefusalReason[] = [
   "at-limit",
@@ -55,48 +69,95 @@
   "pass-on",
 ];
 
-/** `[askId, target]`, then the chat's hash and 1 if it returns, if given. */
-export function encodeAsk(ask: PermitAsk): EncodedAsk {
-  if (!ask.chat) return [ask.askId, ask.target];
-  return [ask.askId, ask.target, ask.chat.hash, ask.chat.isReturning ? 1 : 0];
+/** Params of a call that asks for a permit. */
+export function encodeAsk(
+  ask: PermitAsk,
+  extras: PermitExtras,
+): PermitAskParams {
+  const chat = ask.chat && [ask.chat.hash, ask.chat.isReturning ? 1 : 0];
+  return trimAbsent([
+    ask.askId,
+    ask.target,
+    ...encodeExtras(extras),
+    chat ?? 0,
+  ]) as PermitAskParams;
 }
 
 /** The reverse of `encodeAsk`. */
-export function decodeAsk(encoded: EncodedAsk): PermitAsk {
-  const [askId, target, hash, returning] = encoded;
-  if (hash === undefined) return { askId, target };
-  return { askId, target, chat: { hash, isReturning: returning === 1 } };
+export function decodeAsk(params: PermitAskParams): PermitAsk & PermitExtras {
+  const [askId, target, returns, reports, chat] = params;
+  const extras = decodeExtras(returns, reports);
+  if (!chat) return { askId, target, ...extras };
+  const [hash, returning] = chat;
+  const isReturning = returning === 1;
+  return { askId, target, ...extras, chat: { hash, isReturning } };
 }
 
-/** `[askId, epoch number]` of a grant, `[askId, -reason]` of a refusal. */
-export function encodeAnswer(answer: PermitAnswer): [number, number] {
-  if (answer.kind === "granted") return [answer.askId, answer.epoch.number];
-  return [answer.askId, -1 - REFUSAL_REASONS.indexOf(answer.reason)];
+/** Result of a call that asks for a permit. */
+export function encodeAnswer(
+  answer: PermitAnswer,
+  extras: PermitExtras,
+): PermitAskResult {
+  const code = answer.kind === "granted"
+    ? answer.epoch.number
+    : -1 - REFUSAL_REASONS.indexOf(answer.reason);
+  return trimAbsent([code, ...encodeExtras(extras)]) as PermitAskResult;
 }
 
-/** The reverse of `encodeAnswer`, with what both sides know. */
+/** The reverse of `encodeAnswer`, with what the asker knows. */
 export function decodeAnswer(
-  encoded: readonly [number, number],
+  result: PermitAskResult,
+  askId: number,
   keeper: string,
   startWithinMs: number,
-): PermitAnswer {
-  const [askId, code] = encoded;
+): { readonly answer: PermitAnswer; readonly extras: PermitExtras } {
+  const [code, returns, reports] = result;
+  const extras = decodeExtras(returns, reports);
   if (code > 0) {
-    return {
-      kind: "granted",
-      askId,
-      epoch: { number: code, keeper },
-      startWithinMs,
-    };
+    const epoch = { number: code, keeper };
+    return { answer: { kind: "granted", askId, epoch, startWithinMs }, extras };
   }
   const reason = REFUSAL_REASONS[-1 - code] ?? "not-ready";
-  return { kind: "refused", askId, reason };
+  return { answer: { kind: "refused", askId, reason }, extras };
+}
+
+/** Params of a notification with returns and reports. */
+export function encodeReturns(extras: PermitExtras): PermitReturnParams {
+  return trimAbsent(encodeExtras(extras)) as PermitReturnParams;
+}
+
+/** The reverse of `encodeReturns`. */
+export function decodeReturns(params: PermitReturnParams): PermitExtras {
+  return decodeExtras(params[0], params[1]);
+}
+
+function encodeExtras({ returns, reports }: PermitExtras): unknown[] {
+  return [
+    returns.length > 0 ? [...returns] : 0,
+    reports.length > 0 ? reports.map(encodeReport) : 0,
+  ];
+}
+
+function decodeExtras(
+  returns: readonly number[] | 0 | undefined,
+  reports: readonly EncodedReport[] | 0 | undefined,
+): PermitExtras {
+  return {
+    returns: returns || [],
+    reports: (reports || []).map(decodeReport),
+  };
+}
+
+function trimAbsent(parts: unknown[]): unknown[] {
+  let length = parts.length;
+  while (length > 0 && parts[length - 1] === 0) length -= 1;
+  return parts.slice(0, length);
 }
 
 const RATE_PRECISION = 10;
 
 /** Rates are rounded up to a tenth, times to a millisecond. */
-export function encodeReport(report: PoolLoadReport): EncodedReport {
+function encodeReport(report: PoolLoadReport): EncodedReport {
   return [
     report.pool,
     [...report.loadsRequests],
@@ -105,8 +166,7 @@
   ];
 }
 
-/** The reverse of `encodeReport`. */
-export function decodeReport(encoded: EncodedReport): PoolLoadReport {
+function decodeReport(encoded: EncodedReport): PoolLoadReport {
   const [pool, loadsRequests, endedPerSecond, measuredAtMs] = encoded;
   return { pool, loadsRequests, endedPerSecond, measuredAtMs };
 }
--- a/packages/core/src/bound/permit_holder.ts
+++ b/packages/core/src/bound/permit_holder.ts
@@ -12,8 +12,8 @@
 interface HeldPermit {
   readonly askId: number;
   readonly target: string;
-  /** The keeper that was asked. */
-  readonly keeper: string;
+  /** The keeper that was asked, or that collected the permit since. */
+  keeper: string;
   /** Read before the ask was sent. */
   readonly askedAtMs: number;
   state: "asked" | "granted" | "started";
@@ -24,7 +24,7 @@
 /** A permit to hand back to the keeper of its target. */
 export interface PermitReturn {
   readonly target: string;
-  /** Where it belongs: the newest keeper met, or the one that was asked. */
+  /** Where it belongs: the keeper that gave or that collected it. */
   readonly keeper: string;
   readonly askId: number;
 }
@@ -62,7 +62,11 @@
     return askId;
   }
 
-  /** Takes a grant. Any verdict but `usable` hands the permit back. */
+  /**
+   * Takes a grant. Any verdict but `usable` hands the permit back. After
+   * `stale-epoch` the keeper has to be told of `epochOf` the target: it may not
+   * know that it was replaced.
+   */
   noteGrant(grant: PermitGrant, nowMs: number): GrantVerdict {
     const permit = this.#permits.get(grant.askId);
     if (!permit) return "unknown-ask";
@@ -113,11 +117,18 @@
     const started = this.#startedByTarget.get(permit.target);
     started?.delete(askId);
     if (started?.size === 0) this.#startedByTarget.delete(permit.target);
-    const epoch = permit.state === "asked"
-      ? undefined
-      : this.#epochs.get(permit.target);
-    const keeper = epoch?.keeper ?? permit.keeper;
-    this.#returns.push({ target: permit.target, keeper, askId });
+    const { target, keeper } = permit;
+    this.#returns.push({ target, keeper, askId });
+  }
+
+  /** The newest epoch that this daemon answered to, if any. */
+  epochOf(target: string): KeeperEpoch | undefined {
+    return this.#epochs.get(target);
+  }
+
+  /** Requests of this daemon that run at the target. */
+  startedAskIds(target: string): readonly number[] {
+    return [...this.#startedByTarget.get(target) ?? []];
   }
 
   /** Answers a new keeper. Permits of older epochs are void from here on. */
@@ -127,12 +138,12 @@
     const isNewer = !known || epoch.number > known.number ||
       isSameEpoch(epoch, known);
     if (!isNewer) return { kind: "newer-epoch", target, epoch: known };
-    this.#epochs.set(target, epoch);
+    this.#setEpoch(target, epoch);
     return {
       kind: "collected",
       target,
       epoch,
-      startedAskIds: [...this.#startedByTarget.get(target) ?? []],
+      startedAskIds: this.startedAskIds(target),
     };
   }
 
@@ -160,9 +171,18 @@
     const known = this.#epochs.get(target);
     if (known && isSameEpoch(known, epoch)) return true;
     if (known && epoch.number <= known.number) return false;
-    this.#epochs.set(target, epoch);
-    const askIds = [...this.#startedByTarget.get(target) ?? []];
+    this.#setEpoch(target, epoch);
+    const askIds = this.startedAskIds(target);
     if (known && askIds.length > 0) this.#adoptions.push({ target, askIds });
     return true;
   }
+
+  /** From here on the running requests belong to the keeper of `epoch`. */
+  #setEpoch(target: string, epoch: KeeperEpoch): void {
+    this.#epochs.set(target, epoch);
+    for (const askId of this.startedAskIds(target)) {
+      const permit = this.#permits.get(askId);
+      if (permit) permit.keeper = epoch.keeper;
+    }
+  }
 }
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -83,32 +83,48 @@
   /**
    * Starts or restarts a take-over. The result is to be sent to `holders`:
    * every daemon that may hold permits for the target, this one included.
+   * `knownEpochNumber` is the newest that this daemon met for the target.
    */
-  beginTakeOver(holders: Iterable<string>, nowMs: number): CollectRequest {
-    return this.#begin(this.#epoch.number + 1, new Set(holders), nowMs);
+  beginTakeOver(
+    holders: Iterable<string>,
+    nowMs: number,
+    knownEpochNumber = 0,
+  ): CollectRequest {
+    const number = Math.max(this.#epoch.number, knownEpochNumber) + 1;
+    this.#epoch = { number, keeper: this.#epoch.keeper };
+    this.#ledger = new TargetLedger(this.#options, nowMs);
+    this.#collection = {
+      startedAtMs: nowMs,
+      waitingFor: new Set(holders),
+      hasSilentHolder: false,
+    };
+    return { target: this.target, epoch: this.#epoch };
   }
 
   /**
-   * Takes a holder's answer. Returns a new request for all holders where a
-   * newer epoch was met, else nothing.
+   * Takes a holder's answer. Where a newer epoch was met, the state is dropped:
+   * this daemon was replaced, or it has to begin again with a higher number.
    */
   noteCollectAnswer(
     holder: string,
     answer: CollectAnswer,
-    holders: Iterable<string>,
     nowMs: number,
-  ): CollectRequest | undefined {
-    if (answer.kind === "newer-epoch") {
-      if (answer.epoch.number < this.#epoch.number) return undefined;
-      return this.#begin(answer.epoch.number + 1, new Set(holders), nowMs);
-    }
-    if (!isSameEpoch(answer.epoch, this.#epoch)) return undefined;
+  ): void {
+    if (answer.kind === "newer-epoch") return this.noteNewerEpoch(answer.epoch);
+    if (!isSameEpoch(answer.epoch, this.#epoch)) return;
     for (const askId of answer.startedAskIds) {
       this.#ledger.hold(holder, askId, nowMs);
     }
     this.#collection?.waitingFor.delete(holder);
     this.advance(nowMs);
-    return undefined;
+  }
+
+  /** Notes an epoch of another keeper; a newer one drops this one's state. */
+  noteNewerEpoch(epoch: KeeperEpoch): void {
+    if (epoch.number < this.#epoch.number) return;
+    if (isSameEpoch(epoch, this.#epoch)) return;
+    this.#epoch = { number: epoch.number, keeper: this.#epoch.keeper };
+    this.dropState();
   }
 
   /** Ends the take-over when its conditions are met. Call it regularly. */
@@ -200,21 +216,6 @@
     };
   }
 
-  #begin(
-    number: number,
-    holders: Set<string>,
-    nowMs: number,
-  ): CollectRequest {
-    this.#epoch = { number, keeper: this.#epoch.keeper };
-    this.#ledger = new TargetLedger(this.#options, nowMs);
-    this.#collection = {
-      startedAtMs: nowMs,
-      waitingFor: holders,
-      hasSilentHolder: false,
-    };
-    return { target: this.target, epoch: this.#epoch };
-  }
-
   #refusalReason(): RefusalReason | undefined {
     if (this.#isLeaving) return "leaving";
     if (!this.isGranting) return "not-ready";
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -28,7 +28,8 @@
  */
 export class TargetLedger {
   readonly #options: TargetLedgerOptions;
-  readonly #heldByHolder = new Map<string, Set<number>>();
+  /** Times of the grants by holder and ask. */
+  readonly #heldByHolder = new Map<string, Map<number, number>>();
   #heldRequests = 0;
   #orphans: { readonly count: number; readonly endsAtMs: number }[] = [];
   #report: TargetReport | undefined;
@@ -74,10 +75,10 @@
 
   /** Counts a permit that the holder has already, for example by take-over. */
   hold(holder: string, askId: number, nowMs: number): void {
-    const held = this.#heldByHolder.get(holder) ?? new Set<number>();
+    const held = this.#heldByHolder.get(holder) ?? new Map<number, number>();
     this.#heldByHolder.set(holder, held);
     if (held.has(askId)) return;
-    held.add(askId);
+    held.set(askId, nowMs);
     this.#heldRequests += 1;
     this.#grantTimesMs.push(nowMs);
   }
@@ -114,7 +115,8 @@
   /**
    * Takes the target's own count into account. Reports that are older than the
    * last one, or that may count permits from before this ledger, are ignored.
-   * Load that no permit explains belongs to a holder that was not known.
+   * Load that no permit explains belongs to a holder that was not known. Load
+   * of holders that are gone is at most what the permits of the others leave.
    */
   noteReport(report: TargetReport, nowMs: number): void {
     const { measuredAtMs } = report;
@@ -126,6 +128,32 @@
     const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
       this.#releaseTimesMs.length;
     this.addOrphans(report.loadRequests - explainedRequests, nowMs);
+    this.#limitOrphans(report.loadRequests - this.#countRunning(measuredAtMs));
+  }
+
+  /**
+   * Permits that were in use at `measuredAtMs`: they had to be started before
+   * and are held still. A permit that ended before it would be back by now; if
+   * its return was held up, the next report shows load that is not explained.
+   */
+  #countRunning(measuredAtMs: number): number {
+    const startedByMs = measuredAtMs - this.#options.startWithinMs;
+    let running = 0;
+    for (const held of this.#heldByHolder.values()) {
+      for (const grantedAtMs of held.values()) {
+        if (grantedAtMs <= startedByMs) running += 1;
+      }
+    }
+    return running;
+  }
+
+  #limitOrphans(maxRequests: number): void {
+    let rest = Math.max(0, maxRequests);
+    this.#orphans = this.#orphans.map((orphan) => {
+      const count = Math.min(orphan.count, rest);
+      rest -= count;
+      return { ...orphan, count };
+    }).filter((orphan) => orphan.count > 0);
   }
 
   #forgetOldReport(nowMs: number): void {
