Let asks of returning chats wait at the keeper for their home

Change: an ask may wait up to half a second, by the length of its prefix and the route's weight of reuse; the permit's time to start grows to one second.

--- a/packages/bench/src/replay/entry.ts
+++ b/packages/bench/src/replay/entry.ts
@@ -1,4 +1,4 @@
-import type { PlacementPolicy } from "@coltsfootford/core";
+import { homeWaitMs, type PlacementPolicy } from "@coltsfootford/core";
 import type { Deployment, TraceRequest } from "../load/index.ts";
 import type { Admission, AdmissionGate, GateAnswer } from "./admission_gate.ts";
 import type { FakeDaemon } from "./fake_daemon.ts";
@@ -131,11 +131,19 @@
       daemon: attempt.daemon,
       target,
       request: attempt.request,
+      waitMs: this.#waitMs(attempt),
       mayPassOn: attempt.passedOn < MAX_PASSED_ON && !attempt.hasWaited,
       onAnswer: (answer) => this.#takeAnswer(attempt, target, answer),
     });
   }
 
+  /** Only the first target is worth a wait. */
+  #waitMs(attempt: Attempt): number {
+    if (attempt.index > 0 || attempt.hasWaited) return 0;
+    const { prefixTokens } = attempt.request;
+    return homeWaitMs(this.#deployment.reuseWeight, prefixTokens);
+  }
+
   #takeAnswer(attempt: Attempt, target: string, answer: GateAnswer): void {
     if (typeof answer !== "string") return this.#send(attempt, target, answer);
     if (answer === "pass-on") attempt.passedOn += 1;
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -1,9 +1,11 @@
 import { WarmingChats } from "../placement/index.ts";
-import type {
-  CollectAnswer,
-  CollectRequest,
-  PermitAnswer,
-  PermitAsk,
+import {
+  type CollectAnswer,
+  type CollectRequest,
+  DEFAULT_START_WITHIN_MS,
+  MAX_ASK_WAIT_MS,
+  type PermitAnswer,
+  type PermitAsk,
 } from "./permit.ts";
 import {
   DEFAULT_POOL_MEAN_OPTIONS,
@@ -31,7 +33,7 @@
 
 /** Settings for peers that replace a keeper after 1.5 s of silence. */
 export const DEFAULT_KEEPER_BOOK_OPTIONS: KeeperBookOptions = {
-  startWithinMs: 400,
+  startWithinMs: DEFAULT_START_WITHIN_MS,
   maxRequestMs: 600_000,
   collectTimeoutMs: 300,
   pauseLimitMs: 800,
@@ -53,6 +55,19 @@
   readonly mean: PoolMeanEstimate;
 }
 
+/** An ask that waits for a place, and the end of its wait. */
+interface WaitingAsk {
+  readonly holder: string;
+  readonly ask: PermitAsk;
+  readonly untilMs: number;
+}
+
+/** An answer to an ask that waited. */
+export interface LateAnswer {
+  readonly holder: string;
+  readonly answer: PermitAnswer;
+}
+
 interface KeptTarget {
   readonly pool: string;
   readonly keeper: TargetKeeper;
@@ -61,6 +76,8 @@
   /** Nothing is granted before. */
   grantsFromMs: number;
   warmingChats: WarmingChats | undefined;
+  /** In order of arrival. */
+  waiting: WaitingAsk[];
 }
 
 /** Everything that one daemon keeps: its targets and the means of their pools. */
@@ -117,15 +134,24 @@
       vouchedFromMs: 0,
       grantsFromMs: 0,
       warmingChats: undefined,
+      waiting: [],
     };
     kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
     this.#targets.set(target, kept);
     return kept.keeper.beginTakeOver(holders, nowMs, knownEpochNumber);
   }
 
-  /** Stops keeping a target that another daemon keeps now, or that is gone. */
-  stopKeeping(target: string): void {
+  /**
+   * Stops keeping a target that another daemon keeps now, or that is gone. The
+   * result answers the asks that wait.
+   */
+  stopKeeping(target: string): readonly LateAnswer[] {
+    const waiting = this.#targets.get(target)?.waiting ?? [];
     this.#targets.delete(target);
+    return waiting.map(({ holder, ask }) => ({
+      holder,
+      answer: { kind: "refused", askId: ask.askId, reason: "not-keeper" },
+    }));
   }
 
   /**
@@ -192,11 +218,58 @@
     for (const kept of this.#targets.values()) kept.keeper.advance(nowMs);
   }
 
-  /** Answers a holder's ask for a permit. */
-  answer(holder: string, ask: PermitAsk, nowMs: number): PermitAnswer {
+  /**
+   * Answers a holder's ask for a permit. No answer means that the ask waits for
+   * a place: `takeLateAnswers` has its answer later.
+   */
+  answer(
+    holder: string,
+    ask: PermitAsk,
+    nowMs: number,
+  ): PermitAnswer | undefined {
     this.noteAlive(nowMs);
-    const { askId, chat } = ask;
     const kept = this.#targets.get(ask.target);
+    const answer = this.#decide(holder, ask, kept, nowMs);
+    if (!kept || !ask.waitMs) return answer;
+    if (answer.kind === "granted" || answer.reason !== "at-limit") {
+      return answer;
+    }
+    const waitMs = Math.min(ask.waitMs, MAX_ASK_WAIT_MS);
+    kept.waiting.push({ holder, ask, untilMs: nowMs + waitMs });
+    return undefined;
+  }
+
+  /**
+   * Answers to asks that waited and have a place now, or whose wait is over.
+   * Call it after permits came back and at every turn of the daemon's timer.
+   */
+  takeLateAnswers(nowMs: number): readonly LateAnswer[] {
+    const late: LateAnswer[] = [];
+    for (const kept of this.#targets.values()) {
+      if (kept.waiting.length > 0) this.#answerWaiting(kept, nowMs, late);
+    }
+    return late;
+  }
+
+  #answerWaiting(kept: KeptTarget, nowMs: number, late: LateAnswer[]): void {
+    const stillWaiting: WaitingAsk[] = [];
+    for (const entry of kept.waiting) {
+      const { holder, ask, untilMs } = entry;
+      const answer = this.#decide(holder, ask, kept, nowMs);
+      const isFull = answer.kind === "refused" && answer.reason === "at-limit";
+      if (isFull && nowMs < untilMs) stillWaiting.push(entry);
+      else late.push({ holder, answer });
+    }
+    kept.waiting = stillWaiting;
+  }
+
+  #decide(
+    holder: string,
+    ask: PermitAsk,
+    kept: KeptTarget | undefined,
+    nowMs: number,
+  ): PermitAnswer {
+    const { askId, chat } = ask;
     if (!kept) return { kind: "refused", askId, reason: "not-keeper" };
     if (nowMs < kept.grantsFromMs) {
       return { kind: "refused", askId, reason: "not-ready" };
@@ -231,6 +304,7 @@
   /** A daemon is gone, or the connection to it was lost. */
   noteHolderGone(holder: string, nowMs: number): void {
     for (const kept of this.#targets.values()) {
+      kept.waiting = kept.waiting.filter((entry) => entry.holder !== holder);
       kept.keeper.noteHolderGone(holder, nowMs);
     }
   }
--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -3,7 +3,9 @@
  * It is longer than an exchange within a zone and shorter than the time after
  * which a silent keeper is replaced.
  */
-export const DEFAULT_START_WITHIN_MS = 400;
+export const DEFAULT_START_WITHIN_MS = 1_000;
+/** Longest time that an ask may wait at the keeper for a place. */
+export const MAX_ASK_WAIT_MS = 500;
 
 /** One run of one keeper for one target. Higher numbers replace lower ones. */
 export interface KeeperEpoch {
@@ -30,6 +32,8 @@
   /** Number of the ask, unique in one run of the holder. */
   readonly askId: number;
   readonly target: string;
+  /** Time that the ask may wait at the keeper while the target is full. */
+  readonly waitMs?: number;
   /** Given while the target has been serving for a short time only. */
   readonly chat?: AskedChat;
 }
--- a/packages/core/src/bound/permit_codec.ts
+++ b/packages/core/src/bound/permit_codec.ts
@@ -27,10 +27,11 @@
 /** Hash of the chat's key, and 1 if the chat returns. */
 const chatSchema = z.tuple([z.int(), z.union([absentSchema, z.literal(1)])]);
 
-/** `[askId, target, returns, reports, chat]`. */
+/** `[askId, target, wait in ms, returns, reports, chat]`. */
 export const permitAskParamsSchema = z.tuple([
   z.int(),
   z.string(),
+  z.int().nonnegative().optional(),
   returnsSchema.optional(),
   reportsSchema.optional(),
   z.union([absentSchema, chatSchema]).optional(),
@@ -78,6 +79,7 @@
   return trimAbsent([
     ask.askId,
     ask.target,
+    ask.waitMs ?? 0,
     ...encodeExtras(extras),
     chat ?? 0,
   ]) as PermitAskParams;
@@ -85,12 +87,16 @@
 
 /** The reverse of `encodeAsk`. */
 export function decodeAsk(params: PermitAskParams): PermitAsk & PermitExtras {
-  const [askId, target, returns, reports, chat] = params;
-  const extras = decodeExtras(returns, reports);
-  if (!chat) return { askId, target, ...extras };
+  const [askId, target, waitMs, returns, reports, chat] = params;
+  const ask = {
+    askId,
+    target,
+    ...(waitMs ? { waitMs } : {}),
+    ...decodeExtras(returns, reports),
+  };
+  if (!chat) return ask;
   const [hash, returning] = chat;
-  const isReturning = returning === 1;
-  return { askId, target, ...extras, chat: { hash, isReturning } };
+  return { ...ask, chat: { hash, isReturning: returning === 1 } };
 }
 
 /** Result of a call that asks for a permit. */
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -40,7 +40,7 @@
 
 /** Settings for zones a few milliseconds apart. */
 export const DEFAULT_POOL_MEAN_OPTIONS: PoolMeanEstimateOptions = {
-  permitLagMs: 70,
+  permitLagMs: 35,
   reportDelayMs: 4,
   maxReportAgeMs: 1_200,
   safetyDeviations: 2,
