--- a/packages/bench/src/replay/permit_node.ts
+++ b/packages/bench/src/replay/permit_node.ts
@@ -259,7 +259,6 @@
       }
     }
     const answer = this.#holder.answerCollect(request);
-    const name = this.daemon.name;
     this.book.noteCollectAnswer(this.daemon.name, answer, this.#nowMs);
     this.#noteServing(target);
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,9 +1,5 @@
 import { randomUUID } from "node:crypto";
-import {
-  createStepError,
-  PermitHolder,
-  type StepError,
-} from "@coltsfootford/core";
+import { createStepError, type StepError } from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -16,12 +12,7 @@
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp, EntryServer } from "./entry/index.ts";
 import { createGuards } from "./guards.ts";
-import {
-  KeeperController,
-  KeeperPermitGate,
-  PermitExchange,
-  START_WITHIN_MS,
-} from "./keepers/index.ts";
+import { KeeperController, KeeperPermitGate } from "./keepers/index.ts";
 import { listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import {
@@ -130,26 +121,14 @@
     metrics,
   });
   controllers.push(...guardControllers);
-  const holder = new PermitHolder();
   const keepers = new KeeperController({
     vm: settings.vm,
     blackboard,
     membership,
     peers,
     timer,
-    holder,
   });
   controllers.push(keepers);
-  const keeperOf = (target: string) => keepers.keeperOf(target);
-  const exchange = new PermitExchange({
-    vm: settings.vm,
-    timer,
-    peers,
-    holder,
-    localKeeper: keepers,
-    startWithinMs: START_WITHIN_MS,
-    keeperOf,
-  });
   const placement = new PlacementController({
     availabilityZone: settings.availabilityZone,
     blackboard,
@@ -162,7 +141,7 @@
     timer,
     targetClient,
     placement,
-    permitGate: new KeeperPermitGate({ timer, holder, exchange, keeperOf }),
+    permitGate: new KeeperPermitGate(keepers.node),
     logger,
     metrics,
   });
--- a/packages/daemon/src/entry/permit_gate.ts
+++ b/packages/daemon/src/entry/permit_gate.ts
@@ -24,5 +24,7 @@
   abstract acquire(
     target: TargetView,
     context: RequestContext,
+    /** Whether the target is the first in the request's order. */
+    isHome: boolean,
   ): Promise<Result<Permit, PermitRefusal>>;
 }
--- a/packages/daemon/src/keepers/keeper_controller.ts
+++ b/packages/daemon/src/keepers/keeper_controller.ts
@@ -1,51 +1,30 @@
 import {
   type CancelTimer,
-  type CollectRequest,
-  decodeAsk,
-  decodeReport,
-  DEFAULT_KEEPER_BOOK_OPTIONS,
-  encodeAnswer,
-  type EncodedReport,
-  encodeReport,
-  KeeperBook,
-  PERMIT_METHOD,
-  type PermitAnswer,
-  type PermitAsk,
-  type PermitHolder,
-  type PermitParams,
-  permitParamsSchema,
-  type PermitResult,
+  DEFAULT_PERMIT_NODE_OPTIONS,
+  type KeptTargetView,
+  type PermitMessage,
+  PermitNode,
+  type PermitView,
+  type PoolLoadReport,
   type TimerService,
 } from "@coltsfootford/core";
 import type {
   Blackboard,
   CancelSubscription,
+  FieldWriter,
   TargetView,
 } from "../blackboard/index.ts";
 import { Controller } from "../controllers/index.ts";
 import type { Peers } from "../peers/index.ts";
 import type { KeeperMembership } from "./keeper_membership.ts";
-import { LoadReports } from "./load_reports.ts";
-import type { LocalKeeper } from "./permit_exchange.ts";
-import {
-  ADOPT_METHOD,
-  adoptParamsSchema,
-  COLLECT_METHOD,
-  collectAnswerSchema,
-  collectParamsSchema,
-  decodeCollectAnswer,
-  encodeCollectAnswer,
-} from "./wire.ts";
+import { PermitTransport } from "./permit_transport.ts";
 
-const ADVANCE_PERIOD_MS = 50;
-const COLLECT_TIMEOUT_MS = 250;
+const TICK_MS = 50;
 /**
  * Longest time by which a target's report lags its own count. A report is
  * taken as measured this long before it came.
  */
 const MAX_REPORT_LAG_MS = 2_000;
-/** Wait before a target is taken back from another daemon that collects. */
-const RIVAL_WAIT_MS = 500;
 
 /** What a `KeeperController` is built from. */
 export interface KeeperControllerParts {
@@ -55,65 +34,56 @@
   readonly membership: KeeperMembership;
   readonly peers: Peers;
   readonly timer: TimerService;
-  readonly holder: PermitHolder;
 }
 
 /**
- * Keeps the targets that fall to this daemon: it answers asks for permits,
- * takes over from former keepers and tells other keepers the loads. It reads
- * `config`, `targets`, `keepers` and `loadReports` and alone writes
- * `targetLoads`.
+ * Keeps the targets that fall to this daemon, and asks the keepers of the
+ * others. It reads `config`, `targets`, `keepers` and `loadReports` and alone
+ * writes `targetLoads`.
  */
-export class KeeperController extends Controller implements LocalKeeper {
+export class KeeperController extends Controller {
   override readonly name = "keepers";
+  readonly node: PermitNode;
   readonly #parts: KeeperControllerParts;
-  readonly #book: KeeperBook;
-  readonly #reports: LoadReports;
+  readonly #transport: PermitTransport;
+  readonly #loads: FieldWriter<ReadonlyMap<string, number>>;
   readonly #cancels: (CancelTimer | CancelSubscription)[] = [];
-  /** Targets that another daemon collected, and when to take them back. */
-  readonly #retakes = new Map<string, number>();
-  #wasMandated = false;
 
   constructor(parts: KeeperControllerParts) {
     super();
     this.#parts = parts;
-    this.#book = new KeeperBook(parts.vm);
-    this.#reports = new LoadReports(
-      parts.vm,
-      parts.membership,
-      this.#book,
-      parts.blackboard,
-    );
+    this.#loads = parts.blackboard.targetLoads.claimWriter(this.name);
+    const options = DEFAULT_PERMIT_NODE_OPTIONS;
+    this.#transport = new PermitTransport(parts.peers, options);
+    this.node = new PermitNode({
+      name: parts.vm,
+      timer: parts.timer,
+      view: this.#createView(),
+      send: (to, message) => this.#transport.send(to, message, this.#receive),
+      options,
+    });
   }
 
   override start(): Promise<void> {
     const { blackboard, timer, peers } = this.#parts;
-    peers.handle(PERMIT_METHOD, permitParamsSchema, (params, sender) => {
-      return this.#answerPermits(sender.vm, params);
-    });
-    peers.handle(ADOPT_METHOD, adoptParamsSchema, (params, sender) => {
-      const [target, askIds] = params;
-      this.#book.adopt(sender.vm, target, askIds, timer.nowMs());
-    });
-    peers.handle(COLLECT_METHOD, collectParamsSchema, (params, sender) => {
-      const [target, number] = params;
-      const request = { target, epoch: { number, keeper: sender.vm } };
-      this.#noteRival(request);
-      return encodeCollectAnswer(this.#parts.holder.answerCollect(request));
-    });
+    this.#transport.listen(this.#receive);
     peers.onEvent((event) => {
-      if (event.direction !== "in") return;
+      if (event.direction === "out" && event.kind === "connected") {
+        const targets = blackboard.targets.read().keys();
+        this.node.peerBack(event.peer, targets);
+      }
+      if (event.direction === "out") return;
       // A new connection may be of a new run, whose asks count from the start.
       const isNews = event.kind === "connected" ||
         event.kind === "disconnected";
-      if (isNews) this.#book.noteHolderGone(event.peer, timer.nowMs());
+      if (isNews) this.node.peerLost(event.peer);
     });
     this.#cancels.push(
       blackboard.config.subscribe(() => this.#assign()),
       blackboard.targets.subscribe(() => this.#assign()),
       blackboard.keepers.subscribe(() => this.#assign()),
       blackboard.loadReports.subscribe(() => this.#noteLoads()),
-      timer.every(ADVANCE_PERIOD_MS, () => this.#advance()),
+      timer.every(TICK_MS, () => this.#tick()),
     );
     this.#assign();
     return Promise.resolve();
@@ -126,88 +96,61 @@
 
   override dumpState(): unknown {
     const nowMs = this.#parts.timer.nowMs();
-    return this.#book.keptTargets().map((target) => {
-      const keeper = this.#book.keeperOf(target)!;
+    const { book } = this.node;
+    return book.keptTargets().map((target) => {
+      const keeper = book.keeperOf(target)!;
       return {
         target,
         epoch: keeper.epoch.number,
-        isGranting: keeper.isGranting,
+        isGranting: book.isGranting(target, nowMs),
         loadRequests: keeper.loadRequests(nowMs),
       };
     });
   }
 
-  /** The daemon that keeps a target, by this daemon's view. */
-  keeperOf(target: string): string | undefined {
-    return this.#parts.blackboard.keepers.read().get(target)?.vm;
-  }
-
-  answerSelf(ask: PermitAsk): PermitAnswer {
-    return this.#answer(this.#parts.vm, ask, this.#parts.timer.nowMs());
-  }
-
-  releaseSelf(askId: number): void {
+  readonly #receive = (from: string, message: PermitMessage): void => {
+    if ("extras" in message) this.#showLoads(from, message.extras.reports);
+    this.node.receive(from, message);
+  };
+
+  #createView(): PermitView {
+    const { vm, blackboard, membership } = this.#parts;
+    return {
+      keeperOf: (target) => blackboard.keepers.read().get(target)?.vm,
+      holders: () =>
+        membership.members().filter((member) =>
+          member.isReachable && member.state !== "dead"
+        ).map((member) => member.vm),
+      otherKeepers: () => {
+        const names = new Set<string>();
+        for (const keeper of blackboard.keepers.read().values()) {
+          if (keeper.vm !== vm) names.add(keeper.vm);
+        }
+        return [...names];
+      },
+      mayKeep: () => membership.mandateValid(),
+    };
+  }
+
+  #tick(): void {
+    this.node.tick();
     const { vm, timer } = this.#parts;
-    this.#book.release(vm, askId, timer.nowMs());
-  }
-
-  adoptSelf(target: string, askIds: readonly number[]): void {
-    const { vm, timer } = this.#parts;
-    this.#book.adopt(vm, target, askIds, timer.nowMs());
-  }
-
-  noteReports(keeper: string, reports: readonly EncodedReport[]): void {
-    const nowMs = this.#parts.timer.nowMs();
-    for (const report of reports) {
-      this.#book.notePoolReport(keeper, decodeReport(report), nowMs);
-    }
-  }
-
-  reports(): EncodedReport[] {
-    return this.#reports.own(this.#poolNames(), this.#parts.timer.nowMs())
-      .map(encodeReport);
-  }
-
-  #poolNames(): Iterable<string> {
-    return this.#parts.blackboard.config.read().objects.pools.keys();
-  }
-
-  #answerPermits(vm: string, params: PermitParams): PermitResult {
-    const [asks, returnedAskIds, reports] = params;
-    const nowMs = this.#parts.timer.nowMs();
-    this.noteReports(vm, reports);
-    for (const askId of returnedAskIds) this.#book.release(vm, askId, nowMs);
-    const answers = asks.map((ask) =>
-      encodeAnswer(this.#answer(vm, decodeAsk(ask), nowMs))
-    );
-    return [answers, asks.length > 0 ? this.reports() : []];
-  }
-
-  #answer(holder: string, ask: PermitAsk, nowMs: number): PermitAnswer {
-    const mayKeep = this.#wasMandated &&
-      this.#parts.membership.mandateValid();
-    if (mayKeep) return this.#book.answer(holder, ask, nowMs);
-    return { kind: "refused", askId: ask.askId, reason: "not-ready" };
+    this.#showLoads(vm, this.node.ownReports(timer.nowMs()));
   }
 
-  /** Works out what this daemon keeps, and takes over what is new. */
+  /** Works out what this daemon keeps; what is new is taken over. */
   #assign(): void {
     const { blackboard, vm } = this.#parts;
-    const targets = [...blackboard.targets.read().values()];
-    this.#setPools(targets);
-    const kept = new Set<string>();
-    for (const [target, keeper] of blackboard.keepers.read()) {
-      if (keeper.vm === vm) kept.add(target);
-    }
-    for (const target of this.#book.keptTargets()) {
-      if (!kept.has(target)) this.#book.stopKeeping(target);
-    }
-    for (const target of targets) {
-      if (!kept.has(target.name)) continue;
-      if (!this.#book.keeperOf(target.name)) this.#takeOver(target);
-      const isLeaving = target.state !== "live";
-      this.#book.keeperOf(target.name)?.noteLeaving(isLeaving);
+    const targets = blackboard.targets.read();
+    this.#setPools([...targets.values()]);
+    const kept: KeptTargetView[] = [];
+    for (const [name, keeper] of blackboard.keepers.read()) {
+      const target = targets.get(name);
+      if (keeper.vm !== vm || !target) continue;
+      const { pool, state } = target;
+      kept.push({ name, pool, isNew: false, isLeaving: state !== "live" });
     }
+    this.node.setKept(kept);
   }
 
   #setPools(targets: readonly TargetView[]): void {
@@ -217,122 +160,43 @@
       serving.set(target.pool, (serving.get(target.pool) ?? 0) + 1);
     }
     const { pools } = this.#parts.blackboard.config.read().objects;
-    for (const pool of pools.values()) {
-      this.#book.setPool({
-        name: pool.name,
-        loadFactor: pool.loadFactor,
-        maxConcurrentPerTarget: pool.maxConcurrentPerTarget,
-        servingTargets: serving.get(pool.name) ?? 0,
-      });
-    }
-  }
-
-  #takeOver(target: TargetView): void {
-    const nowMs = this.#parts.timer.nowMs();
-    const holders = this.#holderVms();
-    const request = this.#book.beginKeeping(
-      target.name,
-      target.pool,
-      holders,
-      nowMs,
-    );
-    this.#collect(request, holders);
+    this.node.setPools([...pools.values()].map((pool) => ({
+      name: pool.name,
+      loadFactor: pool.loadFactor,
+      maxConcurrentPerTarget: pool.maxConcurrentPerTarget,
+      servingTargets: serving.get(pool.name) ?? 0,
+    })));
   }
 
-  /**
-   * Another daemon collects the permits of a target. It is its keeper then,
-   * unless this daemon is by its own view, which takes over anew.
-   */
-  #noteRival(request: CollectRequest): void {
-    const { vm } = this.#parts;
-    if (request.epoch.keeper === vm) return;
-    this.#book.noteCollectRequest(request);
-    if (this.keeperOf(request.target) !== vm) return;
-    // Two daemons that disagree for long must not answer each other at once.
-    if (this.#retakes.has(request.target)) return;
-    const retakeAtMs = this.#parts.timer.nowMs() + RIVAL_WAIT_MS;
-    this.#retakes.set(request.target, retakeAtMs);
-  }
-
-  #retakeDue(nowMs: number): void {
-    const targets = this.#parts.blackboard.targets.read();
-    for (const [name, retakeAtMs] of this.#retakes) {
-      if (nowMs < retakeAtMs) continue;
-      this.#retakes.delete(name);
-      const target = targets.get(name);
-      const isKept = this.#book.keeperOf(name) !== undefined;
-      if (target && isKept) this.#takeOver(target);
+  /** Takes the targets' own counts into account. */
+  #noteLoads(): void {
+    for (const report of this.#parts.blackboard.loadReports.read().values()) {
+      this.node.noteTargetReport(report.target, {
+        loadRequests: report.runningRequests + report.waitingRequests,
+        measuredAtMs: report.receivedAtMs - MAX_REPORT_LAG_MS,
+      });
     }
   }
 
-  /** Daemons that may hold permits, those that are leaving included. */
-  #holderVms(): string[] {
-    const members = this.#parts.membership.members();
-    return members.filter((member) =>
-      member.isReachable && member.state !== "dead"
-    ).map((member) => member.vm);
-  }
-
-  #collect(request: CollectRequest, holders: readonly string[]): void {
-    for (const vm of holders) void this.#collectFrom(vm, request);
-  }
-
-  async #collectFrom(vm: string, request: CollectRequest): Promise<void> {
-    const { peers, holder, timer } = this.#parts;
-    const wire = vm === this.#parts.vm
-      ? encodeCollectAnswer(holder.answerCollect(request))
-      : (await peers.call(
-        vm,
-        COLLECT_METHOD,
-        [request.target, request.epoch.number],
-        collectAnswerSchema,
-        { timeoutMs: COLLECT_TIMEOUT_MS },
-      )).unwrapOr(undefined);
-    if (!wire) return;
-    const answer = decodeCollectAnswer(wire, request);
-    const holders = this.#holderVms();
-    const next = this.#book.noteCollectAnswer(
-      vm,
-      answer,
-      holders,
-      timer.nowMs(),
-    );
-    if (next) this.#collect(next, holders);
-  }
-
-  /** Ends take-overs, notices pauses, and exchanges loads. */
-  #advance(): void {
-    const { timer, membership } = this.#parts;
-    const nowMs = timer.nowMs();
-    const wasAwake = this.#book.noteAlive(nowMs);
-    const isMandated = membership.mandateValid();
-    if (isMandated && (!wasAwake || !this.#wasMandated)) this.#retakeAll();
-    this.#wasMandated = isMandated;
-    if (isMandated) this.#retakeDue(nowMs);
-    this.#book.advance(nowMs);
-    this.#reports.exchange(this.#poolNames(), nowMs);
-  }
-
-  #retakeAll(): void {
-    const targets = this.#parts.blackboard.targets.read();
-    for (const name of this.#book.keptTargets()) {
-      const target = targets.get(name);
-      if (target) this.#takeOver(target);
+  /** A report lists loads in order of names; it may be of another view. */
+  #showLoads(vm: string, reports: readonly PoolLoadReport[]): void {
+    if (reports.length === 0) return;
+    const loads = new Map(this.#parts.blackboard.targetLoads.read());
+    for (const { pool, loadsRequests } of reports) {
+      const names = this.#keptBy(vm, pool);
+      if (names.length !== loadsRequests.length) continue;
+      names.forEach((name, index) => loads.set(name, loadsRequests[index]!));
     }
+    this.#loads.write(loads);
   }
 
-  /** Takes the targets' own counts as a floor of their load. */
-  #noteLoads(): void {
-    const { blackboard, timer } = this.#parts;
-    const nowMs = timer.nowMs();
-    for (const report of blackboard.loadReports.read().values()) {
-      const loadRequests = report.runningRequests + report.waitingRequests;
-      const measuredAtMs = report.receivedAtMs - MAX_REPORT_LAG_MS;
-      const ownCount = { loadRequests, measuredAtMs };
-      this.#book.noteTargetReport(report.target, ownCount, nowMs);
+  #keptBy(vm: string, pool: string): string[] {
+    const { targets, keepers } = this.#parts.blackboard;
+    const names: string[] = [];
+    for (const [name, keeper] of keepers.read()) {
+      const isOfPool = targets.read().get(name)?.pool === pool;
+      if (keeper.vm === vm && isOfPool) names.push(name);
     }
+    return names.sort();
   }
 }
-
-/** Time to start that every keeper gives with a permit, in ms. */
-export const START_WITHIN_MS = DEFAULT_KEEPER_BOOK_OPTIONS.startWithinMs;
--- a/packages/daemon/src/keepers/keeper_membership.ts
+++ b/packages/daemon/src/keepers/keeper_membership.ts
@@ -1,4 +1,4 @@
-import type { AttachedValue, Member } from "@coltsfootford/core";
+import type { Member } from "@coltsfootford/core";
 
 /** What the keepers need of the membership. */
 export interface KeeperMembership {
@@ -7,10 +7,4 @@
 
   /** Every daemon that is known, this one included. */
   members(): readonly Member[];
-
-  /** Attaches a small value to this daemon, for all others to read. */
-  attach(key: string, value: AttachedValue): void;
-
-  /** The value that a daemon attached under `key`. */
-  attached(vm: string, key: string): AttachedValue | undefined;
 }
--- a/packages/daemon/src/keepers/keeper_permit_gate.ts
+++ b/packages/daemon/src/keepers/keeper_permit_gate.ts
@@ -1,7 +1,7 @@
-import type {
-  PermitAnswer,
-  PermitHolder,
-  TimerService,
+import {
+  type AskOutcome,
+  homeWaitMs,
+  type PermitNode,
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import type { TargetView } from "../blackboard/index.ts";
@@ -11,69 +11,51 @@
   type PermitRefusal,
   type RequestContext,
 } from "../entry/index.ts";
-import type { PermitExchange } from "./permit_exchange.ts";
 
-/** What a `KeeperPermitGate` is built from. */
-export interface KeeperPermitGateParts {
-  readonly timer: TimerService;
-  readonly holder: PermitHolder;
-  readonly exchange: PermitExchange;
-  readonly keeperOf: (target: string) => string | undefined;
-}
+/** Characters of a prompt for one token, about. */
+const CHARACTERS_PER_TOKEN = 4;
 
 /** Asks the keeper of a target for every request. */
 export class KeeperPermitGate extends PermitGate {
-  readonly #parts: KeeperPermitGateParts;
+  readonly #node: PermitNode;
 
-  constructor(parts: KeeperPermitGateParts) {
+  constructor(node: PermitNode) {
     super();
-    this.#parts = parts;
+    this.#node = node;
   }
 
-  override async acquire(
+  override acquire(
     target: TargetView,
     context: RequestContext,
+    isHome: boolean,
   ): Promise<Result<Permit, PermitRefusal>> {
-    const { timer, holder, exchange, keeperOf } = this.#parts;
-    const keeper = keeperOf(target.name);
-    if (keeper === undefined) return err({ reason: "keeper-unreachable" });
-    const askId = holder.createAsk(target.name, keeper, timer.nowMs());
-    const ask = { askId, target: target.name, ...context.askedChat };
-    const answer = await exchange.ask(keeper, ask);
-    if (answer) return this.#take(target, answer);
-    // The keeper may have granted all the same, so the permit is handed back.
-    this.#end(askId);
-    return err({ reason: "keeper-unreachable" });
-  }
-
-  #take(
-    target: TargetView,
-    answer: PermitAnswer,
-  ): Result<Permit, PermitRefusal> {
-    const { timer, holder, exchange } = this.#parts;
-    const { askId } = answer;
-    if (answer.kind === "refused") {
-      holder.noteRefusal(askId);
-      return err({
-        reason: answer.reason === "leaving" ? "target-leaving" : "at-bound",
+    const waitMs = isHome ? waitForHomeMs(context) : 0;
+    return new Promise((resolve) => {
+      const parts = waitMs > 0 ? { waitMs } : {};
+      this.#node.ask(target.name, parts, (outcome) => {
+        resolve(toResult(target.name, outcome));
       });
-    }
-    const verdict = holder.noteGrant(answer, timer.nowMs());
-    exchange.sendReturns();
-    if (verdict !== "usable") return err({ reason: "keeper-unreachable" });
-    return ok({
-      target: target.name,
-      start: () => {
-        const mayStart = holder.start(askId, timer.nowMs());
-        if (!mayStart) exchange.sendReturns();
-        return mayStart;
-      },
-      release: () => this.#end(askId),
     });
   }
+}
+
+/** Only a returning chat has a prefix that is worth a wait. */
+function waitForHomeMs(context: RequestContext): number {
+  if (!context.askedChat.chat?.isReturning) return 0;
+  const prefixTokens = context.body.length / CHARACTERS_PER_TOKEN;
+  return homeWaitMs(context.route.reuseWeight, prefixTokens);
+}
 
-  #end(askId: number): void {
-    this.#parts.holder.end(askId);
-    this.#parts.exchange.sendReturns();
+function toResult(
+  target: string,
+  outcome: AskOutcome,
+): Result<Permit, PermitRefusal> {
+  if (typeof outcome === "object") {
+    return ok({ target, start: outcome.start, release: outcome.end });
+  }
+  if (outcome === "leaving") return err({ reason: "target-leaving" });
+  if (outcome === "timeout" || outcome === "no-keeper") {
+    return err({ reason: "keeper-unreachable" });
   }
+  return err({ reason: "at-bound" });
 }
