--- a/packages/core/src/config/check_objects.ts
+++ b/packages/core/src/config/check_objects.ts
@@ -46,17 +46,19 @@
   return faults.length > 0 ? err(faults) : ok(set);
 }
 
-/** Checks objects together that fit their schemas already. */
-export function checkParsedObjects(
-  objects: readonly FleetObject[],
-): Result<ObjectSet, readonly ConfigFault[]> {
+/**
+ * Checks what requests rely on in a published set: that pools and routes lead
+ * somewhere. The publisher has checked the rest; to repeat it over thousands of
+ * teams would hold up requests.
+ */
+export function checkPublishedSet(set: ObjectSet): ConfigFault[] {
+  const objects = [...set.pools.values(), ...set.routes.values()];
   const placed = objects.map((object) => ({
     source: { file: objectKey(object), path: [], value: object },
     object,
   }));
-  const set = createObjectSet(objects);
-  const faults = checkSet({ set, placed, brokenKeys: new Set() });
-  return faults.length > 0 ? err(faults) : ok(set);
+  const input = { set, placed, brokenKeys: new Set<string>() };
+  return [...checkReferences(input), ...checkFallbackCycles(input)];
 }
 
 function checkSet(input: CheckInput): ConfigFault[] {
--- a/packages/core/src/config/config_follower.ts
+++ b/packages/core/src/config/config_follower.ts
@@ -1,17 +1,23 @@
-import type { ObjectSet } from "../objects/index.ts";
-import { checkParsedObjects } from "./check_objects.ts";
+import {
+  createObjectSet,
+  type FleetObject,
+  type ObjectSet,
+} from "../objects/index.ts";
+import { checkPublishedSet } from "./check_objects.ts";
 import { formatConfigFault } from "./config_fault.ts";
 import { type ConfigHead, parseConfigHead } from "./config_head.ts";
 import { buildConfigTree } from "./config_tree.ts";
-import { diffObjects, type ObjectChange } from "./diff_objects.ts";
-import { countGroups } from "./layout.ts";
-import { listObjects } from "./object_key.ts";
+import { diffObjectLists, type ObjectChange } from "./diff_objects.ts";
 import {
-  type PartContents,
-  type PartDigests,
-  readPart,
-  type Sha256Hex,
-} from "./part_contents.ts";
+  type CollectedParts,
+  collectParts,
+  findMisplacedObject,
+  type Leaf,
+  selectChangedLeaves,
+  type StoredPart,
+} from "./leaves.ts";
+import { listObjects } from "./object_key.ts";
+import { readPart, type Sha256Hex } from "./part_contents.ts";
 
 /** Where a head or a part came from. */
 export type ConfigSource =
@@ -57,10 +63,9 @@
     readonly message: string;
   };
 
-interface StoredPart {
-  readonly text: string;
-  readonly contents: PartContents;
-}
+const NO_LEAVES: ReadonlyMap<string, Leaf> = new Map();
+/** Faults of a published set that are told in full. */
+const MAX_TOLD_FAULTS = 3;
 
 interface Candidate {
   readonly head: ConfigHead;
@@ -80,6 +85,8 @@
   /** Nonce of the last set that failed its checks, so as not to fetch it again. */
   #invalidNonce: string | undefined;
   #parts = new Map<string, StoredPart>();
+  /** The leaves of the set in force by name. */
+  #leaves = NO_LEAVES;
 
   constructor(sha256Hex: Sha256Hex) {
     this.#sha256Hex = sha256Hex;
@@ -99,7 +106,7 @@
   get wantedParts(): WantedParts | undefined {
     const candidate = this.#candidate;
     if (!candidate) return undefined;
-    const digests = this.#collectParts(candidate.head).missing;
+    const digests = collectParts(candidate.head, this.#parts).missing;
     return { source: candidate.source, digests };
   }
 
@@ -186,7 +193,7 @@
   #reuseAppliedObjects(head: ConfigHead): void {
     const applied = this.#applied;
     if (!applied) return;
-    if (applied.head.layout.leafCount === head.layout.leafCount) return;
+    if (this.#isSameLayout(head)) return;
     const objects = listObjects(applied.set);
     const tree = buildConfigTree(objects, head.layout, this.#sha256Hex);
     for (const [digest, text] of tree.texts) {
@@ -199,67 +206,64 @@
   #advance(): FollowerAction[] {
     const candidate = this.#candidate;
     if (!candidate) return [];
-    const used = this.#collectParts(candidate.head);
-    if (used.missing.length > 0) {
+    const collected = collectParts(candidate.head, this.#parts);
+    if (collected.missing.length > 0) {
       const { source } = candidate;
-      return [{ kind: "fetch-parts", source, digests: used.missing }];
+      return [{ kind: "fetch-parts", source, digests: collected.missing }];
     }
-    return this.#apply(candidate, used.held);
+    return this.#apply(candidate, collected);
   }
 
-  #collectParts(head: ConfigHead): {
-    readonly missing: readonly string[];
-    readonly held: ReadonlyMap<string, StoredPart>;
-  } {
-    const missing: string[] = [];
-    const held = new Map<string, StoredPart>();
-    const visit = (digests: PartDigests) => {
-      for (const digest of Object.values(digests)) {
-        const part = this.#parts.get(digest);
-        if (!part) {
-          missing.push(digest);
-          continue;
-        }
-        held.set(digest, part);
-        // Only the root lists indexes; an index below one would be malformed.
-        const isRoot = digests === head.parts && countGroups(head.layout) > 0;
-        if (isRoot && part.contents.kind === "index") {
-          visit(part.contents.parts);
-        }
-      }
-    };
-    visit(head.parts);
-    return { missing, held };
-  }
-
-  #apply(
-    candidate: Candidate,
-    held: ReadonlyMap<string, StoredPart>,
-  ): FollowerAction[] {
+  #apply(candidate: Candidate, collected: CollectedParts): FollowerAction[] {
     const { head, source } = candidate;
-    const objects = [...held.values()].flatMap(({ contents }) =>
-      contents.kind === "leaf" ? contents.objects : []
-    );
-    const checked = checkParsedObjects(objects);
-    if (checked.isErr()) {
+    const { leaves, held } = collected;
+    const before = this.#isSameLayout(head) ? this.#leaves : NO_LEAVES;
+    const changed = selectChangedLeaves(before, leaves);
+    const set = createObjectSet(listLeafObjects(leaves));
+    const fault = findFault(set, changed, head);
+    if (fault !== undefined) {
       this.#dropCandidate();
-      const faults = checked.error.slice(0, 3).map(formatConfigFault);
-      return [refuse("invalid-set", source, head.revision, faults.join("; "))];
+      return [refuse("invalid-set", source, head.revision, fault)];
     }
-    const set = checked.value;
-    const changes = diffObjects(this.#applied?.set, set);
+    const replaced = selectChangedLeaves(leaves, this.#leaves);
+    const changes = diffObjectLists(
+      listLeafObjects(replaced),
+      listLeafObjects(selectChangedLeaves(this.#leaves, leaves)),
+    );
     this.#applied = { head, set };
     this.#candidate = undefined;
+    this.#leaves = leaves;
     this.#parts = new Map(held);
     return [{ kind: "apply", config: this.#applied, changes }];
   }
 
+  #isSameLayout(head: ConfigHead): boolean {
+    return this.#applied?.head.layout.leafCount === head.layout.leafCount;
+  }
+
   #dropCandidate(): void {
     this.#invalidNonce = this.#candidate?.head.nonce;
     this.#candidate = undefined;
   }
 }
 
+function listLeafObjects(leaves: ReadonlyMap<string, Leaf>): FleetObject[] {
+  return [...leaves.values()].flatMap((leaf) => leaf.objects);
+}
+
+/** What is wrong with a set, of which only some leaves are new. */
+function findFault(
+  set: ObjectSet,
+  changed: ReadonlyMap<string, Leaf>,
+  head: ConfigHead,
+): string | undefined {
+  const misplaced = findMisplacedObject(changed, head.layout);
+  if (misplaced) return `${misplaced} is not in its leaf; publish again`;
+  const faults = checkPublishedSet(set);
+  if (faults.length === 0) return undefined;
+  return faults.slice(0, MAX_TOLD_FAULTS).map(formatConfigFault).join("; ");
+}
+
 function refuse(
   reason: ConfigRefusalReason,
   source: ConfigSource,
--- a/packages/core/src/config/config_follower_test.ts
+++ b/packages/core/src/config/config_follower_test.ts
@@ -157,6 +157,30 @@
     expect(follower.applied?.head.revision).toBe(1);
   });
 
+  it("refuses an object that stands in a leaf of another", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    const layout = { leafCount: 16 };
+    const { head, tree } = publish(1, teams(100), "a", layout);
+    const parts = { ...head.parts, "0": head.parts["1"]! };
+    const { actions } = adopt(follower, { head: { ...head, parts }, tree });
+    expect(actions).toMatchObject([{ reason: "invalid-set" }]);
+  });
+
+  it("lists what was added, changed and removed", () => {
+    const follower = new ConfigFollower(sha256Hex);
+    const layout = { leafCount: 16 };
+    adopt(follower, publish(1, teams(100), "a", layout));
+    const after = [...teams(99).slice(1), team("team-0", 3), team("fresh")];
+    const { actions } = adopt(follower, publish(2, after, "b", layout));
+    expect(actions).toMatchObject([{
+      changes: [
+        { key: "team/fresh", change: "added" },
+        { key: "team/team-0", change: "changed" },
+        { key: "team/team-99", change: "removed" },
+      ],
+    }]);
+  });
+
   it("refuses a head and a part of unknown shape", () => {
     const follower = new ConfigFollower(sha256Hex);
     expect(follower.offerHead({ revision: "x" }, PLATFORM)).toMatchObject([
--- a/packages/core/src/config/config_tree.ts
+++ b/packages/core/src/config/config_tree.ts
@@ -1,6 +1,6 @@
-import { hash32 } from "../hash/index.ts";
 import type { FleetObject } from "../objects/index.ts";
 import { countGroups, type Layout } from "./layout.ts";
+import { findLeaf } from "./leaves.ts";
 import { objectKey, sortByKey } from "./object_key.ts";
 import {
   type PartDigests,
@@ -67,7 +67,7 @@
 ): Map<number, FleetObject[]> {
   const leaves = new Map<number, FleetObject[]>();
   for (const object of sortByKey(objects)) {
-    const leaf = hash32(objectKey(object)) % layout.leafCount;
+    const leaf = findLeaf(objectKey(object), layout);
     const members = leaves.get(leaf) ?? [];
     members.push(object);
     leaves.set(leaf, members);
--- a/packages/core/src/config/diff_objects.ts
+++ b/packages/core/src/config/diff_objects.ts
@@ -19,8 +19,16 @@
   before: ObjectSet | undefined,
   after: ObjectSet,
 ): ObjectChange[] {
-  const old = indexObjects(before ? listObjects(before) : []);
-  const fresh = indexObjects(listObjects(after));
+  return diffObjectLists(before ? listObjects(before) : [], listObjects(after));
+}
+
+/** Lists the differences between lists of objects in order of the keys. */
+export function diffObjectLists(
+  before: readonly FleetObject[],
+  after: readonly FleetObject[],
+): ObjectChange[] {
+  const old = indexObjects(before);
+  const fresh = indexObjects(after);
   const keys = [...new Set([...old.keys(), ...fresh.keys()])].sort();
   return keys.flatMap((key) => {
     const change = diffObject(key, old.get(key), fresh.get(key));
