--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
-import type { StepError } from "@coltsfootford/core";
+import { randomUUID } from "node:crypto";
+import { PermitHolder, type StepError } from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -6,23 +7,42 @@
 } from "@coltsfootford/platform";
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
-import { createBlackboard, type LifecyclePhase } from "./blackboard/index.ts";
+import { createBlackboard } from "./blackboard/index.ts";
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
-import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
-import { closePort, listen, type OpenPort } from "./http/index.ts";
+import { createEntryApp, EntryServer } from "./entry/index.ts";
+import { createGuards } from "./guards.ts";
+import {
+  KeeperController,
+  KeeperPermitGate,
+  PermitExchange,
+  START_WITHIN_MS,
+} from "./keepers/index.ts";
+import { listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
+import {
+  MembershipController,
+  TargetHealthController,
+} from "./membership/index.ts";
 import { Metrics } from "./metrics/index.ts";
+import { PlacementController } from "./placement/index.ts";
 import { PeerAddressController, Peers } from "./peers/index.ts";
 import type { Settings } from "./settings/index.ts";
+import { ConnectionDrain, GracefulShutdown } from "./shutdown/index.ts";
 import { TargetClient } from "./targets/index.ts";
 import { VmListController } from "./vm_list/index.ts";
 
 /** A running daemon. */
 export interface Daemon {
-  readonly ports: { readonly callers: number; readonly admin: number };
+  readonly ports: {
+    readonly callers: number;
+    readonly admin: number;
+    readonly peers: number;
+  };
   /** Ends gracefully; resolves with the number of requests that were cut. */
   stop(): Promise<number>;
+  /** Logs the requests that an end at this moment cuts, and counts them. */
+  reportCut(): number;
 }
 
 /** Starts every part of a daemon; the caller's port opens last. */
@@ -48,6 +68,15 @@
     timer,
     keys: settings.peerKeys,
   });
+  const membership = new MembershipController({
+    vm: settings.vm,
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    peers,
+    seeds: settings.peers,
+    timer,
+    logger,
+  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -63,6 +92,13 @@
       seeds: settings.peers,
       listen: settings.peerListen,
     }),
+    membership,
+    new TargetHealthController({
+      vm: settings.vm,
+      blackboard,
+      membership,
+      timer,
+    }),
     new ConfigController({
       vm: settings.vm,
       blackboard,
@@ -79,11 +115,50 @@
       random: Math.random,
     }),
   ];
+  const { guards, controllers: guardControllers } = createGuards({
+    ...settings,
+    incarnation: randomUUID(),
+    blackboard,
+    timer,
+    keyValue,
+    peers,
+    logger,
+    metrics,
+  });
+  controllers.push(...guardControllers);
+  const holder = new PermitHolder();
+  const keepers = new KeeperController({
+    vm: settings.vm,
+    blackboard,
+    membership,
+    peers,
+    timer,
+    holder,
+  });
+  controllers.push(keepers);
+  const keeperOf = (target: string) => keepers.keeperOf(target);
+  const exchange = new PermitExchange({
+    vm: settings.vm,
+    timer,
+    peers,
+    holder,
+    localKeeper: keepers,
+    startWithinMs: START_WITHIN_MS,
+    keeperOf,
+  });
+  const placement = new PlacementController({
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    timer,
+  });
+  controllers.push(placement);
   const entry = new EntryServer(settings.vm, {
+    guards,
     blackboard,
     timer,
     targetClient,
-    permitGate: new LocalPermitGate(),
+    placement,
+    permitGate: new KeeperPermitGate({ timer, holder, exchange, keeperOf }),
     logger,
     metrics,
   });
@@ -105,36 +180,36 @@
   );
   if (callers.isErr()) return err(callers.error);
   lifecycle.write("serving");
-  const ports = { callers: callers.value.port, admin: admin.value.port };
+  const ports = {
+    callers: callers.value.port,
+    admin: admin.value.port,
+    peers: peers.port,
+  };
   logger.event("daemonReady", { ports });
 
+  const shutdown = new GracefulShutdown({
+    lifecycle,
+    timer,
+    logger,
+    running: entry.running,
+    drain: new ConnectionDrain(callers.value.server, timer),
+    readinessGraceMs: settings.readinessGraceMs,
+    limitMs: settings.shutdownLimitMs,
+    handOverSteps: [],
+  });
   const stop = async (): Promise<number> => {
-    const write = (phase: LifecyclePhase) => lifecycle.write(phase);
-    write("draining");
-    logger.event("daemonStopping", { running: entry.running.count });
-    await wait(timer, settings.readinessGraceMs);
-    const limit = wait(timer, settings.shutdownLimitMs);
-    const closed = closePort(callers.value);
-    await Promise.race([entry.running.waitUntilIdle(), limit]);
-    const cut = entry.running.list();
-    if (cut.length > 0) logger.event("requestsCut", { cut });
-    else await Promise.race([closed, limit]);
-    for (const controller of controllers) await controller.stop();
+    const cut = await shutdown.run();
+    // The connections between daemons were opened first and end last.
+    for (const controller of controllers.reverse()) await controller.stop();
     entry.close();
     await targetClient.close();
     await keyValue.close();
     closeNow(admin.value);
-    write("stopped");
-    logger.event("daemonStopped", { cut: cut.length });
-    return cut.length;
+    lifecycle.write("stopped");
+    logger.event("daemonStopped", { cut });
+    return cut;
   };
-  return ok({ ports, stop });
-}
-
-function wait(timer: SystemTimerService, durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    timer.after(durationMs, resolve);
-  });
+  return ok({ ports, stop, reportCut: () => shutdown.reportCut() });
 }
 
 function closeNow(open: OpenPort): void {
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { RecordedAnswer } from "@coltsfootford/core";
 import type { Readable } from "node:stream";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { Dispatcher } from "undici";
@@ -62,6 +63,14 @@
     return this.#relayEvents(response);
   }
 
+  override relayedAnswer(): undefined {
+    return undefined;
+  }
+
+  override replay(answer: RecordedAnswer): void {
+    new WholeRelay(this.#outgoing).replay(answer);
+  }
+
   /** An error of the target is passed on whole, unless a part was streamed. */
   #relayError(
     response: Dispatcher.ResponseData,
