--- a/packages/cli/src/publishing/publish_run.ts
+++ b/packages/cli/src/publishing/publish_run.ts
@@ -71,10 +71,11 @@
     const published = await readPublishedSet(this.#client);
     if (published.isErr()) return err(published.error);
     const current = published.value;
-    const base = await this.#findBase(baseFile.value, current);
-    if (base.isErr()) return err(base.error);
+    // A restored platform would else look like another operator's publication.
     const revision = await this.#chooseRevision(current);
     if (revision.isErr()) return err(revision.error);
+    const base = await this.#findBase(baseFile.value, current);
+    if (base.isErr()) return err(base.error);
     if (current && this.#isUnchanged(current, set.value)) {
       return await this.#finishUnchanged(current);
     }
