--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -231,6 +231,10 @@
   reportTarget(name: string, run: string, condition: Health): void {
     const known = this.#table.targets.get(name);
     if (known?.run === run && known.condition === condition) return;
+    // A target that was told to leave stays so until it starts anew.
+    const isLeavingRun = known?.run === run &&
+      known.condition === TARGET_CONDITION.leaving;
+    if (isLeavingRun) return;
     if (!known && condition === TARGET_CONDITION.live) return;
     this.#apply(["t", name, run, condition, (known?.stamp ?? 0) + 1], this.#vm);
   }
--- a/packages/daemon/src/admin/admin_app.ts
+++ b/packages/daemon/src/admin/admin_app.ts
@@ -1,7 +1,10 @@
+import { formatStepError } from "@coltsfootford/core";
 import { Hono } from "hono";
+import { z } from "zod";
 import type { Blackboard } from "../blackboard/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { RunningRequests } from "../entry/index.ts";
+import type { TargetHealthController } from "../membership/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 
 /** What the operators' port shows. */
@@ -12,9 +15,14 @@
   readonly controllers: readonly Controller[];
   readonly running: RunningRequests;
   readonly metrics: Metrics;
+  readonly targetHealth: TargetHealthController;
 }
 
+const drainSchema = z.strictObject({ target: z.string().min(1) });
+
 const STATUS_READY = 200;
+const STATUS_BAD_REQUEST = 400;
+const STATUS_NOT_FOUND = 404;
 const STATUS_NOT_READY = 503;
 
 /** The app behind the operators' port. */
@@ -30,9 +38,30 @@
   app.get("/status", (context) => context.json(describeStatus(parts)));
   app.get("/dump", (context) => context.json(describeState(parts)));
   app.get("/metrics", (context) => context.text(parts.metrics.renderText()));
+  app.post("/drain", async (context) => {
+    const order = drainSchema.safeParse(await readJson(context.req.raw));
+    if (!order.success) {
+      const message = 'the body must be {"target": NAME}';
+      return context.json({ error: message }, STATUS_BAD_REQUEST);
+    }
+    const result = await parts.targetHealth.drain(order.data.target);
+    if (result.isOk()) return context.json({ target: order.data.target });
+    const isUnknown = result.error.kind === "unknown-target";
+    const status = isUnknown ? STATUS_NOT_FOUND : STATUS_NOT_READY;
+    return context.json({ error: formatStepError(result.error) }, status);
+  });
   return app;
 }
 
+/** Parses a body; undefined where it is not JSON. */
+async function readJson(request: Request): Promise<unknown> {
+  try {
+    return await request.json();
+  } catch {
+    return undefined;
+  }
+}
+
 function describeStatus(parts: AdminParts): unknown {
   const { blackboard } = parts;
   return {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -72,6 +72,12 @@
     timer,
     logger,
   });
+  const targetHealth = new TargetHealthController({
+    vm: settings.vm,
+    blackboard,
+    membership,
+    timer,
+  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -88,12 +94,7 @@
       listen: settings.peerListen,
     }),
     membership,
-    new TargetHealthController({
-      vm: settings.vm,
-      blackboard,
-      membership,
-      timer,
-    }),
+    targetHealth,
     new ConfigController({
       vm: settings.vm,
       blackboard,
@@ -152,6 +153,7 @@
     controllers,
     running: entry.running,
     metrics,
+    targetHealth,
   });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
--- a/packages/daemon/src/membership/target_health_controller.ts
+++ b/packages/daemon/src/membership/target_health_controller.ts
@@ -1,9 +1,12 @@
 import {
   type CancelTimer,
+  createStepError,
   hash32,
+  type StepError,
   TARGET_CONDITION,
   type TimerService,
 } from "@coltsfootford/core";
+import { err, ok, type Result } from "neverthrow";
 import type {
   Blackboard,
   CancelSubscription,
@@ -20,6 +23,11 @@
 const FAILED_POLLS_OF_DEAD = 3;
 const RUN_RADIX = 36;
 
+/** Why a target could not be drained. */
+export type DrainError = StepError<
+  "unknown-target" | "unreachable" | "invalid-answer"
+>;
+
 /** Parts of the daemon that the controller uses. */
 export interface TargetHealthControllerParts {
   readonly vm: string;
@@ -71,6 +79,24 @@
     };
   }
 
+  /**
+   * Takes a target out of use until it starts anew: every daemon is told that
+   * this run of it leaves.
+   */
+  async drain(name: string): Promise<Result<void, DrainError>> {
+    const { blackboard, membership } = this.#parts;
+    const target = blackboard.targets.read().get(name);
+    if (!target) {
+      const message = `target ${name} is not in the VM list; check the name`;
+      return err(createStepError("unknown-target", "target.drain", message));
+    }
+    const answer = await this.#client.read(target);
+    if (answer.isErr()) return err(answer.error);
+    const run = nameRun(answer.value);
+    membership.reportTarget(name, run, TARGET_CONDITION.leaving);
+    return ok(undefined);
+  }
+
   /** Starts and ends polls as the keepers change. */
   #assign(): void {
     const { vm, blackboard, timer } = this.#parts;
@@ -111,7 +137,7 @@
 
   #noteAnswer(target: TargetView, answer: LoadAnswer): void {
     const { membership, timer } = this.#parts;
-    const run = hash32(answer.incarnation).toString(RUN_RADIX);
+    const run = nameRun(answer);
     const condition = answer.leaving
       ? TARGET_CONDITION.leaving
       : TARGET_CONDITION.live;
@@ -135,3 +161,8 @@
     membership.reportTarget(target.name, run, TARGET_CONDITION.dead);
   }
 }
+
+/** A short name of the run of a target that gave this answer. */
+function nameRun(answer: LoadAnswer): string {
+  return hash32(answer.incarnation).toString(RUN_RADIX);
+}
