Drop the passing on of chats by warming targets; count what reports show of lost holders

Cause: while a joined target turned returning chats away, the others were full and spilled; and a zone that was cut off granted next to nothing for 8 s, because requests of lost holders did not count in the lower bound of its load. With the reports, the cut zone's limit follows its load.

--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -19,14 +19,6 @@
   return a.number === b.number && a.keeper === b.keeper;
 }
 
-/** The chat of an ask, for targets whose cache is still empty. */
-export interface AskedChat {
-  /** `hash32` of the chat's key. */
-  readonly hash: number;
-  /** False for the first turn of a chat. */
-  readonly isReturning: boolean;
-}
-
 /** A holder's question for one place at a target. */
 export interface PermitAsk {
   /** Number of the ask, unique in one run of the holder. */
@@ -34,8 +26,6 @@
   readonly target: string;
   /** Time that the ask may wait at the keeper while the target is full. */
   readonly waitMs?: number;
-  /** Given while the target has been serving for a short time only. */
-  readonly chat?: AskedChat;
 }
 
 /** Why a keeper gave no permit. */
@@ -47,9 +37,7 @@
   /** The daemon does not keep the target. */
   | "not-keeper"
   /** The target is leaving. */
-  | "leaving"
-  /** The target is warming up and the chat has its cache elsewhere. */
-  | "pass-on";
+  | "leaving";
 
 /** A keeper's answer to a `PermitAsk`. */
 export type PermitAnswer = PermitGrant | PermitRefusal;
--- a/packages/core/src/bound/permit_codec.ts
+++ b/packages/core/src/bound/permit_codec.ts
@@ -24,17 +24,14 @@
   z.int(),
 ]);
 const reportsSchema = z.union([absentSchema, z.array(reportSchema)]);
-/** Hash of the chat's key, and 1 if the chat returns. */
-const chatSchema = z.tuple([z.int(), z.union([absentSchema, z.literal(1)])]);
 
-/** `[askId, target, wait in ms, returns, reports, chat]`. */
+/** `[askId, target, wait in ms, returns, reports]`. */
 export const permitAskParamsSchema = z.tuple([
   z.int(),
   z.string(),
   z.int().nonnegative().optional(),
   returnsSchema.optional(),
   reportsSchema.optional(),
-  z.union([absentSchema, chatSchema]).optional(),
 ]);
 
 /** `[epoch number or minus the refusal, returns, reports]`. */
@@ -67,7 +64,6 @@
   "not-ready",
   "not-keeper",
   "leaving",
-  "pass-on",
 ];
 
 /** Params of a call that asks for a permit. */
@@ -75,28 +71,21 @@
   ask: PermitAsk,
   extras: PermitExtras,
 ): PermitAskParams {
-  const chat = ask.chat && [ask.chat.hash, ask.chat.isReturning ? 1 : 0];
+  const { askId, target, waitMs } = ask;
   return trimAbsent([
-    ask.askId,
-    ask.target,
-    ask.waitMs ?? 0,
+    askId,
+    target,
+    waitMs ?? 0,
     ...encodeExtras(extras),
-    chat ?? 0,
   ]) as PermitAskParams;
 }
 
 /** The reverse of `encodeAsk`. */
 export function decodeAsk(params: PermitAskParams): PermitAsk & PermitExtras {
-  const [askId, target, waitMs, returns, reports, chat] = params;
-  const ask = {
-    askId,
-    target,
-    ...(waitMs ? { waitMs } : {}),
-    ...decodeExtras(returns, reports),
-  };
-  if (!chat) return ask;
-  const [hash, returning] = chat;
-  return { ...ask, chat: { hash, isReturning: returning === 1 } };
+  const [askId, target, waitMs, returns, reports] = params;
+  const extras = decodeExtras(returns, reports);
+  if (!waitMs) return { askId, target, ...extras };
+  return { askId, target, waitMs, ...extras };
 }
 
 /** Result of a call that asks for a permit. */
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -70,9 +70,9 @@
     return this.#ledger.loadRequests(nowMs);
   }
 
-  /** Load that holders vouch for, for the lower bound of the pool's load. */
-  vouchedRequests(): number {
-    return this.isGranting ? this.#ledger.heldRequests : 0;
+  /** Load that is known to run, for the lower bound of the pool's load. */
+  vouchedRequests(nowMs: number): number {
+    return this.isGranting ? this.#ledger.runningRequests(nowMs) : 0;
   }
 
   /** Permits that ended a second, a moving average. */
@@ -144,7 +144,11 @@
 
   /** Takes the target's own count, the floor of a take-over with silence. */
   noteReport(report: TargetReport, nowMs: number): void {
+    const lostBefore = this.#ledger.lostRequests;
     this.#ledger.noteReport(report, nowMs);
+    for (let lost = this.#ledger.lostRequests; lost < lostBefore; lost++) {
+      this.#endRate.note(nowMs);
+    }
     this.advance(nowMs);
     const collection = this.#collection;
     if (!collection?.hasSilentHolder) return;
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -36,17 +36,36 @@
   #grantTimesMs: number[] = [];
   #releaseTimesMs: number[] = [];
   readonly #createdAtMs: number;
+  /** Requests of lost holders that the last report showed to be running. */
+  #lostRequests = 0;
 
   constructor(options: TargetLedgerOptions, createdAtMs: number) {
     this.#options = options;
     this.#createdAtMs = createdAtMs;
   }
 
+  /** Requests of lost holders by the last report. */
+  get lostRequests(): number {
+    return this.#lostRequests;
+  }
+
   /** Permits of holders that are there. */
   get heldRequests(): number {
     return this.#heldRequests;
   }
 
+  /**
+   * Requests that run at the target by all that is known: permits held, and
+   * what the last report showed beyond them.
+   */
+  runningRequests(nowMs: number): number {
+    const lostRequests = Math.min(
+      this.#lostRequests,
+      this.#countOrphans(nowMs),
+    );
+    return this.#heldRequests + lostRequests;
+  }
+
   /** Upper bound of the target's load at `nowMs`. */
   loadRequests(nowMs: number): number {
     const orphanRequests = this.#countOrphans(nowMs);
@@ -128,6 +147,10 @@
     const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
       this.#releaseTimesMs.length;
     this.addOrphans(report.loadRequests - explainedRequests, nowMs);
+    this.#lostRequests = Math.max(
+      0,
+      report.loadRequests - this.#heldRequests - this.#releaseTimesMs.length,
+    );
     this.#limitOrphans(report.loadRequests - this.#countRunning(measuredAtMs));
   }
 
@@ -165,6 +188,7 @@
     this.#forgetBefore(oldestMs);
     if (this.#report && this.#report.measuredAtMs < oldestMs) {
       this.#report = undefined;
+      this.#lostRequests = 0;
     }
   }
 
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -5,4 +5,3 @@
 export * from "./pool_view.ts";
 export * from "./rendezvous_policy.ts";
 export * from "./top_scores.ts";
-export * from "./warming_chats.ts";
