--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -63,8 +63,14 @@
     const all = this.#parts.placement.orderTargets(context);
     const ordered = question.isSuspect ? this.#keepIsolated(all) : all;
     const untried = ordered.filter((target) => !tried.has(target.name));
-    for (const target of untried.length > 0 ? untried : ordered) {
-      const permit = await this.#parts.permitGate.acquire(target, context);
+    const candidates = untried.length > 0 ? untried : ordered;
+    for (const [index, target] of candidates.entries()) {
+      const isHome = index === 0;
+      const permit = await this.#parts.permitGate.acquire(
+        target,
+        context,
+        isHome,
+      );
       if (permit.isOk()) return { target, permit: permit.value };
     }
     return undefined;
--- a/packages/daemon/src/keepers/wire.ts
+++ b/packages/daemon/src/keepers/wire.ts
@@ -10,19 +10,29 @@
 export const ADOPT_METHOD = "pa";
 /** Method by which a new keeper collects the permits of its predecessor. */
 export const COLLECT_METHOD = "pc";
+/** Method by which a holder tells a keeper of the epoch that replaced it. */
+export const NEWER_EPOCH_METHOD = "pe";
 
 const askIdsSchema = z.array(z.int());
+const epochNumberSchema = z.int().positive();
 
 /** Target, and the ask numbers of running requests. */
 export const adoptParamsSchema = z.tuple([z.string(), askIdsSchema]);
 
 /** Target and epoch number; the keeper is the sender. */
-export const collectParamsSchema = z.tuple([z.string(), z.int().positive()]);
+export const collectParamsSchema = z.tuple([z.string(), epochNumberSchema]);
+
+/** Target, epoch number and keeper. */
+export const newerEpochSchema = z.tuple([
+  z.string(),
+  epochNumberSchema,
+  z.string(),
+]);
 
 /** 1 and the running asks, or 0 and the newer epoch that was met. */
 export const collectAnswerSchema = z.union([
   z.tuple([z.literal(1), askIdsSchema]),
-  z.tuple([z.literal(0), z.int().positive(), z.string()]),
+  z.tuple([z.literal(0), epochNumberSchema, z.string()]),
 ]);
 
 /** A holder's answer to a collect request on the wire. */
