--- a/packages/daemon/src/keepers/keeper_controller.ts
+++ b/packages/daemon/src/keepers/keeper_controller.ts
@@ -17,6 +17,7 @@
 import { Controller } from "../controllers/index.ts";
 import type { Peers } from "../peers/index.ts";
 import type { KeeperMembership } from "./keeper_membership.ts";
+import { NewTargets } from "./new_targets.ts";
 import { PermitTransport } from "./permit_transport.ts";
 
 const TICK_MS = 50;
@@ -47,6 +48,7 @@
   readonly #parts: KeeperControllerParts;
   readonly #transport: PermitTransport;
   readonly #loads: FieldWriter<ReadonlyMap<string, number>>;
+  readonly #newTargets = new NewTargets();
   readonly #cancels: (CancelTimer | CancelSubscription)[] = [];
 
   constructor(parts: KeeperControllerParts) {
@@ -142,13 +144,16 @@
   #assign(): void {
     const { blackboard, vm } = this.#parts;
     const targets = blackboard.targets.read();
+    const nowMs = this.#parts.timer.nowMs();
+    this.#newTargets.note(targets, nowMs);
     this.#setPools([...targets.values()]);
     const kept: KeptTargetView[] = [];
     for (const [name, keeper] of blackboard.keepers.read()) {
       const target = targets.get(name);
       if (keeper.vm !== vm || !target) continue;
       const { pool, state } = target;
-      kept.push({ name, pool, isNew: false, isLeaving: state !== "live" });
+      const isNew = this.#newTargets.isNew(name, nowMs);
+      kept.push({ name, pool, isNew, isLeaving: state !== "live" });
     }
     this.node.setKept(kept);
   }
