--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -3,7 +3,9 @@
  * It is longer than an exchange within a zone and shorter than the time after
  * which a silent keeper is replaced.
  */
-export const DEFAULT_START_WITHIN_MS = 400;
+export const DEFAULT_START_WITHIN_MS = 1_000;
+/** Longest time that an ask may wait at the keeper for a place. */
+export const MAX_ASK_WAIT_MS = 500;
 
 /** One run of one keeper for one target. Higher numbers replace lower ones. */
 export interface KeeperEpoch {
@@ -22,8 +24,8 @@
   /** Number of the ask, unique in one run of the holder. */
   readonly askId: number;
   readonly target: string;
-  /** Hash of a returning chat's key; absent for the first turn of a chat. */
-  readonly returningChatHash?: number;
+  /** Time that the ask may wait at the keeper while the target is full. */
+  readonly waitMs?: number;
 }
 
 /** Why a keeper gave no permit. */
@@ -35,9 +37,7 @@
   /** The daemon does not keep the target. */
   | "not-keeper"
   /** The target is leaving. */
-  | "leaving"
-  /** The target is warming up and the chat has its cache elsewhere. */
-  | "pass-on";
+  | "leaving";
 
 /** A keeper's answer to a `PermitAsk`. */
 export type PermitAnswer = PermitGrant | PermitRefusal;
--- /dev/null
+++ b/packages/core/src/bound/permit_codec.ts
@@ -0,0 +1,167 @@
+import { z } from "zod";
+import type { PermitAnswer, PermitAsk, RefusalReason } from "./permit.ts";
+import type { PoolLoadReport } from "./pool_mean_estimate.ts";
+
+/**
+ * The permit messages between daemons as short arrays, because every request
+ * costs one exchange and a daemon has a few kilobytes a second for all of its
+ * control traffic. Parts that are absent are 0, or left out at the end. The
+ * holder of an ask and the keeper of a grant are known by the connection.
+ */
+
+/** Method of a call that asks for one permit. */
+export const PERMIT_ASK_METHOD = "p";
+/** Method of a notification that hands permits back or reports loads. */
+export const PERMIT_RETURN_METHOD = "r";
+
+const absentSchema = z.literal(0);
+const returnsSchema = z.union([absentSchema, z.array(z.int())]);
+/** Pool, load of each kept target, ends a second, time in ms. */
+const reportSchema = z.tuple([
+  z.string(),
+  z.array(z.int()),
+  z.number(),
+  z.int(),
+]);
+const reportsSchema = z.union([absentSchema, z.array(reportSchema)]);
+
+/** `[askId, target, wait in ms, returns, reports]`. */
+export const permitAskParamsSchema = z.tuple([
+  z.int(),
+  z.string(),
+  z.int().nonnegative().optional(),
+  returnsSchema.optional(),
+  reportsSchema.optional(),
+]);
+
+/** `[epoch number or minus the refusal, returns, reports]`. */
+export const permitAskResultSchema = z.tuple([
+  z.int(),
+  returnsSchema.optional(),
+  reportsSchema.optional(),
+]);
+
+/** `[returns, reports]`. */
+export const permitReturnParamsSchema = z.tuple([
+  returnsSchema.optional(),
+  reportsSchema.optional(),
+]);
+
+export type PermitAskParams = z.infer<typeof permitAskParamsSchema>;
+export type PermitAskResult = z.infer<typeof permitAskResultSchema>;
+export type PermitReturnParams = z.infer<typeof permitReturnParamsSchema>;
+type EncodedReport = z.infer<typeof reportSchema>;
+
+/** What every permit message may carry beside its own content. */
+export interface PermitExtras {
+  /** Ids of asks whose permits are handed back. */
+  readonly returns: readonly number[];
+  readonly reports: readonly PoolLoadReport[];
+}
+
+const REFUSAL_REASONS: readonly RefusalReason[] = [
+  "at-limit",
+  "not-ready",
+  "not-keeper",
+  "leaving",
+];
+
+/** Params of a call that asks for a permit. */
+export function encodeAsk(
+  ask: PermitAsk,
+  extras: PermitExtras,
+): PermitAskParams {
+  const { askId, target, waitMs } = ask;
+  return trimAbsent([
+    askId,
+    target,
+    waitMs ?? 0,
+    ...encodeExtras(extras),
+  ]) as PermitAskParams;
+}
+
+/** The reverse of `encodeAsk`. */
+export function decodeAsk(params: PermitAskParams): PermitAsk & PermitExtras {
+  const [askId, target, waitMs, returns, reports] = params;
+  const extras = decodeExtras(returns, reports);
+  if (!waitMs) return { askId, target, ...extras };
+  return { askId, target, waitMs, ...extras };
+}
+
+/** Result of a call that asks for a permit. */
+export function encodeAnswer(
+  answer: PermitAnswer,
+  extras: PermitExtras,
+): PermitAskResult {
+  const code = answer.kind === "granted"
+    ? answer.epoch.number
+    : -1 - REFUSAL_REASONS.indexOf(answer.reason);
+  return trimAbsent([code, ...encodeExtras(extras)]) as PermitAskResult;
+}
+
+/** The reverse of `encodeAnswer`, with what the asker knows. */
+export function decodeAnswer(
+  result: PermitAskResult,
+  askId: number,
+  keeper: string,
+  startWithinMs: number,
+): { readonly answer: PermitAnswer; readonly extras: PermitExtras } {
+  const [code, returns, reports] = result;
+  const extras = decodeExtras(returns, reports);
+  if (code > 0) {
+    const epoch = { number: code, keeper };
+    return { answer: { kind: "granted", askId, epoch, startWithinMs }, extras };
+  }
+  const reason = REFUSAL_REASONS[-1 - code] ?? "not-ready";
+  return { answer: { kind: "refused", askId, reason }, extras };
+}
+
+/** Params of a notification with returns and reports. */
+export function encodeReturns(extras: PermitExtras): PermitReturnParams {
+  return trimAbsent(encodeExtras(extras)) as PermitReturnParams;
+}
+
+/** The reverse of `encodeReturns`. */
+export function decodeReturns(params: PermitReturnParams): PermitExtras {
+  return decodeExtras(params[0], params[1]);
+}
+
+function encodeExtras({ returns, reports }: PermitExtras): unknown[] {
+  return [
+    returns.length > 0 ? [...returns] : 0,
+    reports.length > 0 ? reports.map(encodeReport) : 0,
+  ];
+}
+
+function decodeExtras(
+  returns: readonly number[] | 0 | undefined,
+  reports: readonly EncodedReport[] | 0 | undefined,
+): PermitExtras {
+  return {
+    returns: returns || [],
+    reports: (reports || []).map(decodeReport),
+  };
+}
+
+function trimAbsent(parts: unknown[]): unknown[] {
+  let length = parts.length;
+  while (length > 0 && parts[length - 1] === 0) length -= 1;
+  return parts.slice(0, length);
+}
+
+const RATE_PRECISION = 10;
+
+/** Rates are rounded up to a tenth, times to a millisecond. */
+function encodeReport(report: PoolLoadReport): EncodedReport {
+  return [
+    report.pool,
+    [...report.loadsRequests],
+    Math.ceil(report.endedPerSecond * RATE_PRECISION) / RATE_PRECISION,
+    Math.floor(report.measuredAtMs),
+  ];
+}
+
+function decodeReport(encoded: EncodedReport): PoolLoadReport {
+  const [pool, loadsRequests, endedPerSecond, measuredAtMs] = encoded;
+  return { pool, loadsRequests, endedPerSecond, measuredAtMs };
+}
--- /dev/null
+++ b/packages/core/src/bound/permit_node.ts
@@ -0,0 +1,420 @@
+import type { TimerService } from "../timer/index.ts";
+import {
+  DEFAULT_KEEPER_BOOK_OPTIONS,
+  KeeperBook,
+  type KeeperBookOptions,
+  type KeptPool,
+  type LateAnswer,
+} from "./keeper_book.ts";
+import type { CollectRequest, PermitAnswer, RefusalReason } from "./permit.ts";
+import type { PermitExtras } from "./permit_codec.ts";
+import { PermitHolder } from "./permit_holder.ts";
+import type { PermitMessage } from "./permit_message.ts";
+import { PermitOutbox } from "./permit_outbox.ts";
+import type { PoolLoadReport } from "./pool_mean_estimate.ts";
+import type { TargetReport } from "./target_ledger.ts";
+
+/** Times of the exchange of permits. */
+export interface PermitNodeOptions {
+  readonly book: KeeperBookOptions;
+  /** Returns are gathered for this time unless another message goes first. */
+  readonly returnBatchMs: number;
+  /** Time for an answer, on top of the time that the ask may wait. */
+  readonly askTimeoutMs: number;
+  /** A report rides on a message if the last one is older. */
+  readonly reportPeriodMs: number;
+  /** A report is sent alone after this time; 0 never sends one alone. */
+  readonly loneReportMs: number;
+  /** Wait before a target is taken back that another daemon collected. */
+  readonly retakeMs: number;
+}
+
+/** Times for zones a few milliseconds apart. */
+export const DEFAULT_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
+  book: DEFAULT_KEEPER_BOOK_OPTIONS,
+  returnBatchMs: 25,
+  askTimeoutMs: 300,
+  reportPeriodMs: 250,
+  loneReportMs: 300,
+  retakeMs: 400,
+};
+
+/** What a `PermitNode` needs to know of the fleet. */
+export interface PermitView {
+  /** The daemon that keeps a target, if any is known. */
+  keeperOf(target: string): string | undefined;
+  /** Daemons that may hold permits, this one included. */
+  holders(): readonly string[];
+  /** The other daemons that keep targets of the same pools. */
+  otherKeepers(): readonly string[];
+  /** Whether this daemon may act as a keeper now; false after a pause. */
+  mayKeep(): boolean;
+}
+
+/** What a `PermitNode` is built from. */
+export interface PermitNodeParts {
+  /** Name of this daemon. */
+  readonly name: string;
+  readonly timer: TimerService;
+  readonly view: PermitView;
+  /** Sends a message to another daemon; it may be lost. */
+  readonly send: (to: string, message: PermitMessage) => void;
+  readonly options?: PermitNodeOptions;
+}
+
+/** A target that falls to this daemon. */
+export interface KeptTargetView {
+  readonly name: string;
+  readonly pool: string;
+  /** Whether it has just started to serve, beside others. */
+  readonly isNew: boolean;
+  readonly isLeaving: boolean;
+}
+
+/** What an ask may say beside its target. */
+export interface AskParts {
+  /** Time that the ask may wait at the keeper while the target is full. */
+  readonly waitMs?: number;
+}
+
+/** A usable permit. */
+export interface UsablePermit {
+  /** Call it right before the request is sent; false means it must not be. */
+  readonly start: () => boolean;
+  /** Hands the permit back, used or not. */
+  readonly end: () => void;
+}
+
+/** What an ask led to. */
+export type AskOutcome = UsablePermit | RefusalReason | "no-keeper" | "timeout";
+
+interface PendingAsk {
+  readonly keeper: string;
+  readonly target: string;
+  readonly onOutcome: (outcome: AskOutcome) => void;
+}
+
+/**
+ * The part of one daemon that asks for permits and keeps targets: messages and
+ * turns of the timer go in, messages come out.
+ */
+export class PermitNode {
+  readonly #parts: PermitNodeParts;
+  readonly #options: PermitNodeOptions;
+  readonly #book: KeeperBook;
+  readonly #holder = new PermitHolder();
+  readonly #outbox: PermitOutbox;
+  readonly #pending = new Map<number, PendingAsk>();
+  readonly #plannedFlushes = new Set<string>();
+  readonly #retakesAtMs = new Map<string, number>();
+  #kept = new Map<string, KeptTargetView>();
+  #poolNames: readonly string[] = [];
+  #couldKeep = false;
+
+  constructor(parts: PermitNodeParts) {
+    this.#parts = parts;
+    this.#options = parts.options ?? DEFAULT_PERMIT_NODE_OPTIONS;
+    this.#book = new KeeperBook(parts.name, this.#options.book);
+    this.#outbox = new PermitOutbox(
+      this.#options.reportPeriodMs,
+      (nowMs) => this.ownReports(nowMs),
+    );
+  }
+
+  /** The targets kept here and their ledgers, for dumps. */
+  get book(): KeeperBook {
+    return this.#book;
+  }
+
+  /** Sets the rules and sizes of the pools. */
+  setPools(pools: readonly KeptPool[]): void {
+    for (const pool of pools) this.#book.setPool(pool);
+    this.#poolNames = pools.map((pool) => pool.name);
+  }
+
+  /** Sets the targets that fall to this daemon; new ones are taken over. */
+  setKept(targets: readonly KeptTargetView[]): void {
+    this.#kept = new Map(targets.map((target) => [target.name, target]));
+    for (const name of this.#book.keptTargets()) {
+      if (this.#kept.has(name)) continue;
+      this.#sendLateAnswers(this.#book.stopKeeping(name));
+    }
+    for (const target of targets) {
+      if (!this.#book.keeperOf(target.name)) this.#begin(target);
+      this.#book.keeperOf(target.name)?.noteLeaving(target.isLeaving);
+    }
+  }
+
+  /** Asks the keeper of a target for a place. */
+  ask(
+    target: string,
+    parts: AskParts,
+    onOutcome: (outcome: AskOutcome) => void,
+  ): void {
+    const keeper = this.#parts.view.keeperOf(target);
+    if (keeper === undefined) return onOutcome("no-keeper");
+    const askId = this.#holder.createAsk(target, keeper, this.#nowMs);
+    const ask = { askId, target, ...parts };
+    this.#pending.set(askId, { keeper, target, onOutcome });
+    if (keeper === this.#parts.name) {
+      const answer = this.#answer(keeper, ask);
+      if (answer) this.#takeAnswer(answer);
+      return;
+    }
+    const extras = this.#outbox.take(keeper, this.#nowMs);
+    this.#parts.send(keeper, { kind: "ask", ask, extras });
+    const waitMs = this.#options.askTimeoutMs + (parts.waitMs ?? 0);
+    this.#parts.timer.after(waitMs, () => this.giveUp(askId));
+  }
+
+  /** Ends an ask that has no answer; the keeper may have granted it. */
+  giveUp(askId: number): void {
+    const pending = this.#pending.get(askId);
+    if (!pending) return;
+    this.#pending.delete(askId);
+    this.#end(askId);
+    pending.onOutcome("timeout");
+  }
+
+  /** Takes a message of another daemon. */
+  receive(from: string, message: PermitMessage): void {
+    const nowMs = this.#nowMs;
+    if ("extras" in message) this.#takeExtras(from, message.extras);
+    if (message.kind === "ask") {
+      const answer = this.#answer(from, message.ask);
+      if (answer) this.#sendAnswer(from, answer);
+      return this.#answerLate();
+    }
+    if (message.kind === "answer") return this.#takeAnswer(message.answer);
+    if (message.kind === "returns") return this.#answerLate();
+    if (message.kind === "collect") {
+      return this.#answerCollect(from, message.request);
+    }
+    if (message.kind === "adopt") {
+      return this.#book.adopt(from, message.target, message.askIds, nowMs);
+    }
+    this.#book.noteCollectAnswer(from, message.answer, nowMs);
+  }
+
+  /** The connection of a peer is lost or given up. */
+  peerLost(peer: string): void {
+    this.#book.noteHolderGone(peer, this.#nowMs);
+    this.#book.forgetKeeper(peer);
+    this.#outbox.drop(peer);
+  }
+
+  /** A connection to a peer was made anew: it must know what runs. */
+  peerBack(peer: string, targets: Iterable<string>): void {
+    for (const target of targets) {
+      if (this.#parts.view.keeperOf(target) !== peer) continue;
+      const askIds = this.#holder.startedAskIds(target);
+      if (askIds.length === 0) continue;
+      this.#parts.send(peer, { kind: "adopt", target, askIds });
+    }
+  }
+
+  /** Takes a target's own count. */
+  noteTargetReport(target: string, report: TargetReport): void {
+    this.#book.noteTargetReport(target, report, this.#nowMs);
+  }
+
+  /** Loads of the targets kept here, by pool. */
+  ownReports(nowMs: number): readonly PoolLoadReport[] {
+    return this.#poolNames.map((pool) => this.#book.ownReport(pool, nowMs))
+      .filter((report) => report.loadsRequests.length > 0);
+  }
+
+  /** Turns the timer. Call it every few tens of ms. */
+  tick(): void {
+    const nowMs = this.#nowMs;
+    const wasAwake = this.#book.noteAlive(nowMs);
+    const mayKeep = this.#parts.view.mayKeep();
+    if (mayKeep && (!wasAwake || !this.#couldKeep)) this.#beginAll();
+    this.#couldKeep = mayKeep;
+    if (mayKeep) this.#retake(nowMs);
+    this.#book.advance(nowMs);
+    this.#sendLoneReports(nowMs);
+    this.#answerLate();
+  }
+
+  get #nowMs(): number {
+    return this.#parts.timer.nowMs();
+  }
+
+  #answer(
+    holder: string,
+    ask: Parameters<KeeperBook["answer"]>[1],
+  ): PermitAnswer | undefined {
+    if (this.#couldKeep && this.#parts.view.mayKeep()) {
+      return this.#book.answer(holder, ask, this.#nowMs);
+    }
+    return { kind: "refused", askId: ask.askId, reason: "not-ready" };
+  }
+
+  #beginAll(): void {
+    for (const target of this.#kept.values()) this.#begin(target);
+  }
+
+  #begin(target: KeptTargetView): void {
+    const { name, pool } = target;
+    const nowMs = this.#nowMs;
+    const holders = this.#parts.view.holders();
+    const request = this.#book.beginKeeping(
+      name,
+      pool,
+      holders,
+      nowMs,
+      this.#holder.epochOf(name)?.number ?? 0,
+    );
+    if (target.isNew) this.#book.noteStarted(name, nowMs);
+    this.#book.keeperOf(name)?.noteLeaving(target.isLeaving);
+    for (const holder of holders) {
+      if (holder === this.#parts.name) continue;
+      this.#parts.send(holder, { kind: "collect", request });
+    }
+    const own = this.#holder.answerCollect(request);
+    this.#book.noteCollectAnswer(this.#parts.name, own, nowMs);
+  }
+
+  /** Two daemons that disagree must not take from each other at once. */
+  #retake(nowMs: number): void {
+    const dropped = new Set(this.#book.droppedTargets());
+    for (const name of dropped) {
+      const retakeAtMs = this.#retakesAtMs.get(name);
+      if (retakeAtMs === undefined) {
+        this.#retakesAtMs.set(name, nowMs + this.#options.retakeMs);
+        continue;
+      }
+      if (nowMs < retakeAtMs) continue;
+      this.#retakesAtMs.delete(name);
+      const target = this.#kept.get(name);
+      if (target) this.#begin(target);
+    }
+    for (const name of this.#retakesAtMs.keys()) {
+      if (!dropped.has(name)) this.#retakesAtMs.delete(name);
+    }
+  }
+
+  #answerCollect(from: string, request: CollectRequest): void {
+    const answer = this.#holder.answerCollect(request);
+    if (answer.kind === "collected") this.#book.noteCollectRequest(request);
+    this.#parts.send(from, { kind: "collected", answer });
+  }
+
+  #takeAnswer(answer: PermitAnswer): void {
+    const { askId } = answer;
+    const pending = this.#pending.get(askId);
+    // A late grant was handed back when its ask was given up.
+    if (!pending) return;
+    this.#pending.delete(askId);
+    if (answer.kind === "refused") {
+      this.#holder.noteRefusal(askId);
+      return pending.onOutcome(answer.reason);
+    }
+    const verdict = this.#holder.noteGrant(answer, this.#nowMs);
+    this.#sendAdoptions(answer.epoch.keeper);
+    if (verdict !== "usable") {
+      if (verdict === "stale-epoch") this.#tellNewerEpoch(pending);
+      this.#queueReturns();
+      return pending.onOutcome("timeout");
+    }
+    pending.onOutcome({
+      start: () => this.#start(askId),
+      end: () => this.#end(askId),
+    });
+  }
+
+  #start(askId: number): boolean {
+    const mayStart = this.#holder.start(askId, this.#nowMs);
+    if (!mayStart) this.#queueReturns();
+    return mayStart;
+  }
+
+  #end(askId: number): void {
+    this.#holder.end(askId);
+    this.#queueReturns();
+  }
+
+  #sendAdoptions(keeper: string): void {
+    for (const adoption of this.#holder.takeAdoptions()) {
+      if (keeper === this.#parts.name) {
+        const { target, askIds } = adoption;
+        this.#book.adopt(keeper, target, askIds, this.#nowMs);
+        continue;
+      }
+      this.#parts.send(keeper, { kind: "adopt", ...adoption });
+    }
+  }
+
+  /** Tells a keeper that it was replaced. */
+  #tellNewerEpoch({ keeper, target }: PendingAsk): void {
+    const epoch = this.#holder.epochOf(target);
+    if (!epoch) return;
+    const answer = { kind: "newer-epoch", target, epoch } as const;
+    if (keeper !== this.#parts.name) {
+      return this.#parts.send(keeper, { kind: "collected", answer });
+    }
+    this.#book.noteCollectAnswer(keeper, answer, this.#nowMs);
+  }
+
+  #sendAnswer(holder: string, answer: PermitAnswer): void {
+    if (holder === this.#parts.name) return this.#takeAnswer(answer);
+    const extras = this.#outbox.take(holder, this.#nowMs);
+    this.#parts.send(holder, { kind: "answer", answer, extras });
+  }
+
+  #answerLate(): void {
+    this.#sendLateAnswers(this.#book.takeLateAnswers(this.#nowMs));
+  }
+
+  #sendLateAnswers(late: readonly LateAnswer[]): void {
+    for (const { holder, answer } of late) this.#sendAnswer(holder, answer);
+  }
+
+  #takeExtras(from: string, extras: PermitExtras): void {
+    const nowMs = this.#nowMs;
+    for (const report of extras.reports) {
+      this.#book.notePoolReport(from, report, nowMs);
+    }
+    for (const askId of extras.returns) this.#book.release(from, askId, nowMs);
+  }
+
+  #queueReturns(): void {
+    const own = this.#parts.name;
+    let hasOwn = false;
+    for (const { keeper, askId } of this.#holder.takeReturns()) {
+      if (keeper === own) {
+        this.#book.release(own, askId, this.#nowMs);
+        hasOwn = true;
+        continue;
+      }
+      this.#outbox.addReturn(keeper, askId);
+      this.#planFlush(keeper);
+    }
+    if (hasOwn) this.#answerLate();
+  }
+
+  #planFlush(peer: string): void {
+    if (this.#plannedFlushes.has(peer)) return;
+    this.#plannedFlushes.add(peer);
+    this.#parts.timer.after(this.#options.returnBatchMs, () => {
+      this.#plannedFlushes.delete(peer);
+      if (this.#outbox.hasReturns(peer)) this.#sendReturns(peer);
+    });
+  }
+
+  #sendReturns(peer: string): void {
+    const extras = this.#outbox.take(peer, this.#nowMs);
+    if (extras.returns.length + extras.reports.length === 0) return;
+    this.#parts.send(peer, { kind: "returns", extras });
+  }
+
+  #sendLoneReports(nowMs: number): void {
+    const { loneReportMs } = this.#options;
+    if (loneReportMs === 0 || this.#book.keptTargets().length === 0) return;
+    for (const peer of this.#parts.view.otherKeepers()) {
+      const ageMs = this.#outbox.reportAgeMs(peer, nowMs);
+      if (ageMs >= loneReportMs) this.#sendReturns(peer);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/bound/permit_outbox.ts
@@ -0,0 +1,61 @@
+import type { PermitExtras } from "./permit_codec.ts";
+import type { PoolLoadReport } from "./pool_mean_estimate.ts";
+
+interface PeerOutbox {
+  returns: number[];
+  reportedAtMs: number;
+}
+
+/** Gathers what may ride on the next message to each peer. */
+export class PermitOutbox {
+  readonly #reportPeriodMs: number;
+  readonly #createReports: (nowMs: number) => readonly PoolLoadReport[];
+  readonly #peers = new Map<string, PeerOutbox>();
+
+  /** A peer gets a report with a message if its last one is older. */
+  constructor(
+    reportPeriodMs: number,
+    createReports: (nowMs: number) => readonly PoolLoadReport[],
+  ) {
+    this.#reportPeriodMs = reportPeriodMs;
+    this.#createReports = createReports;
+  }
+
+  /** Adds a permit to hand back to a peer. */
+  addReturn(peer: string, askId: number): void {
+    this.#of(peer).returns.push(askId);
+  }
+
+  hasReturns(peer: string): boolean {
+    return this.#of(peer).returns.length > 0;
+  }
+
+  /** Time since the peer got a report, in ms; infinite before the first. */
+  reportAgeMs(peer: string, nowMs: number): number {
+    return nowMs - this.#of(peer).reportedAtMs;
+  }
+
+  /** Takes out what waits for the peer, with a report if one is due. */
+  take(peer: string, nowMs: number): PermitExtras {
+    const outbox = this.#of(peer);
+    const { returns } = outbox;
+    outbox.returns = [];
+    const isDue = nowMs - outbox.reportedAtMs >= this.#reportPeriodMs;
+    const reports = isDue ? this.#createReports(nowMs) : [];
+    if (reports.length > 0) outbox.reportedAtMs = nowMs;
+    return { returns, reports };
+  }
+
+  /** Drops what waits for a peer that is gone. */
+  drop(peer: string): void {
+    this.#peers.delete(peer);
+  }
+
+  #of(peer: string): PeerOutbox {
+    const known = this.#peers.get(peer);
+    if (known) return known;
+    const outbox = { returns: [], reportedAtMs: Number.NEGATIVE_INFINITY };
+    this.#peers.set(peer, outbox);
+    return outbox;
+  }
+}
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -60,14 +60,19 @@
     return this.#epoch.number > 0 && this.#collection === undefined;
   }
 
+  /** Whether a take-over has to be started before anything is granted. */
+  get isDropped(): boolean {
+    return this.#collection?.startedAtMs === Number.POSITIVE_INFINITY;
+  }
+
   /** Upper bound of the load, for admission. */
   loadRequests(nowMs: number): number {
     return this.#ledger.loadRequests(nowMs);
   }
 
-  /** Load that holders vouch for, for the lower bound of the pool's load. */
-  vouchedRequests(): number {
-    return this.isGranting ? this.#ledger.heldRequests : 0;
+  /** Load that is known to run, for the lower bound of the pool's load. */
+  vouchedRequests(nowMs: number): number {
+    return this.isGranting ? this.#ledger.runningRequests(nowMs) : 0;
   }
 
   /** Permits that ended a second, a moving average. */
@@ -78,32 +83,48 @@
   /**
    * Starts or restarts a take-over. The result is to be sent to `holders`:
    * every daemon that may hold permits for the target, this one included.
+   * `knownEpochNumber` is the newest that this daemon met for the target.
    */
-  beginTakeOver(holders: Iterable<string>, nowMs: number): CollectRequest {
-    return this.#begin(this.#epoch.number + 1, new Set(holders), nowMs);
+  beginTakeOver(
+    holders: Iterable<string>,
+    nowMs: number,
+    knownEpochNumber = 0,
+  ): CollectRequest {
+    const number = Math.max(this.#epoch.number, knownEpochNumber) + 1;
+    this.#epoch = { number, keeper: this.#epoch.keeper };
+    this.#ledger = new TargetLedger(this.#options, nowMs);
+    this.#collection = {
+      startedAtMs: nowMs,
+      waitingFor: new Set(holders),
+      hasSilentHolder: false,
+    };
+    return { target: this.target, epoch: this.#epoch };
   }
 
   /**
-   * Takes a holder's answer. Returns a new request for all holders where a
-   * newer epoch was met, else nothing.
+   * Takes a holder's answer. Where a newer epoch was met, the state is dropped:
+   * this daemon was replaced, or it has to begin again with a higher number.
    */
   noteCollectAnswer(
     holder: string,
     answer: CollectAnswer,
-    holders: Iterable<string>,
     nowMs: number,
-  ): CollectRequest | undefined {
-    if (answer.kind === "newer-epoch") {
-      if (answer.epoch.number < this.#epoch.number) return undefined;
-      return this.#begin(answer.epoch.number + 1, new Set(holders), nowMs);
-    }
-    if (!isSameEpoch(answer.epoch, this.#epoch)) return undefined;
+  ): void {
+    if (answer.kind === "newer-epoch") return this.noteNewerEpoch(answer.epoch);
+    if (!isSameEpoch(answer.epoch, this.#epoch)) return;
     for (const askId of answer.startedAskIds) {
       this.#ledger.hold(holder, askId, nowMs);
     }
     this.#collection?.waitingFor.delete(holder);
     this.advance(nowMs);
-    return undefined;
+  }
+
+  /** Notes an epoch of another keeper; a newer one drops this one's state. */
+  noteNewerEpoch(epoch: KeeperEpoch): void {
+    if (epoch.number < this.#epoch.number) return;
+    if (isSameEpoch(epoch, this.#epoch)) return;
+    this.#epoch = { number: epoch.number, keeper: this.#epoch.keeper };
+    this.dropState();
   }
 
   /** Ends the take-over when its conditions are met. Call it regularly. */
@@ -123,7 +144,11 @@
 
   /** Takes the target's own count, the floor of a take-over with silence. */
   noteReport(report: TargetReport, nowMs: number): void {
+    const lostBefore = this.#ledger.lostRequests;
     this.#ledger.noteReport(report, nowMs);
+    for (let lost = this.#ledger.lostRequests; lost < lostBefore; lost++) {
+      this.#endRate.note(nowMs);
+    }
     this.advance(nowMs);
     const collection = this.#collection;
     if (!collection?.hasSilentHolder) return;
@@ -154,11 +179,14 @@
     };
   }
 
-  /** Ends a permit whose answer has ended or that was not used. */
-  release(holder: string, askId: number, nowMs: number): void {
-    if (this.#ledger.release(holder, askId, nowMs)) {
-      this.#endRate.note(nowMs);
-    }
+  /**
+   * Ends a permit whose answer has ended or that was not used. Returns whether
+   * it was outstanding here.
+   */
+  release(holder: string, askId: number, nowMs: number): boolean {
+    if (!this.#ledger.release(holder, askId, nowMs)) return false;
+    this.#endRate.note(nowMs);
+    return true;
   }
 
   /** Counts requests of a holder that this keeper did not collect. */
@@ -192,21 +220,6 @@
     };
   }
 
-  #begin(
-    number: number,
-    holders: Set<string>,
-    nowMs: number,
-  ): CollectRequest {
-    this.#epoch = { number, keeper: this.#epoch.keeper };
-    this.#ledger = new TargetLedger(this.#options, nowMs);
-    this.#collection = {
-      startedAtMs: nowMs,
-      waitingFor: holders,
-      hasSilentHolder: false,
-    };
-    return { target: this.target, epoch: this.#epoch };
-  }
-
   #refusalReason(): RefusalReason | undefined {
     if (this.#isLeaving) return "leaving";
     if (!this.isGranting) return "not-ready";
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -28,24 +28,44 @@
  */
 export class TargetLedger {
   readonly #options: TargetLedgerOptions;
-  readonly #heldByHolder = new Map<string, Set<number>>();
+  /** Times of the grants by holder and ask. */
+  readonly #heldByHolder = new Map<string, Map<number, number>>();
   #heldRequests = 0;
   #orphans: { readonly count: number; readonly endsAtMs: number }[] = [];
   #report: TargetReport | undefined;
   #grantTimesMs: number[] = [];
   #releaseTimesMs: number[] = [];
   readonly #createdAtMs: number;
+  /** Requests of lost holders that the last report showed to be running. */
+  #lostRequests = 0;
 
   constructor(options: TargetLedgerOptions, createdAtMs: number) {
     this.#options = options;
     this.#createdAtMs = createdAtMs;
   }
 
+  /** Requests of lost holders by the last report. */
+  get lostRequests(): number {
+    return this.#lostRequests;
+  }
+
   /** Permits of holders that are there. */
   get heldRequests(): number {
     return this.#heldRequests;
   }
 
+  /**
+   * Requests that run at the target by all that is known: permits held, and
+   * what the last report showed beyond them.
+   */
+  runningRequests(nowMs: number): number {
+    const lostRequests = Math.min(
+      this.#lostRequests,
+      this.#countOrphans(nowMs),
+    );
+    return this.#heldRequests + lostRequests;
+  }
+
   /** Upper bound of the target's load at `nowMs`. */
   loadRequests(nowMs: number): number {
     const orphanRequests = this.#countOrphans(nowMs);
@@ -74,10 +94,10 @@
 
   /** Counts a permit that the holder has already, for example by take-over. */
   hold(holder: string, askId: number, nowMs: number): void {
-    const held = this.#heldByHolder.get(holder) ?? new Set<number>();
+    const held = this.#heldByHolder.get(holder) ?? new Map<number, number>();
     this.#heldByHolder.set(holder, held);
     if (held.has(askId)) return;
-    held.add(askId);
+    held.set(askId, nowMs);
     this.#heldRequests += 1;
     this.#grantTimesMs.push(nowMs);
   }
@@ -114,7 +134,8 @@
   /**
    * Takes the target's own count into account. Reports that are older than the
    * last one, or that may count permits from before this ledger, are ignored.
-   * Load that no permit explains belongs to a holder that was not known.
+   * Load that no permit explains belongs to a holder that was not known. Load
+   * of holders that are gone is at most what the permits of the others leave.
    */
   noteReport(report: TargetReport, nowMs: number): void {
     const { measuredAtMs } = report;
@@ -126,6 +147,36 @@
     const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
       this.#releaseTimesMs.length;
     this.addOrphans(report.loadRequests - explainedRequests, nowMs);
+    this.#lostRequests = Math.max(
+      0,
+      report.loadRequests - this.#heldRequests - this.#releaseTimesMs.length,
+    );
+    this.#limitOrphans(report.loadRequests - this.#countRunning(measuredAtMs));
+  }
+
+  /**
+   * Permits that were in use at `measuredAtMs`: they had to be started before
+   * and are held still. A permit that ended before it would be back by now; if
+   * its return was held up, the next report shows load that is not explained.
+   */
+  #countRunning(measuredAtMs: number): number {
+    const startedByMs = measuredAtMs - this.#options.startWithinMs;
+    let running = 0;
+    for (const held of this.#heldByHolder.values()) {
+      for (const grantedAtMs of held.values()) {
+        if (grantedAtMs <= startedByMs) running += 1;
+      }
+    }
+    return running;
+  }
+
+  #limitOrphans(maxRequests: number): void {
+    let rest = Math.max(0, maxRequests);
+    this.#orphans = this.#orphans.map((orphan) => {
+      const count = Math.min(orphan.count, rest);
+      rest -= count;
+      return { ...orphan, count };
+    }).filter((orphan) => orphan.count > 0);
   }
 
   #forgetOldReport(nowMs: number): void {
@@ -137,6 +188,7 @@
     this.#forgetBefore(oldestMs);
     if (this.#report && this.#report.measuredAtMs < oldestMs) {
       this.#report = undefined;
+      this.#lostRequests = 0;
     }
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,12 +2,17 @@
  * The decisions of the fleet, free of sockets, clocks and randomness of their
  * own, so that a recorded trace replays to the same decisions.
  */
+export * from "./admission/index.ts";
 export * from "./bound/index.ts";
 export * from "./claims/index.ts";
 export * from "./config/index.ts";
 export * from "./errors/index.ts";
 export * from "./hash/index.ts";
+export * from "./keepers/index.ts";
+export * from "./membership/index.ts";
 export * from "./objects/index.ts";
 export * from "./outcome/index.ts";
 export * from "./placement/index.ts";
+export * from "./poison/index.ts";
+export * from "./retry/index.ts";
 export * from "./timer/index.ts";
--- a/packages/core/src/placement/rendezvous_policy.ts
+++ b/packages/core/src/placement/rendezvous_policy.ts
@@ -8,6 +8,7 @@
 const MIN_ZONE_WEIGHT = 1e-6;
 
 interface Candidate {
+  readonly index: number;
   readonly target: PlacementTarget;
   /** Lower is better: an exponential variate divided by the zone's weight. */
   readonly cost: number;
@@ -49,14 +50,15 @@
   const otherZones = new TopScores(request.maxTargets);
   const onProbation = new TopScores(request.maxTargets);
   const keyHash = hash32(request.chatKey);
-  view.targets.forEach((target, index) => {
-    const score = mixHash32(keyHash, view.nameHashes[index]!);
-    if (target.onProbation) return onProbation.offer(index, score);
-    if (target.availabilityZone === request.availabilityZone) {
-      return ownZone.offer(index, score);
-    }
-    otherZones.offer(index, score);
-  });
+  const ownZoneNumber = view.zoneNumberOf(request.availabilityZone);
+  const { nameHashes, zoneNumbers, probationFlags } = view;
+  for (let index = 0; index < nameHashes.length; index++) {
+    const score = mixHash32(keyHash, nameHashes[index]!);
+    const isOwnZone = zoneNumbers[index] === ownZoneNumber;
+    const isLast = probationFlags[index] === 1;
+    const top = isLast ? onProbation : isOwnZone ? ownZone : otherZones;
+    if (score > top.lowestScore) top.offer(index, score);
+  }
   const otherWeight = zoneWeight(request);
   const ranked = [
     ...createCandidates(ownZone, view, 1),
@@ -78,6 +80,7 @@
 ): Candidate[] {
   const scores = top.scores();
   return top.indexes().map((index, position) => ({
+    index,
     target: view.targets[index]!,
     cost: -Math.log((scores[position]! + 1) / HASH_RANGE) / weight,
   }));
@@ -95,8 +98,8 @@
   if (request.reuseWeight >= 1) return;
   const [first, second] = candidates;
   if (!first || !second) return;
-  const excessRequests = first.target.loadRequests -
-    second.target.loadRequests;
+  const excessRequests = view.loadAt(first.index) -
+    view.loadAt(second.index);
   const toleratedRequests = 1 +
     request.reuseWeight * view.meanLoadRequests();
   if (excessRequests <= toleratedRequests) return;
--- a/packages/daemon/src/blackboard/blackboard.ts
+++ b/packages/daemon/src/blackboard/blackboard.ts
@@ -1,10 +1,17 @@
-import { createObjectSet, type ObjectSet } from "@coltsfootford/core";
+import {
+  createObjectSet,
+  type Keeper,
+  type ObjectSet,
+} from "@coltsfootford/core";
+import type { Vm } from "@coltsfootford/platform";
 import { Field } from "./field.ts";
 
 /** The configuration in force in this daemon. */
 export interface ConfigView {
   /** Zero until a first configuration is in force. */
   readonly revision: number;
+  /** The publisher's mark of the set; empty until the first. */
+  readonly nonce: string;
   readonly objects: ObjectSet;
 }
 
@@ -27,6 +34,16 @@
   readonly state: "live" | "leaving" | "suspect" | "dead";
 }
 
+/** What a target said of itself when its keeper, this daemon, asked last. */
+export interface LoadReport {
+  readonly target: string;
+  readonly runningRequests: number;
+  readonly waitingRequests: number;
+  readonly runningTokens: number;
+  /** When the answer came, on this daemon's monotonic clock. */
+  readonly receivedAtMs: number;
+}
+
 /** How far the daemon has come on its way from start to exit. */
 export type LifecyclePhase = "starting" | "serving" | "draining" | "stopped";
 
@@ -37,6 +54,14 @@
   readonly targets: Field<ReadonlyMap<string, TargetView>>;
   /** Daemons by VM name, this one included. */
   readonly daemons: Field<ReadonlyMap<string, DaemonView>>;
+  /** The platform's list of VMs as it was read last; undefined before. */
+  readonly vmList: Field<readonly Vm[] | undefined>;
+  /** Keepers by name of the target. */
+  readonly keepers: Field<ReadonlyMap<string, Keeper>>;
+  /** Reports of the targets that this daemon keeps, by name. */
+  readonly loadReports: Field<ReadonlyMap<string, LoadReport>>;
+  /** Loads of targets as their keepers told them last: a hint. */
+  readonly targetLoads: Field<ReadonlyMap<string, number>>;
   readonly lifecycle: Field<LifecyclePhase>;
 }
 
@@ -45,10 +70,21 @@
   return {
     config: new Field<ConfigView>("config", {
       revision: 0,
+      nonce: "",
       objects: createObjectSet([]),
     }),
     targets: new Field<ReadonlyMap<string, TargetView>>("targets", new Map()),
     daemons: new Field<ReadonlyMap<string, DaemonView>>("daemons", new Map()),
+    vmList: new Field<readonly Vm[] | undefined>("vmList", undefined),
+    keepers: new Field<ReadonlyMap<string, Keeper>>("keepers", new Map()),
+    loadReports: new Field<ReadonlyMap<string, LoadReport>>(
+      "loadReports",
+      new Map(),
+    ),
+    targetLoads: new Field<ReadonlyMap<string, number>>(
+      "targetLoads",
+      new Map(),
+    ),
     lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
-import type { StepError } from "@coltsfootford/core";
+import { randomUUID } from "node:crypto";
+import { createStepError, type StepError } from "@coltsfootford/core";
 import {
   EtcdGatewayClient,
   SystemTimerService,
@@ -6,22 +7,37 @@
 } from "@coltsfootford/platform";
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
-import { createBlackboard, type LifecyclePhase } from "./blackboard/index.ts";
-import { ConfigController } from "./config/index.ts";
+import { createBlackboard } from "./blackboard/index.ts";
+import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
-import { createEntryApp, EntryServer, LocalPermitGate } from "./entry/index.ts";
-import { closePort, listen, type OpenPort } from "./http/index.ts";
+import { createEntryApp, EntryServer } from "./entry/index.ts";
+import { createGuards } from "./guards.ts";
+import { KeeperController, KeeperPermitGate } from "./keepers/index.ts";
+import { listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
+import {
+  MembershipController,
+  TargetHealthController,
+} from "./membership/index.ts";
 import { Metrics } from "./metrics/index.ts";
+import { PlacementController } from "./placement/index.ts";
+import { PeerAddressController, Peers } from "./peers/index.ts";
 import type { Settings } from "./settings/index.ts";
+import { ConnectionDrain, GracefulShutdown } from "./shutdown/index.ts";
 import { TargetClient } from "./targets/index.ts";
 import { VmListController } from "./vm_list/index.ts";
 
 /** A running daemon. */
 export interface Daemon {
-  readonly ports: { readonly callers: number; readonly admin: number };
+  readonly ports: {
+    readonly callers: number;
+    readonly admin: number;
+    readonly peers: number;
+  };
   /** Ends gracefully; resolves with the number of requests that were cut. */
   stop(): Promise<number>;
+  /** Logs the requests that an end at this moment cuts, and counts them. */
+  reportCut(): number;
 }
 
 /** Starts every part of a daemon; the caller's port opens last. */
@@ -42,6 +58,26 @@
     random: Math.random,
   });
   const targetClient = new TargetClient();
+  const peers = new Peers({
+    vm: settings.vm,
+    timer,
+    keys: settings.peerKeys,
+  });
+  const membership = new MembershipController({
+    vm: settings.vm,
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    peers,
+    seeds: settings.peers,
+    timer,
+    logger,
+  });
+  const targetHealth = new TargetHealthController({
+    vm: settings.vm,
+    blackboard,
+    membership,
+    timer,
+  });
   const controllers: Controller[] = [
     new VmListController({
       blackboard,
@@ -50,13 +86,63 @@
       logger,
       pollMs: settings.vmList.pollMs,
     }),
-    new ConfigController({ blackboard, keyValue, logger }),
+    new PeerAddressController({
+      vm: settings.vm,
+      blackboard,
+      peers,
+      seeds: settings.peers,
+      listen: settings.peerListen,
+    }),
+    membership,
+    targetHealth,
+    new ConfigController({
+      vm: settings.vm,
+      blackboard,
+      keyValue,
+      peers: new RpcConfigPeers({
+        vm: settings.vm,
+        availabilityZone: settings.availabilityZone,
+        blackboard,
+        peers,
+        seeds: settings.peers,
+      }),
+      timer,
+      logger,
+      random: Math.random,
+    }),
   ];
+  const { guards, controllers: guardControllers } = createGuards({
+    ...settings,
+    incarnation: randomUUID(),
+    blackboard,
+    timer,
+    keyValue,
+    peers,
+    logger,
+    metrics,
+  });
+  controllers.push(...guardControllers);
+  const keepers = new KeeperController({
+    vm: settings.vm,
+    blackboard,
+    membership,
+    peers,
+    timer,
+  });
+  controllers.push(keepers);
+  const placement = new PlacementController({
+    availabilityZone: settings.availabilityZone,
+    blackboard,
+    timer,
+  });
+  controllers.push(placement);
   const entry = new EntryServer(settings.vm, {
+    guards,
     blackboard,
     timer,
     targetClient,
-    permitGate: new LocalPermitGate(),
+    placement,
+    permitGate: new KeeperPermitGate(keepers.node),
     logger,
     metrics,
   });
@@ -67,10 +153,12 @@
     controllers,
     running: entry.running,
     metrics,
+    targetHealth,
   });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
-  for (const controller of controllers) await controller.start();
+  const started = await startControllers(controllers);
+  if (started.isErr()) return err(started.error);
   const callers = await listen(
     createEntryApp(entry),
     "listen",
@@ -78,36 +166,53 @@
   );
   if (callers.isErr()) return err(callers.error);
   lifecycle.write("serving");
-  const ports = { callers: callers.value.port, admin: admin.value.port };
+  const ports = {
+    callers: callers.value.port,
+    admin: admin.value.port,
+    peers: peers.port,
+  };
   logger.event("daemonReady", { ports });
 
+  const shutdown = new GracefulShutdown({
+    lifecycle,
+    timer,
+    logger,
+    running: entry.running,
+    drain: new ConnectionDrain(callers.value.server, timer),
+    readinessGraceMs: settings.readinessGraceMs,
+    limitMs: settings.shutdownLimitMs,
+    handOverSteps: [],
+  });
   const stop = async (): Promise<number> => {
-    const write = (phase: LifecyclePhase) => lifecycle.write(phase);
-    write("draining");
-    logger.event("daemonStopping", { running: entry.running.count });
-    await wait(timer, settings.readinessGraceMs);
-    const limit = wait(timer, settings.shutdownLimitMs);
-    const closed = closePort(callers.value);
-    await Promise.race([entry.running.waitUntilIdle(), limit]);
-    const cut = entry.running.list();
-    if (cut.length > 0) logger.event("requestsCut", { cut });
-    else await Promise.race([closed, limit]);
-    for (const controller of controllers) await controller.stop();
+    const cut = await shutdown.run();
+    // The connections between daemons were opened first and end last.
+    for (const controller of controllers.reverse()) await controller.stop();
     entry.close();
     await targetClient.close();
     await keyValue.close();
     closeNow(admin.value);
-    write("stopped");
-    logger.event("daemonStopped", { cut: cut.length });
-    return cut.length;
+    lifecycle.write("stopped");
+    logger.event("daemonStopped", { cut });
+    return cut;
   };
-  return ok({ ports, stop });
+  return ok({ ports, stop, reportCut: () => shutdown.reportCut() });
 }
 
-function wait(timer: SystemTimerService, durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    timer.after(durationMs, resolve);
-  });
+/** Starts controllers in turn; the first that cannot start ends the daemon. */
+async function startControllers(
+  controllers: readonly Controller[],
+): Promise<Result<void, StepError<"start-failed">>> {
+  for (const controller of controllers) {
+    try {
+      await controller.start();
+    } catch (cause) {
+      const step = `${controller.name}.start`;
+      const message = "cannot start; mend what the cause names, for example " +
+        `choose a free port: ${cause instanceof Error ? cause.message : cause}`;
+      return err(createStepError("start-failed", step, message, { cause }));
+    }
+  }
+  return ok(undefined);
 }
 
 function closeNow(open: OpenPort): void {
--- a/packages/daemon/src/entry/chat_handler.ts
+++ b/packages/daemon/src/entry/chat_handler.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, type Result } from "neverthrow";
 import { createCallerSignal } from "./caller_signal.ts";
-import { deriveChatKey, parseChatBody } from "./chat_body.ts";
+import { deriveChatKey, isReturning, parseChatBody } from "./chat_body.ts";
 import type { EntryServices } from "./entry_server.ts";
 import { checkRouteTeam, findChatRoute } from "./find_route.ts";
 import { readBody } from "./read_body.ts";
@@ -57,6 +57,7 @@
     route,
     pool,
     chatKey,
+    isReturningChat: isReturning(chat.value),
     priority,
     deadlineAtMs: startedMs + deadlineMs,
     idempotencyKey: headers.value["idempotency-key"],
--- /dev/null
+++ b/packages/daemon/src/keepers/keeper_controller.ts
@@ -0,0 +1,207 @@
+import {
+  type CancelTimer,
+  DEFAULT_PERMIT_NODE_OPTIONS,
+  type KeptTargetView,
+  type PermitMessage,
+  PermitNode,
+  type PermitView,
+  type PoolLoadReport,
+  type TimerService,
+} from "@coltsfootford/core";
+import type {
+  Blackboard,
+  CancelSubscription,
+  FieldWriter,
+  TargetView,
+} from "../blackboard/index.ts";
+import { Controller } from "../controllers/index.ts";
+import type { Peers } from "../peers/index.ts";
+import type { KeeperMembership } from "./keeper_membership.ts";
+import { NewTargets } from "./new_targets.ts";
+import { PermitTransport } from "./permit_transport.ts";
+
+const TICK_MS = 50;
+/**
+ * Longest time by which a target's report lags its own count. A report is
+ * taken as measured this long before it came.
+ */
+const MAX_REPORT_LAG_MS = 2_000;
+
+/** What a `KeeperController` is built from. */
+export interface KeeperControllerParts {
+  /** Name of this daemon. */
+  readonly vm: string;
+  readonly blackboard: Blackboard;
+  readonly membership: KeeperMembership;
+  readonly peers: Peers;
+  readonly timer: TimerService;
+}
+
+/**
+ * Keeps the targets that fall to this daemon, and asks the keepers of the
+ * others. It reads `config`, `targets`, `keepers` and `loadReports` and alone
+ * writes `targetLoads`.
+ */
+export class KeeperController extends Controller {
+  override readonly name = "keepers";
+  readonly node: PermitNode;
+  readonly #parts: KeeperControllerParts;
+  readonly #transport: PermitTransport;
+  readonly #loads: FieldWriter<ReadonlyMap<string, number>>;
+  readonly #newTargets = new NewTargets();
+  readonly #cancels: (CancelTimer | CancelSubscription)[] = [];
+
+  constructor(parts: KeeperControllerParts) {
+    super();
+    this.#parts = parts;
+    this.#loads = parts.blackboard.targetLoads.claimWriter(this.name);
+    const options = DEFAULT_PERMIT_NODE_OPTIONS;
+    this.#transport = new PermitTransport(parts.peers, options);
+    this.node = new PermitNode({
+      name: parts.vm,
+      timer: parts.timer,
+      view: this.#createView(),
+      send: (to, message) => this.#transport.send(to, message, this.#receive),
+      options,
+    });
+  }
+
+  override start(): Promise<void> {
+    const { blackboard, timer, peers } = this.#parts;
+    this.#transport.listen(this.#receive);
+    peers.onEvent((event) => {
+      if (event.direction === "out" && event.kind === "connected") {
+        const targets = blackboard.targets.read().keys();
+        this.node.peerBack(event.peer, targets);
+      }
+      if (event.direction === "out") return;
+      // A new connection may be of a new run, whose asks count from the start.
+      const isNews = event.kind === "connected" ||
+        event.kind === "disconnected";
+      if (isNews) this.node.peerLost(event.peer);
+    });
+    this.#cancels.push(
+      blackboard.config.subscribe(() => this.#assign()),
+      blackboard.targets.subscribe(() => this.#assign()),
+      blackboard.keepers.subscribe(() => this.#assign()),
+      blackboard.loadReports.subscribe(() => this.#noteLoads()),
+      timer.every(TICK_MS, () => this.#tick()),
+    );
+    this.#assign();
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    for (const cancel of this.#cancels) cancel();
+    return Promise.resolve();
+  }
+
+  override dumpState(): unknown {
+    const nowMs = this.#parts.timer.nowMs();
+    const { book } = this.node;
+    return book.keptTargets().map((target) => {
+      const keeper = book.keeperOf(target)!;
+      return {
+        target,
+        epoch: keeper.epoch.number,
+        isGranting: book.isGranting(target, nowMs),
+        loadRequests: keeper.loadRequests(nowMs),
+      };
+    });
+  }
+
+  readonly #receive = (from: string, message: PermitMessage): void => {
+    if ("extras" in message) this.#showLoads(from, message.extras.reports);
+    this.node.receive(from, message);
+  };
+
+  #createView(): PermitView {
+    const { vm, blackboard, membership } = this.#parts;
+    return {
+      keeperOf: (target) => blackboard.keepers.read().get(target)?.vm,
+      holders: () =>
+        membership.members().filter((member) =>
+          member.isReachable && member.state !== "dead"
+        ).map((member) => member.vm),
+      otherKeepers: () => {
+        const names = new Set<string>();
+        for (const keeper of blackboard.keepers.read().values()) {
+          if (keeper.vm !== vm) names.add(keeper.vm);
+        }
+        return [...names];
+      },
+      mayKeep: () => membership.mandateValid(),
+    };
+  }
+
+  #tick(): void {
+    this.node.tick();
+    const { vm, timer } = this.#parts;
+    this.#showLoads(vm, this.node.ownReports(timer.nowMs()));
+  }
+
+  /** Works out what this daemon keeps; what is new is taken over. */
+  #assign(): void {
+    const { blackboard, vm } = this.#parts;
+    const targets = blackboard.targets.read();
+    const nowMs = this.#parts.timer.nowMs();
+    this.#newTargets.note(targets, nowMs);
+    this.#setPools([...targets.values()]);
+    const kept: KeptTargetView[] = [];
+    for (const [name, keeper] of blackboard.keepers.read()) {
+      const target = targets.get(name);
+      if (keeper.vm !== vm || !target) continue;
+      const { pool, state } = target;
+      const isNew = this.#newTargets.isNew(name, nowMs);
+      kept.push({ name, pool, isNew, isLeaving: state !== "live" });
+    }
+    this.node.setKept(kept);
+  }
+
+  #setPools(targets: readonly TargetView[]): void {
+    const serving = new Map<string, number>();
+    for (const target of targets) {
+      if (target.state !== "live") continue;
+      serving.set(target.pool, (serving.get(target.pool) ?? 0) + 1);
+    }
+    const { pools } = this.#parts.blackboard.config.read().objects;
+    this.node.setPools([...pools.values()].map((pool) => ({
+      name: pool.name,
+      loadFactor: pool.loadFactor,
+      maxConcurrentPerTarget: pool.maxConcurrentPerTarget,
+      servingTargets: serving.get(pool.name) ?? 0,
+    })));
+  }
+
+  /** Takes the targets' own counts into account. */
+  #noteLoads(): void {
+    for (const report of this.#parts.blackboard.loadReports.read().values()) {
+      this.node.noteTargetReport(report.target, {
+        loadRequests: report.runningRequests + report.waitingRequests,
+        measuredAtMs: report.receivedAtMs - MAX_REPORT_LAG_MS,
+      });
+    }
+  }
+
+  /** A report lists loads in order of names; it may be of another view. */
+  #showLoads(vm: string, reports: readonly PoolLoadReport[]): void {
+    if (reports.length === 0) return;
+    const loads = new Map(this.#parts.blackboard.targetLoads.read());
+    for (const { pool, loadsRequests } of reports) {
+      const names = this.#keptBy(vm, pool);
+      if (names.length !== loadsRequests.length) continue;
+      names.forEach((name, index) => loads.set(name, loadsRequests[index]!));
+    }
+    this.#loads.write(loads);
+  }
+
+  #keptBy(vm: string, pool: string): string[] {
+    const { targets, keepers } = this.#parts.blackboard;
+    const names: string[] = [];
+    for (const [name, keeper] of keepers.read()) {
+      const isOfPool = targets.read().get(name)?.pool === pool;
+      if (keeper.vm === vm && isOfPool) names.push(name);
+    }
+    return names.sort();
+  }
+}
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -14,6 +14,11 @@
     level: "error",
     text: "shutdown limit reached with requests still running",
   },
+  handOverFailed: {
+    number: 1007,
+    level: "warn",
+    text: "a step of the shutdown's hand-over failed",
+  },
   configApplied: {
     number: 2001,
     level: "info",
@@ -29,12 +34,49 @@
     level: "warn",
     text: "configuration cannot be read from the platform",
   },
+  configPartsMissing: {
+    number: 2004,
+    level: "warn",
+    text: "no source has the parts of a later configuration yet",
+  },
   vmListApplied: { number: 3001, level: "info", text: "VM list has changed" },
   vmListUnreachable: {
     number: 3002,
     level: "warn",
     text: "VM list cannot be read",
   },
+  memberChanged: {
+    number: 3003,
+    level: "info",
+    text: "state of a daemon has changed",
+  },
+  targetChanged: {
+    number: 3004,
+    level: "info",
+    text: "state of a target has changed",
+  },
+  zoneCut: { number: 3005, level: "warn", text: "zone cannot be heard" },
+  zoneHealed: { number: 3006, level: "info", text: "zone is heard again" },
+  pauseNoticed: {
+    number: 3007,
+    level: "warn",
+    text: "this process was paused and rejoins",
+  },
+  peerRefused: {
+    number: 3008,
+    level: "warn",
+    text: "connection between daemons was refused",
+  },
+  peerMalformed: {
+    number: 3009,
+    level: "error",
+    text: "daemon sent what cannot be read",
+  },
+  peerHandlerFailed: {
+    number: 3010,
+    level: "error",
+    text: "message of a daemon could not be handled",
+  },
   requestFailed: {
     number: 4001,
     level: "warn",
@@ -50,6 +92,26 @@
     level: "error",
     text: "target sent an answer that belongs to another request",
   },
+  claimWriteFailed: {
+    number: 5001,
+    level: "warn",
+    text: "a write of claims was not confirmed by the platform",
+  },
+  claimLost: {
+    number: 5002,
+    level: "error",
+    text: "a claim was changed by another while its call was running",
+  },
+  targetCrashed: {
+    number: 5101,
+    level: "warn",
+    text: "a target crashed with requests running",
+  },
+  requestQuarantined: {
+    number: 5102,
+    level: "error",
+    text: "a request that crashes targets is refused from now on",
+  },
   internalFault: {
     number: 9001,
     level: "error",
--- /dev/null
+++ b/packages/daemon/src/placement/index.ts
@@ -0,0 +1,1 @@
+export * from "./placement_controller.ts";
--- a/packages/daemon/src/vm_list/vm_list_controller.ts
+++ b/packages/daemon/src/vm_list/vm_list_controller.ts
@@ -1,14 +1,12 @@
 import type { CancelTimer, TimerService } from "@coltsfootford/core";
 import type { Vm, VmListClient } from "@coltsfootford/platform";
-import type {
-  Blackboard,
-  DaemonView,
-  FieldWriter,
-  TargetView,
-} from "../blackboard/index.ts";
+import type { Blackboard, FieldWriter } from "../blackboard/index.ts";
 import { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 
+/** Time between reads until a first one succeeds. */
+const FIRST_READ_RETRY_MS = 500;
+
 /** Parts of the daemon that the controller uses. */
 export interface VmListControllerParts {
   readonly blackboard: Blackboard;
@@ -19,32 +17,31 @@
 }
 
 /**
- * Polls the platform's VM list. It alone writes `targets` and `daemons`; it
- * reads no field.
+ * Polls the platform's VM list. It alone writes `vmList`; it reads no field. A
+ * list without any VM is a fault of the platform, and what was read before
+ * stays in force.
  */
 export class VmListController extends Controller {
   override readonly name = "vm-list";
   readonly #parts: VmListControllerParts;
-  readonly #targets: FieldWriter<ReadonlyMap<string, TargetView>>;
-  readonly #daemons: FieldWriter<ReadonlyMap<string, DaemonView>>;
+  readonly #vmList: FieldWriter<readonly Vm[] | undefined>;
   #revision = -1;
   #isReachable = true;
   #cancelTimer: CancelTimer | undefined;
+  #isStopped = false;
 
   constructor(parts: VmListControllerParts) {
     super();
     this.#parts = parts;
-    this.#targets = parts.blackboard.targets.claimWriter(this.name);
-    this.#daemons = parts.blackboard.daemons.claimWriter(this.name);
+    this.#vmList = parts.blackboard.vmList.claimWriter(this.name);
   }
 
   override async start(): Promise<void> {
-    const { timer, pollMs } = this.#parts;
-    this.#cancelTimer = timer.every(pollMs, () => void this.#poll());
-    await this.#poll();
+    await this.#pollOn();
   }
 
   override async stop(): Promise<void> {
+    this.#isStopped = true;
     this.#cancelTimer?.();
     await this.#parts.client.close();
   }
@@ -53,6 +50,15 @@
     return { revision: this.#revision, isReachable: this.#isReachable };
   }
 
+  /** Polls now and goes on doing so until the controller is stopped. */
+  async #pollOn(): Promise<void> {
+    await this.#poll();
+    if (this.#isStopped) return;
+    const { timer, pollMs } = this.#parts;
+    const waitMs = this.#revision < 0 ? FIRST_READ_RETRY_MS : pollMs;
+    this.#cancelTimer = timer.after(waitMs, () => void this.#pollOn());
+  }
+
   async #poll(): Promise<void> {
     const answer = await this.#parts.client.poll();
     if (answer.isErr()) {
@@ -65,34 +71,11 @@
     }
     this.#isReachable = true;
     if (answer.value.revision === this.#revision) return;
+    const isEmpty = answer.value.vms.length === 0;
+    if (isEmpty && this.#parts.blackboard.vmList.read()) return;
     this.#revision = answer.value.revision;
-    this.#apply(answer.value.vms);
+    const { vms, revision } = answer.value;
+    this.#vmList.write(vms);
+    this.#parts.logger.event("vmListApplied", { revision, vms: vms.length });
   }
-
-  #apply(vms: readonly Vm[]): void {
-    const targets = new Map<string, TargetView>();
-    const daemons = new Map<string, DaemonView>();
-    for (const vm of vms) {
-      if (vm.role === "target") targets.set(vm.name, toTargetView(vm));
-      else daemons.set(vm.name, toDaemonView(vm));
-    }
-    this.#targets.write(targets);
-    this.#daemons.write(daemons);
-    this.#parts.logger.event("vmListApplied", {
-      revision: this.#revision,
-      targets: targets.size,
-      daemons: daemons.size,
-    });
-  }
-}
-
-function toTargetView(vm: Vm): TargetView {
-  const { name, availabilityZone, host, port, state } = vm;
-  return { name, availabilityZone, pool: vm.pool ?? "", host, port, state };
-}
-
-function toDaemonView(vm: Vm): DaemonView {
-  const { name, availabilityZone, host, state } = vm;
-  const peerPort = vm.peerPort ?? 0;
-  return { vm: name, availabilityZone, host, peerPort, state };
 }
