Replay core's PermitNode itself; say whether a request returns

Cause: the exchange of permits stood twice, in the bench and in core, and the chat in an ask is no longer used by any keeper. Change: the replay runs PermitNode with virtual time per daemon; the context of a request says whether it is a later turn.

--- /dev/null
+++ b/packages/bench/src/replay/daemon_timer.ts
@@ -0,0 +1,47 @@
+import { type CancelTimer, TimerService } from "@coltsfootford/core";
+import type { EventHeap } from "./event_heap.ts";
+import type { FakeDaemon } from "./fake_daemon.ts";
+
+/** Virtual time as one daemon sees it: nothing fires while it is paused. */
+export class DaemonTimer extends TimerService {
+  readonly #heap: EventHeap;
+  readonly #daemon: FakeDaemon;
+
+  constructor(heap: EventHeap, daemon: FakeDaemon) {
+    super();
+    this.#heap = heap;
+    this.#daemon = daemon;
+  }
+
+  override nowMs(): number {
+    return this.#heap.nowMs;
+  }
+
+  override wallClockMs(): number {
+    return this.#heap.nowMs;
+  }
+
+  override after(delayMs: number, action: () => void): CancelTimer {
+    const subscription = { isActive: true };
+    this.#heap.after(delayMs, () =>
+      this.#daemon.run(() => {
+        if (subscription.isActive) action();
+      }));
+    return () => {
+      subscription.isActive = false;
+    };
+  }
+
+  override every(periodMs: number, action: () => void): CancelTimer {
+    const subscription = { isActive: true };
+    const turn = () => {
+      if (!subscription.isActive || !this.#daemon.isUp) return;
+      this.#daemon.run(action);
+      this.#heap.after(periodMs, turn);
+    };
+    this.#heap.after(periodMs, turn);
+    return () => {
+      subscription.isActive = false;
+    };
+  }
+}
--- a/packages/bench/src/replay/permit_messages.ts
+++ b/packages/bench/src/replay/message_bytes.ts
@@ -1,37 +1,12 @@
 import {
-  type CollectAnswer,
-  type CollectRequest,
   encodeAnswer,
   encodeAsk,
   encodeReturns,
   PERMIT_ASK_METHOD,
   PERMIT_RETURN_METHOD,
-  type PermitAnswer,
-  type PermitAsk,
-  type PermitExtras,
+  type PermitMessage,
 } from "@coltsfootford/core";
 
-/** The messages between daemons that carry permits. */
-export type PermitMessage =
-  | {
-    readonly kind: "ask";
-    readonly ask: PermitAsk;
-    readonly extras: PermitExtras;
-  }
-  | {
-    readonly kind: "answer";
-    readonly answer: PermitAnswer;
-    readonly extras: PermitExtras;
-  }
-  | { readonly kind: "returns"; readonly extras: PermitExtras }
-  | { readonly kind: "collect"; readonly request: CollectRequest }
-  | { readonly kind: "collected"; readonly answer: CollectAnswer }
-  | {
-    readonly kind: "adopt";
-    readonly target: string;
-    readonly askIds: readonly number[];
-  };
-
 /** Bytes of the message as one line of JSON-RPC. */
 export function countMessageBytes(message: PermitMessage): number {
   return JSON.stringify(toJsonRpc(message)).length + 1;
--- a/packages/bench/src/replay/permit_admission.ts
+++ b/packages/bench/src/replay/permit_admission.ts
@@ -1,34 +1,29 @@
-import { DEFAULT_KEEPER_BOOK_OPTIONS } from "@coltsfootford/core";
+import {
+  DEFAULT_PERMIT_NODE_OPTIONS,
+  type PermitMessage,
+  type PermitNodeOptions,
+} from "@coltsfootford/core";
 import { AdmissionGate, type GateAsk } from "./admission_gate.ts";
 import type { FakeDaemon } from "./fake_daemon.ts";
-import { countMessageBytes, type PermitMessage } from "./permit_messages.ts";
-import { PermitNode, type PermitNodeOptions } from "./permit_node.ts";
+import { countMessageBytes } from "./message_bytes.ts";
+import { ReplayNode } from "./replay_node.ts";
 import type { World } from "./world.ts";
 
-/** Settings for a few daemons; reports are sent alone when nothing else is. */
-export const DEFAULT_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
-  book: DEFAULT_KEEPER_BOOK_OPTIONS,
-  returnBatchMs: 25,
-  askTimeoutMs: 300,
-  reportPeriodMs: 250,
-  loneReportMs: 300,
-  tickMs: 100,
-  pollMs: 500,
-  maxReportLagMs: 300,
-};
-
 /** Settings for hundreds of daemons: reports only ride on other messages. */
 export const LARGE_ZONE_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
   ...DEFAULT_PERMIT_NODE_OPTIONS,
   loneReportMs: 0,
 };
 
+/** Daemons start within this time of one another, in ms. */
+const START_SPREAD_MS = 100;
+
 /** Permits of keepers, by messages between the daemons. */
 export class PermitAdmission extends AdmissionGate {
   override readonly name = "permits";
   readonly #world: World;
   readonly #options: PermitNodeOptions;
-  readonly #nodes = new Map<string, PermitNode>();
+  readonly #nodes = new Map<string, ReplayNode>();
   readonly #bytes = new Map<string, number>();
   messages = 0;
 
@@ -43,18 +38,18 @@
 
   /** Starts the part of one daemon. */
   addDaemon(daemon: FakeDaemon): void {
-    const node = new PermitNode(
+    const node = new ReplayNode(
       daemon,
       this.#world,
       this.#options,
       (to, message) => this.#send(daemon, to, message),
     );
     this.#nodes.set(daemon.name, node);
-    const startMs = this.#world.random.between(0, this.#options.tickMs);
+    const startMs = this.#world.random.between(0, START_SPREAD_MS);
     this.#world.heap.after(startMs, () => node.start());
   }
 
-  node(daemon: string): PermitNode | undefined {
+  node(daemon: string): ReplayNode | undefined {
     return this.#nodes.get(daemon);
   }
 
--- a/packages/bench/src/replay/replay.ts
+++ b/packages/bench/src/replay/replay.ts
@@ -1,7 +1,9 @@
 import {
   BoundedRingPolicy,
+  DEFAULT_PERMIT_NODE_OPTIONS,
   LeastOfTwoPolicy,
   ModuloPolicy,
+  type PermitNodeOptions,
   type PlacementPolicy,
   RendezvousPolicy,
   RoundRobinPolicy,
@@ -21,11 +23,7 @@
 import { FaultInjector } from "./fault_injector.ts";
 import type { Fault } from "./faults.ts";
 import { FullKnowledgePolicy } from "./full_knowledge_policy.ts";
-import {
-  DEFAULT_PERMIT_NODE_OPTIONS,
-  PermitAdmission,
-} from "./permit_admission.ts";
-import type { PermitNodeOptions } from "./permit_node.ts";
+import { PermitAdmission } from "./permit_admission.ts";
 import { ReplayMetrics, type ReplayResult } from "./replay_metrics.ts";
 import { ViewSpreader } from "./view_spreader.ts";
 import { World } from "./world.ts";
@@ -84,7 +82,8 @@
     metrics,
   );
   const views = new ViewSpreader(world, {
-    peerLost: (daemon, peer) => permits?.node(daemon.name)?.peerLost(peer),
+    peerLost: (daemon, peer) =>
+      permits?.node(daemon.name)?.permits.peerLost(peer),
     peerBack: (daemon, peer) => permits?.node(daemon.name)?.peerBack(peer),
   });
   views.fillViews();
--- /dev/null
+++ b/packages/bench/src/replay/replay_node.ts
@@ -0,0 +1,185 @@
+import {
+  type AskOutcome,
+  type KeptTargetView,
+  type PermitMessage,
+  PermitNode,
+  type PermitNodeOptions,
+  type PermitView,
+  pickByRendezvous,
+} from "@coltsfootford/core";
+import { DaemonTimer } from "./daemon_timer.ts";
+import type { FakeDaemon } from "./fake_daemon.ts";
+import type { World } from "./world.ts";
+
+/** Name of the one pool of a replay. */
+export const POOL = "writers";
+
+/** Periods of the timers of a replayed daemon, in ms. */
+const TICK_MS = 100;
+const POLL_MS = 500;
+/** A target's report was measured at most this long before it is read. */
+const MAX_REPORT_LAG_MS = 300;
+/** Age up to which a target counts as just started. */
+const STARTED_AGE_MS = 60_000;
+
+/** Runs core's `PermitNode` on a replayed daemon with its lagging view. */
+export class ReplayNode {
+  readonly daemon: FakeDaemon;
+  readonly permits: PermitNode;
+  readonly #world: World;
+  readonly #timer: DaemonTimer;
+  readonly #keepers = new Map<string, string | undefined>();
+  #keepersVersion = -1;
+  #keptVersion = -1;
+
+  constructor(
+    daemon: FakeDaemon,
+    world: World,
+    options: PermitNodeOptions,
+    send: (to: string, message: PermitMessage) => void,
+  ) {
+    this.daemon = daemon;
+    this.#world = world;
+    this.#timer = new DaemonTimer(world.heap, daemon);
+    this.permits = new PermitNode({
+      name: daemon.name,
+      timer: this.#timer,
+      view: this.#createView(),
+      send,
+      options,
+    });
+  }
+
+  /** Starts the daemon's timers. */
+  start(): void {
+    this.#tick();
+    this.#timer.every(TICK_MS, () => this.#tick());
+    this.#timer.every(POLL_MS, () => this.#pollTargets());
+  }
+
+  /** Asks the target's keeper for a place. */
+  ask(
+    target: string,
+    waitMs: number,
+    onOutcome: (outcome: AskOutcome) => void,
+  ): void {
+    this.permits.ask(target, waitMs > 0 ? { waitMs } : {}, (outcome) => {
+      if (typeof outcome === "string") return onOutcome(outcome);
+      const end = () => this.daemon.run(outcome.end);
+      onOutcome({ start: outcome.start, end });
+    });
+  }
+
+  receive(from: string, message: PermitMessage): void {
+    this.permits.receive(from, message);
+    for (const target of this.permits.book.keptTargets()) {
+      this.#noteServing(target);
+    }
+  }
+
+  peerBack(peer: string): void {
+    const targets = this.daemon.view.targets().map((target) => target.name);
+    this.permits.peerBack(peer, targets);
+  }
+
+  #createView(): PermitView {
+    const { view } = this.daemon;
+    return {
+      keeperOf: (target) => this.#keeperOf(target),
+      holders: () => view.possibleHolders(this.#world.heap.nowMs),
+      otherKeepers: () => this.#otherKeepers(),
+      mayKeep: () => true,
+    };
+  }
+
+  /** The daemon of the target's zone that keeps it by this daemon's view. */
+  #keeperOf(target: string): string | undefined {
+    this.#forgetOldKeepers();
+    if (this.#keepers.has(target)) return this.#keepers.get(target);
+    const zone = this.daemon.view.target(target)?.availabilityZone;
+    const daemons = this.daemon.view.daemons();
+    const inZone = [...daemons.keys()].filter((name) =>
+      daemons.get(name) === zone
+    );
+    const candidates = inZone.length > 0 ? inZone : [...daemons.keys()];
+    const keeper = pickByRendezvous(target, candidates);
+    this.#keepers.set(target, keeper);
+    return keeper;
+  }
+
+  #otherKeepers(): readonly string[] {
+    const names = new Set<string>();
+    for (const target of this.daemon.view.targets()) {
+      const keeper = this.#keeperOf(target.name);
+      if (keeper && keeper !== this.daemon.name) names.add(keeper);
+    }
+    return [...names];
+  }
+
+  #forgetOldKeepers(): void {
+    if (this.#keepersVersion === this.daemon.view.version) return;
+    this.#keepersVersion = this.daemon.view.version;
+    this.#keepers.clear();
+  }
+
+  #tick(): void {
+    this.#assign();
+    this.permits.tick();
+    for (const target of this.permits.book.keptTargets()) {
+      this.#noteServing(target);
+    }
+  }
+
+  /** Tells the node what falls to it when the view has changed. */
+  #assign(): void {
+    if (this.#keptVersion === this.daemon.view.version) return;
+    this.#keptVersion = this.daemon.view.version;
+    const { options } = this.#world;
+    this.permits.setPools([{
+      name: POOL,
+      loadFactor: options.loadFactor,
+      maxConcurrentPerTarget: options.maxConcurrentPerTarget,
+      servingTargets: this.daemon.view.targetCount,
+    }]);
+    for (const target of this.permits.book.keptTargets()) {
+      const engine = this.#world.engine(target);
+      if (engine && !this.daemon.view.target(target)) engine.isServing = false;
+    }
+    this.permits.setKept(this.#keptTargets());
+  }
+
+  #keptTargets(): KeptTargetView[] {
+    const nowMs = this.#world.heap.nowMs;
+    return this.daemon.view.targets()
+      .filter((target) => this.#keeperOf(target.name) === this.daemon.name)
+      .map(({ name, startedAtMs }) => {
+        const isYoung = startedAtMs !== undefined &&
+          nowMs - startedAtMs < STARTED_AGE_MS;
+        const isNew = isYoung || !this.#world.engine(name)?.isServing;
+        return { name, pool: POOL, isNew, isLeaving: false };
+      });
+  }
+
+  /** A target is in the pool once its keeper grants. */
+  #noteServing(target: string): void {
+    const engine = this.#world.engine(target);
+    if (!engine?.isUp || engine.isServing) return;
+    const nowMs = this.#world.heap.nowMs;
+    if (this.permits.book.isGranting(target, nowMs)) engine.isServing = true;
+  }
+
+  #pollTargets(): void {
+    const nowMs = this.#world.heap.nowMs;
+    const { network } = this.#world;
+    for (const target of this.permits.book.keptTargets()) {
+      const engine = this.#world.engine(target);
+      if (!engine?.isUp) continue;
+      const zone = engine.availabilityZone;
+      if (!network.isLinked(this.daemon.availabilityZone, zone)) continue;
+      this.permits.noteTargetReport(target, {
+        loadRequests: engine.lastReport().loadRequests,
+        measuredAtMs: nowMs - MAX_REPORT_LAG_MS,
+      });
+    }
+  }
+}
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -6,12 +6,7 @@
   type KeptPool,
   type LateAnswer,
 } from "./keeper_book.ts";
-import type {
-  AskedChat,
-  CollectRequest,
-  PermitAnswer,
-  RefusalReason,
-} from "./permit.ts";
+import type { CollectRequest, PermitAnswer, RefusalReason } from "./permit.ts";
 import type { PermitExtras } from "./permit_codec.ts";
 import { PermitHolder } from "./permit_holder.ts";
 import type { PermitMessage } from "./permit_message.ts";
@@ -80,7 +75,6 @@
 export interface AskParts {
   /** Time that the ask may wait at the keeper while the target is full. */
   readonly waitMs?: number;
-  readonly chat?: AskedChat;
 }
 
 /** A usable permit. */
--- a/packages/daemon/src/entry/chat_handler.ts
+++ b/packages/daemon/src/entry/chat_handler.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { hash32 } from "@coltsfootford/core";
 import { err, type Result } from "neverthrow";
 import { createCallerSignal } from "./caller_signal.ts";
 import { deriveChatKey, isReturning, parseChatBody } from "./chat_body.ts";
@@ -58,9 +57,7 @@
     route,
     pool,
     chatKey,
-    askedChat: {
-      chat: { hash: hash32(chatKey), isReturning: isReturning(chat.value) },
-    },
+    isReturning: isReturning(chat.value),
     priority,
     deadlineAtMs: startedMs + deadlineMs,
     idempotencyKey: headers.value["idempotency-key"],
--- a/packages/daemon/src/entry/request_context.ts
+++ b/packages/daemon/src/entry/request_context.ts
@@ -1,4 +1,4 @@
-import type { AskedChat, Pool, Route, Team } from "@coltsfootford/core";
+import type { Pool, Route, Team } from "@coltsfootford/core";
 
 /** All that is known of one request once it was checked. */
 export interface RequestContext {
@@ -9,8 +9,8 @@
   readonly pool: Pool;
   /** Requests with the same key share a prompt prefix. */
   readonly chatKey: string;
-  /** What a target's keeper is told of the chat; empty for other calls. */
-  readonly askedChat: { readonly chat?: AskedChat };
+  /** Whether it is a later turn of a chat, whose prefix may be cached. */
+  readonly isReturning: boolean;
   /** 0 is the lowest priority, 9 the highest. */
   readonly priority: number;
   /** End of the request on this daemon's monotonic clock, in ms. */
--- a/packages/daemon/src/entry/service_handler.ts
+++ b/packages/daemon/src/entry/service_handler.ts
@@ -48,7 +48,7 @@
     route,
     pool,
     chatKey: headers.value["x-coltsfoot-chat"] ?? requestId,
-    askedChat: {},
+    isReturning: false,
     priority: headers.value["x-coltsfoot-priority"],
     deadlineAtMs: startedMs + deadlineMs,
     idempotencyKey: headers.value["idempotency-key"],
--- a/packages/daemon/src/keepers/keeper_permit_gate.ts
+++ b/packages/daemon/src/keepers/keeper_permit_gate.ts
@@ -41,7 +41,7 @@
 
 /** Only a returning chat has a prefix that is worth a wait. */
 function waitForHomeMs(context: RequestContext): number {
-  if (!context.askedChat.chat?.isReturning) return 0;
+  if (!context.isReturning) return 0;
   const prefixTokens = context.body.length / CHARACTERS_PER_TOKEN;
   return homeWaitMs(context.route.reuseWeight, prefixTokens);
 }
