--- a/packages/daemon/src/entry/request_context.ts
+++ b/packages/daemon/src/entry/request_context.ts
@@ -9,8 +9,8 @@
   readonly pool: Pool;
   /** Requests with the same key share a prompt prefix. */
   readonly chatKey: string;
-  /** Whether the chat had earlier turns, so that a prefix may be cached. */
-  readonly isReturningChat: boolean;
+  /** Whether it is a later turn of a chat, whose prefix may be cached. */
+  readonly isReturning: boolean;
   /** 0 is the lowest priority, 9 the highest. */
   readonly priority: number;
   /** End of the request on this daemon's monotonic clock, in ms. */
