Keep a small pool as a whole at one daemon

Cause: with 6 daemons each keeping 2 targets, the mean of the pool was known by reports up to 300 ms old. Requests of half a second end in that time, so the lower bound of the mean lost half of the load, the limit fell to one request a target, and nearly every ask was refused and sent again. Ruled out: the placement; every target was offered the same load. It knows the pool's load exactly.

--- a/packages/core/src/keepers/keeper_table_test.ts
+++ b/packages/core/src/keepers/keeper_table_test.ts
@@ -6,6 +6,7 @@
     name: `${kind}-${i}`,
     vm: `${kind}-${i}`,
     availabilityZone: `zone-${i % zones}`,
+    pool: "writers",
   }));
 }
 
@@ -27,7 +28,7 @@
 
   it("keeps each target in its own zone, else in the next one", () => {
     const daemons = names(3, 2, "entry");
-    const targets = names(3, 20, "target");
+    const targets = names(3, 30, "target");
     const table = new KeeperTable();
     table.update(targets, daemons);
     const zoneOf = new Map(daemons.map((d) => [d.vm, d.availabilityZone]));
@@ -57,4 +58,19 @@
     expect(counts.reduce((a, b) => a + b, 0)).toBe(1000);
     expect(Math.min(...counts)).toBeGreaterThan(0);
   });
+
+  it("gives a small pool one keeper, in any zone of the pool", () => {
+    const daemons = names(4, 2, "entry");
+    const targets = names(3, 5, "target");
+    const table = new KeeperTable();
+    table.update(targets, daemons);
+    const keeper = table.keeperOf(targets[0]!)!;
+    expect(table.targetsOf(keeper.vm)).toHaveLength(targets.length);
+    const zoneOf = new Map(daemons.map((d) => [d.vm, d.availabilityZone]));
+    expect(zoneOf.get(keeper.vm)).not.toBe("zone-3");
+    table.update(targets, daemons.filter((d) => d.vm !== keeper.vm));
+    const next = table.keeperOf(targets[0]!)!;
+    expect(next.vm).not.toBe(keeper.vm);
+    expect(table.targetsOf(next.vm)).toHaveLength(targets.length);
+  });
 });
