Leave requests on their way out of the pool's load, and report anew when a daemon is gone

Cause: bursts of grants counted before their requests arrived, and after a kill the reports of other keepers still counted the killed daemon's requests. Tests: tsc -b.

--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -290,6 +290,14 @@
     this.keeperOf(target)?.adopt(holder, askIds, nowMs);
   }
 
+  /**
+   * A daemon is gone with its requests: what other keepers reported before may
+   * count them, so it is forgotten until they report anew.
+   */
+  forgetPoolReports(): void {
+    for (const state of this.#pools.values()) state.mean.forgetReports();
+  }
+
   /** A daemon is gone, or the connection to it was lost. */
   noteHolderGone(holder: string, nowMs: number): void {
     for (const kept of this.#targets.values()) {
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -196,11 +196,19 @@
     this.#book.noteCollectAnswer(from, message.answer, nowMs);
   }
 
-  /** The connection of a peer is lost or given up. */
+  /**
+   * The connection of a peer is lost or given up. In a small fleet, where it
+   * may have held much of the load, the keepers tell each other anew.
+   */
   peerLost(peer: string): void {
     this.#book.noteHolderGone(peer, this.#nowMs);
     this.#book.forgetKeeper(peer);
     this.#outbox.drop(peer);
+    if (this.#options.loneReportMs === 0) return;
+    this.#book.forgetPoolReports();
+    for (const keeper of this.#parts.view.otherKeepers()) {
+      if (keeper !== peer) this.#sendReturns(keeper, true);
+    }
   }
 
   /** A connection to a peer was made anew: it must know what runs. */
@@ -403,8 +411,8 @@
     });
   }
 
-  #sendReturns(peer: string): void {
-    const extras = this.#outbox.take(peer, this.#nowMs);
+  #sendReturns(peer: string, withReport = false): void {
+    const extras = this.#outbox.take(peer, this.#nowMs, withReport);
     if (extras.returns.length + extras.reports.length === 0) return;
     this.#parts.send(peer, { kind: "returns", extras });
   }
--- a/packages/core/src/bound/permit_outbox.ts
+++ b/packages/core/src/bound/permit_outbox.ts
@@ -35,12 +35,13 @@
     return nowMs - this.#of(peer).reportedAtMs;
   }
 
-  /** Takes out what waits for the peer, with a report if one is due. */
-  take(peer: string, nowMs: number): PermitExtras {
+  /** Takes out what waits for the peer, with a report if one is due or asked. */
+  take(peer: string, nowMs: number, withReport = false): PermitExtras {
     const outbox = this.#of(peer);
     const { returns } = outbox;
     outbox.returns = [];
-    const isDue = nowMs - outbox.reportedAtMs >= this.#reportPeriodMs;
+    const isDue = withReport ||
+      nowMs - outbox.reportedAtMs >= this.#reportPeriodMs;
     const reports = isDue ? this.#createReports(nowMs) : [];
     if (reports.length > 0) outbox.reportedAtMs = nowMs;
     return { returns, reports };
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -17,8 +17,8 @@
 /** Settings of a `PoolMeanEstimate`. */
 export interface PoolMeanEstimateOptions {
   /**
-   * Time from the end of an answer until its permit is back at the keeper, and
-   * from a grant until the request has reached its target, together, in ms.
+   * Time from the end of an answer until its permit is back at the keeper, in
+   * ms.
    */
   readonly permitLagMs: number;
   /** Least time that a report is on its way between zones, in ms. */
@@ -101,6 +101,14 @@
     });
   }
 
+  /**
+   * Drops the reports of all keepers: a daemon is gone, and its requests may
+   * have ended with it since they were measured.
+   */
+  forgetReports(): void {
+    this.#reports.clear();
+  }
+
   /** Drops what is known of a keeper that is gone, restarted or cut off. */
   forget(keeper: string): void {
     this.#reports.delete(keeper);
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -6,6 +6,8 @@
   readonly measuredAtMs: number;
 }
 
+/** Time after a grant within which the request may still be on its way. */
+const ARRIVAL_LAG_MS = 20;
 /** Reports measured longer ago are ignored. */
 const MAX_REPORT_AGE_MS = 5_000;
 
@@ -55,15 +57,15 @@
   }
 
   /**
-   * Requests that run at the target by all that is known: permits held, and
-   * what the last report showed beyond them.
+   * Requests that run at the target by all that is known: permits held, but
+   * for those just granted, and what the last report showed beyond them.
    */
   runningRequests(nowMs: number): number {
     const lostRequests = Math.min(
       this.#lostRequests,
       this.#countOrphans(nowMs),
     );
-    return this.#heldRequests + lostRequests;
+    return this.#heldRequests + lostRequests - this.#countOnTheWay(nowMs);
   }
 
   /** Upper bound of the target's load at `nowMs`. */
@@ -179,6 +181,15 @@
     }).filter((orphan) => orphan.count > 0);
   }
 
+  #countOnTheWay(nowMs: number): number {
+    let count = 0;
+    for (let index = this.#grantTimesMs.length - 1; index >= 0; index--) {
+      if (this.#grantTimesMs[index]! <= nowMs - ARRIVAL_LAG_MS) break;
+      count += 1;
+    }
+    return Math.min(count, this.#heldRequests);
+  }
+
   #forgetOldReport(nowMs: number): void {
     const oldestMs = nowMs - MAX_REPORT_AGE_MS;
     const firstGrantMs = this.#grantTimesMs[0] ?? nowMs;
