--- /dev/null
+++ b/packages/bench/src/claims/poison_test.ts
@@ -0,0 +1,97 @@
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+import { request } from "undici";
+import { Caller, Fleet, type FleetPlan, SMALL_PLAN } from "../harness/index.ts";
+
+const POISON = "crash-this-engine";
+const WRITERS = ["writer-1", "writer-2", "writer-3"];
+const ENTRIES = ["entry-1", "entry-2", "entry-3"];
+const INNOCENTS = 24;
+const RESENDS = 6;
+/** Two zones, so that what one finds out must reach the other. */
+const ZONES = ["zone-a", "zone-b"] as const;
+
+const PLAN: FleetPlan = {
+  ...SMALL_PLAN,
+  name: "poison",
+  availabilityZones: ZONES,
+  daemons: ENTRIES.map((vm, index) => ({
+    vm,
+    availabilityZone: ZONES[index === 2 ? 1 : 0],
+  })),
+};
+
+let fleet: Fleet;
+const caller = new Caller();
+
+beforeEach(async () => {
+  fleet = await Fleet.start(PLAN);
+  for (const vm of WRITERS) {
+    await fleet.targets.setFaults(vm, {
+      poisonMarkers: [POISON],
+      restartAfterMs: 300,
+    });
+  }
+});
+
+afterEach(async () => {
+  await fleet.stop();
+});
+
+async function countCrashes(): Promise<number> {
+  const { standIns } = await fleet.targets.readTruth();
+  return WRITERS.reduce(
+    (sum, vm) => sum + Number(standIns[vm]?.["crashes"] ?? 0),
+    0,
+  );
+}
+
+/** Sends the poison and returns the status and the outcome. */
+async function sendPoison(vm: string): Promise<string> {
+  const response = await request(
+    `${fleet.daemon(vm).url}/v1/chat/completions`,
+    {
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        "x-coltsfoot-team": "lots",
+      },
+      body: JSON.stringify({
+        model: "writer",
+        max_tokens: 50,
+        messages: [{ role: "user", content: POISON }],
+      }),
+    },
+  );
+  await response.body.dump();
+  const outcome = response.headers["x-coltsfoot-outcome"];
+  return `${response.statusCode} ${outcome}`;
+}
+
+describe("a request that crashes targets", () => {
+  it("crashes two at most, in all zones, and the others are served", async () => {
+    const innocents = Array.from(
+      { length: INNOCENTS },
+      (_, index) =>
+        caller.chat(fleet.daemon(ENTRIES[index % ENTRIES.length]!).url, {
+          team: "lots",
+          chat: `chat-${index}`,
+          model: "writer",
+          messages: [{ role: "user", content: `describe lot ${index}` }],
+          maxTokens: 300,
+          isStream: index % 2 === 0,
+        }),
+    );
+    const answers: string[] = [];
+    for (let resend = 0; resend < RESENDS; resend++) {
+      answers.push(await sendPoison(ENTRIES[resend % ENTRIES.length]!));
+    }
+    expect(await countCrashes()).toBeLessThanOrEqual(2);
+    expect(answers.slice(2)).toEqual(
+      Array(RESENDS - 2).fill("422 not-run"),
+    );
+    for (const result of await Promise.all(innocents)) {
+      expect(result).toMatchObject({ status: 200, isOwnAndWhole: true });
+    }
+    expect(await countCrashes()).toBeLessThanOrEqual(2);
+  });
+});
--- a/packages/core/src/poison/suspect_isolation.ts
+++ b/packages/core/src/poison/suspect_isolation.ts
@@ -2,7 +2,7 @@
 
 /**
  * Keeps suspects apart. Each target takes suspects from one daemon only, found
- * by rendezvous hashing over the live daemons of the zone, and that daemon
+ * by rendezvous hashing over the live daemons, and that daemon
  * runs one suspect at a time on it. The view of who is live only decides how
  * well suspects are told apart; how many targets one request can crash rests
  * on the count of crashes.
--- a/packages/core/src/retry/decide_retry.ts
+++ b/packages/core/src/retry/decide_retry.ts
@@ -16,6 +16,8 @@
   readonly isIdempotent: boolean;
   /** Whether a cut answer can go on where it ended. */
   readonly canResume: boolean;
+  /** Whether the target is known to have died with the request running. */
+  readonly hasTargetCrashed: boolean;
   /** Tries that may have reached a target. */
   readonly triesSent: number;
   /** Tries that reached no target. */
@@ -49,7 +51,10 @@
 
 /**
  * Decides on a retry and takes it out of the budget. A request that was never
- * sent costs nothing of the budget, since it put no load on any target.
+ * sent costs nothing of the budget, since it put no load on any target. Nor
+ * does one whose target crashed: the load that it made is gone with the target,
+ * and content that was running in two crashes is refused, so a request gets at
+ * most one such retry.
  */
 export function decideRetry(
   question: RetryQuestion,
@@ -63,7 +68,9 @@
   if (question.triesUnsent >= MAX_UNSENT_TRIES) return stop("tries-used-up");
   const leftMs = question.deadlineMs - question.nowMs;
   if (leftMs < MIN_TIME_FOR_RETRY_MS) return stop("deadline");
-  if (failure === "not-sent") return { kind: "retry" };
+  if (failure === "not-sent" || question.hasTargetCrashed) {
+    return { kind: "retry" };
+  }
   if (!budget.tryTake()) return stop("budget-used-up");
   return { kind: "retry" };
 }
--- a/packages/core/src/retry/retry_test.ts
+++ b/packages/core/src/retry/retry_test.ts
@@ -9,6 +9,7 @@
   failure: "maybe-run",
   isIdempotent: true,
   canResume: false,
+  hasTargetCrashed: false,
   triesSent: 1,
   triesUnsent: 0,
   maxTries: 3,
@@ -50,6 +51,16 @@
 });
 
 describe("RetryBudget", () => {
+  it("is not charged for requests that died with their target", () => {
+    const budget = new RetryBudget(SETTINGS);
+    const question = { ...QUESTION, hasTargetCrashed: true };
+    for (let request = 0; request < 64; request++) {
+      expect(decideRetry(question, budget).kind).toBe("retry");
+    }
+    expect(decideRetry(QUESTION, budget).kind).toBe("retry");
+    expect(decideRetry(QUESTION, budget).kind).toBe("stop");
+  });
+
   it("keeps the offered load within 1.1 while half the targets fail", () => {
     const requests = 20_000;
     const random = xoroshiro128plus(7);
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -34,6 +34,12 @@
   readonly metrics: Metrics;
 }
 
+/** How a try ended, and whether the target died meanwhile. */
+interface EndedTry {
+  readonly result: AttemptResult;
+  readonly hasTargetCrashed: boolean;
+}
+
 /** Takes a checked request through its guards and tries to an answer. */
 export class RequestDispatcher {
   readonly #parts: DispatcherParts;
@@ -90,13 +96,25 @@
         isSuspect,
       });
       if (!place) break;
-      const result = await this.#tryTarget(place, context, relay, digest);
+      const { result, hasTargetCrashed } = await this.#tryTarget(
+        place,
+        context,
+        relay,
+        digest,
+      );
       if (result.kind === "answered") return ok(undefined);
       message = result.message;
       history.note(place.target.name, result);
       if (context.signal.aborted) break;
       const nowMs = timer.nowMs();
-      const next = history.decide(result, context, relay, budget, nowMs);
+      const next = history.decide({
+        result,
+        context,
+        relay,
+        budget,
+        nowMs,
+        hasTargetCrashed,
+      });
       if (next.kind === "stop") break;
       this.#parts.metrics.count("retries_total");
     }
@@ -108,7 +126,7 @@
     context: RequestContext,
     relay: AnswerRelay,
     digest: string,
-  ): Promise<AttemptResult> {
+  ): Promise<EndedTry> {
     const { claims, poison } = this.#parts.guards;
     const { target, permit } = place;
     const mark = poison.begin(target, context.requestId, digest);
@@ -118,28 +136,33 @@
         claims.mayStart(context) && permit.start();
       if (!mayStart) {
         const message = "the right to start ended before the request was sent";
-        return { kind: "not-sent", message };
+        const result: AttemptResult = { kind: "not-sent", message };
+        return { result, hasTargetCrashed: false };
       }
       const result = await this.#send(target, context, relay);
-      await this.#judgeEnd(mark, result, context);
+      const hasTargetCrashed = await this.#judgeEnd(mark, result, context);
       if (result.kind !== "answered") this.#logFailure(place, context, result);
-      return result;
+      return { result, hasTargetCrashed };
     } finally {
       mark?.end();
       permit.release();
     }
   }
 
-  /** Tells the search for crashing requests how a try ended. */
+  /**
+   * Tells the search for crashing requests how a try ended. Resolves with
+   * whether the target is known to have crashed.
+   */
   async #judgeEnd(
     mark: RunningMark,
     result: AttemptResult,
     context: RequestContext,
-  ): Promise<void> {
-    if (result.kind === "answered") return mark.endCompleted();
+  ): Promise<boolean> {
+    if (result.kind === "answered") mark.endCompleted();
     const isLost = result.kind === "unknown" || result.kind === "cut";
     // After an abort it was this daemon that dropped the connection.
-    if (isLost && !context.signal.aborted) await mark.endLost();
+    if (!isLost || context.signal.aborted) return false;
+    return await mark.endLost();
   }
 
   async #send(
--- a/packages/daemon/src/entry/next_try.ts
+++ b/packages/daemon/src/entry/next_try.ts
@@ -10,6 +10,17 @@
 /** A try that did not lead to an answer. */
 export type FailedAttempt = Exclude<AttemptResult, { kind: "answered" }>;
 
+/** What the decision on another try depends on. */
+export interface NextTryQuestion {
+  readonly result: FailedAttempt;
+  readonly context: RequestContext;
+  readonly relay: AnswerRelay;
+  readonly budget: RetryBudget;
+  readonly nowMs: number;
+  /** Whether the target is known to have died with the request running. */
+  readonly hasTargetCrashed: boolean;
+}
+
 /** The tries of one request so far. */
 export class TryHistory {
   readonly targets = new Set<string>();
@@ -33,13 +44,8 @@
   }
 
   /** Decides whether another try follows, and pays for it. */
-  decide(
-    result: FailedAttempt,
-    context: RequestContext,
-    relay: AnswerRelay,
-    budget: RetryBudget,
-    nowMs: number,
-  ): RetryDecision {
+  decide(question: NextTryQuestion): RetryDecision {
+    const { result, context, relay, budget, nowMs } = question;
     const failure: TryFailure = result.kind === "unknown"
       ? "maybe-run"
       : result.kind;
@@ -47,6 +53,7 @@
       failure,
       isIdempotent: context.route.idempotent,
       canResume: relay.canResume(),
+      hasTargetCrashed: question.hasTargetCrashed,
       triesSent: this.#sent,
       triesUnsent: this.#unsent,
       maxTries: context.route.maxAttempts,
--- a/packages/daemon/src/poison/poison_controller.ts
+++ b/packages/daemon/src/poison/poison_controller.ts
@@ -39,14 +39,15 @@
    * Ends the mark after a lost connection. Resolves once it is known whether
    * the target crashed and, if so, once the peers have been told.
    */
-  endLost(): Promise<void>;
+  endLost(): Promise<boolean>;
   /** Ends the mark where the end says nothing about the request. */
   end(): void;
 }
 
 interface CrashCheck {
   readonly digests: Set<string>;
-  readonly done: Promise<void>;
+  /** Whether the target crashed. */
+  readonly done: Promise<boolean>;
 }
 
 /**
@@ -103,7 +104,7 @@
   /** Names of the targets on which a suspect may start now. */
   findIsolatedTargets(targets: readonly string[]): string[] {
     const { vm, peers } = this.#parts;
-    return this.#isolation.findFreeTargets(vm, peers.listZone(), targets);
+    return this.#isolation.findFreeTargets(vm, peers.listAll(), targets);
   }
 
   /** Marks a request as sent; undefined where a suspect may not start there. */
@@ -136,8 +137,9 @@
         const check = this.#checkCrash(target);
         check.digests.add(digest);
         running.delete(requestId);
-        await check.done;
+        const hasCrashed = await check.done;
         end();
+        return hasCrashed;
       },
     };
   }
@@ -156,10 +158,10 @@
   async #confirmCrash(
     target: TargetView,
     digests: ReadonlySet<string>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const crashId = await this.#parts.detector.findCrash(target);
     this.#checks.delete(target.name);
-    if (crashId === undefined) return;
+    if (crashId === undefined) return false;
     const { vm: reporter, peers, logger } = this.#parts;
     const all = [...digests];
     logger.event("targetCrashed", { crashId, requests: all.length });
@@ -175,6 +177,7 @@
       spreading.push(peers.spreadCrash(report));
     }
     await Promise.all(spreading);
+    return true;
   }
 
   #noteCrash(report: CrashReport): void {
