--- a/packages/bench/src/harness/fleet.ts
+++ b/packages/bench/src/harness/fleet.ts
@@ -1,6 +1,6 @@
 import { FleetDaemon } from "./fleet_daemon.ts";
 import type { DaemonPlan, FleetPlan } from "./fleet_plan.ts";
-import { publishObjects } from "./publish.ts";
+import { type CliRun, runCli } from "./operator.ts";
 import { SettingsFiles } from "./settings_files.ts";
 import type { StandInClient } from "./stand_in_client.ts";
 import {
@@ -49,10 +49,8 @@
     const fleet = new Fleet(plan);
     try {
       await fleet.#startStandIns();
-      if (plan.objects.length > 0) {
-        await publishObjects(fleet.platformUrl, plan.objects, 1);
-      }
       await Promise.all(plan.daemons.map((it) => fleet.startDaemon(it)));
+      await fleet.#publish();
       return fleet;
     } catch (error) {
       await fleet.stop();
@@ -103,7 +101,6 @@
       peerPort: daemon.peerPort,
       state: "live",
     });
-    if (this.plan.objects.length > 0) await daemon.waitUntilReady();
     return daemon;
   }
 
@@ -129,6 +126,24 @@
     this.#files.remove();
   }
 
+  /** Runs `coltsfoot` against this fleet. */
+  runCli(args: readonly string[]): Promise<CliRun> {
+    const adminUrls = this.daemons.map((daemon) => daemon.adminUrl);
+    return runCli({ platformUrl: this.platformUrl, adminUrls }, args);
+  }
+
+  async #publish(): Promise<void> {
+    const directory = this.#files.writeObjects(this.plan.objects);
+    for (
+      const args of [["check", directory], ["publish", directory, "--wait"]]
+    ) {
+      const { exitCode, output } = await this.runCli(args);
+      if (exitCode === 0) continue;
+      throw new Error(`coltsfoot ${args[0]} ended with ${exitCode}: ${output}`);
+    }
+    await Promise.all(this.daemons.map((daemon) => daemon.waitUntilReady()));
+  }
+
   async #startStandIns(): Promise<void> {
     const { plan } = this;
     const [targets, platform] = await Promise.all([
--- a/packages/bench/src/harness/fleet_plan.ts
+++ b/packages/bench/src/harness/fleet_plan.ts
@@ -41,8 +41,8 @@
   readonly availabilityZones: readonly string[];
   readonly daemons: readonly DaemonPlan[];
   readonly pools: readonly PoolPlan[];
-  /** Published before the daemons start, unless empty. */
-  readonly objects: readonly ObjectInput[];
+  /** The objects to publish, or the directory of their files. */
+  readonly objects: readonly ObjectInput[] | string;
   /**
    * Delay between zones, one way. Undefined leaves the links out, so that
    * zones cannot be cut off and no byte passes through the harness.
--- a/packages/bench/src/harness/plans/batinah.ts
+++ b/packages/bench/src/harness/plans/batinah.ts
@@ -1,36 +1,13 @@
-import {
-  type FleetPlan,
-  type ObjectInput,
-  spreadOverZones,
-} from "../fleet_plan.ts";
+import { fileURLToPath } from "node:url";
+import { type FleetPlan, spreadOverZones } from "../fleet_plan.ts";
 
 const ZONES = ["muscat-a", "muscat-b", "muscat-c", "muscat-d"] as const;
-const LARGE_TEAM_SHARE_WEIGHT = 4;
+const OBJECTS = new URL(
+  "../../../../../examples/batinah/objects",
+  import.meta.url,
+);
 
-const OBJECTS: ObjectInput[] = [
-  ...["lots", "bidders", "schools"].map((name): ObjectInput => ({
-    kind: "team",
-    name,
-    shareWeight: LARGE_TEAM_SHARE_WEIGHT,
-  })),
-  ...["masons", "carpenters", "joiners", "tagging", "press", "support", "audit"]
-    .map((name): ObjectInput => ({ kind: "team", name })),
-  { kind: "model", name: "writer", version: "1" },
-  { kind: "service", name: "desk" },
-  { kind: "pool", name: "writers", model: "writer", loadFactor: 1.25 },
-  { kind: "pool", name: "desks", service: "desk", loadFactor: 1.5 },
-  {
-    kind: "route",
-    name: "chat",
-    protocol: "chat",
-    pool: "writers",
-    reuseWeight: 0.9,
-    idempotent: true,
-  },
-  { kind: "route", name: "bids", protocol: "service", pool: "desks" },
-];
-
-/** The Trust: 4 zones, 6 daemons, 13 writer engines and 4 desk services. */
+/** The Trust: 4 zones, 6 daemons, 13 model engines and 4 auction desks. */
 export const BATINAH_PLAN: FleetPlan = {
   name: "batinah",
   availabilityZones: ZONES,
@@ -44,11 +21,11 @@
     },
     {
       kind: "service",
-      pool: "desks",
+      pool: "auction-desks",
       targets: spreadOverZones("desk", 4, ZONES),
       settings: { runMs: 20 },
     },
   ],
-  objects: OBJECTS,
+  objects: fileURLToPath(OBJECTS),
   zoneDelayMs: 3.5,
 };
--- a/packages/bench/src/harness/settings_files.ts
+++ b/packages/bench/src/harness/settings_files.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { cpSync, mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
@@ -13,6 +13,18 @@
     return path;
   }
 
+  /** Writes objects, or copies the files of a directory, and returns where. */
+  writeObjects(objects: readonly unknown[] | string): string {
+    const path = join(this.#directory, "objects");
+    if (typeof objects === "string") {
+      cpSync(objects, path, { recursive: true });
+      return path;
+    }
+    mkdirSync(path, { recursive: true });
+    writeFileSync(join(path, "all.json"), JSON.stringify(objects));
+    return path;
+  }
+
   remove(): void {
     rmSync(this.#directory, { recursive: true, force: true });
   }
