--- /dev/null
+++ b/packages/bench/src/demo/demo_load.ts
@@ -0,0 +1,156 @@
+import { expectedAnswer, type Message } from "@coltsfootford/standins";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Caller, type CallResult, type Fleet } from "../harness/index.ts";
+import type { DemoOptions, Deployment } from "./demo_options.ts";
+
+const INVENTORY_LINES = 60;
+const MIN_ANSWER_TOKENS = 16;
+const MAX_ANSWER_TOKENS = 64;
+/** One in so many bookings is sent again, as after a lost answer. */
+const RESEND_PERIOD = 5;
+
+/** What the callers of a demo saw. */
+export interface DemoCounts {
+  chats: number;
+  chatsWhole: number;
+  bookings: number;
+  bookingsWhole: number;
+  resends: number;
+  /** The first few failures, for the reader. */
+  readonly failures: string[];
+}
+
+/** Called after every call that has ended. */
+export type OnProgress = (done: number, total: number) => void;
+
+const MAX_KEPT_FAILURES = 5;
+
+/** Sends returning chats and bookings through all daemons of a fleet. */
+export class DemoLoad {
+  readonly counts: DemoCounts = {
+    chats: 0,
+    chatsWhole: 0,
+    bookings: 0,
+    bookingsWhole: 0,
+    resends: 0,
+    failures: [],
+  };
+  readonly #fleet: Fleet;
+  readonly #deployment: Deployment;
+  readonly #options: DemoOptions;
+  readonly #onProgress: OnProgress;
+  readonly #caller = new Caller();
+  readonly #random;
+
+  constructor(
+    fleet: Fleet,
+    deployment: Deployment,
+    options: DemoOptions,
+    onProgress: OnProgress,
+  ) {
+    this.#fleet = fleet;
+    this.#deployment = deployment;
+    this.#options = options;
+    this.#onProgress = onProgress;
+    this.#random = xoroshiro128plus(options.seed);
+  }
+
+  /** Runs the whole load; resolves once every call has ended. */
+  async run(): Promise<void> {
+    const { chats, bookings, concurrency } = this.#options;
+    const tasks = [
+      ...Array.from({ length: chats }, (_, it) => () => this.#runChat(it)),
+      ...Array.from({ length: bookings }, (_, it) => () => this.#book(it)),
+    ];
+    const shuffled = this.#shuffle(tasks);
+    const workers = Array.from({ length: concurrency }, async () => {
+      for (let task = shuffled.pop(); task; task = shuffled.pop()) await task();
+    });
+    await Promise.all(workers);
+    await this.#caller.close();
+  }
+
+  /** Every turn repeats what went before and adds the answer and a question. */
+  async #runChat(number: number): Promise<void> {
+    const messages: Message[] = [
+      { role: "system", content: describeInventory(number) },
+    ];
+    for (let turn = 1; turn <= this.#options.turnsPerChat; turn += 1) {
+      messages.push({ role: "user", content: `Question ${turn} on it?` });
+      const maxTokens = this.#pick(MIN_ANSWER_TOKENS, MAX_ANSWER_TOKENS);
+      const result = await this.#caller.chat(this.#pickUrl(), {
+        team: this.#pickTeam(),
+        chat: `chat-${number}`,
+        model: this.#deployment.model,
+        messages: [...messages],
+        maxTokens,
+        isStream: this.#pick(0, 3) > 0,
+      });
+      this.counts.chats += 1;
+      if (result.isOwnAndWhole) this.counts.chatsWhole += 1;
+      this.#record(`chat ${number} turn ${turn}`, result);
+      const { text } = expectedAnswer(messages, maxTokens);
+      messages.push({ role: "assistant", content: text });
+    }
+  }
+
+  async #book(number: number): Promise<void> {
+    const call = {
+      team: this.#pickTeam(),
+      route: this.#deployment.bookingRoute,
+      path: `/bookings/${number}`,
+      body: JSON.stringify({ booking: number }),
+      idempotencyKey: `booking-${this.#options.seed}-${number}`,
+    };
+    const result = await this.#caller.service(this.#pickUrl(), call);
+    this.counts.bookings += 1;
+    if (result.isOwnAndWhole) this.counts.bookingsWhole += 1;
+    this.#record(`booking ${number}`, result);
+    if (number % RESEND_PERIOD !== 0) return;
+    // What a resend is answered is free; that it does not run again is not.
+    await this.#caller.service(this.#pickUrl(), call);
+    this.counts.resends += 1;
+  }
+
+  #record(name: string, result: CallResult): void {
+    const { chats, bookings, failures } = this.counts;
+    const options = this.#options;
+    const total = options.chats * options.turnsPerChat + options.bookings;
+    this.#onProgress(chats + bookings, total);
+    if (result.isOwnAndWhole || failures.length >= MAX_KEPT_FAILURES) return;
+    const { status, outcome, text } = result;
+    failures.push(`${name}: status ${status}, ${outcome}, ${text}`);
+  }
+
+  #pickUrl(): string {
+    const { daemons } = this.#fleet;
+    return daemons[this.#pick(0, daemons.length - 1)]?.url ?? "";
+  }
+
+  #pickTeam(): string {
+    const { teams } = this.#deployment;
+    return teams[this.#pick(0, teams.length - 1)] ?? "";
+  }
+
+  #pick(from: number, to: number): number {
+    return uniformInt(this.#random, from, to);
+  }
+
+  #shuffle<T>(items: T[]): T[] {
+    for (let last = items.length - 1; last > 0; last -= 1) {
+      const other = this.#pick(0, last);
+      [items[last], items[other]] = [items[other] as T, items[last] as T];
+    }
+    return items;
+  }
+}
+
+/** A long first message, as a workshop's inventory is. */
+function describeInventory(number: number): string {
+  const lines = Array.from(
+    { length: INVENTORY_LINES },
+    (_, line) => `Bin ${number}-${line}: oak offcuts, ${line + 1} pieces.`,
+  );
+  return lines.join("\n");
+}
--- /dev/null
+++ b/packages/bench/src/demo/demo_options.ts
@@ -0,0 +1,66 @@
+import { parseArgs } from "node:util";
+import {
+  BARANDAS_PLAN,
+  BATINAH_PLAN,
+  type FleetPlan,
+} from "../harness/index.ts";
+
+/** What the demo runs. */
+export interface DemoOptions {
+  readonly deployments: readonly Deployment[];
+  readonly chats: number;
+  readonly turnsPerChat: number;
+  readonly bookings: number;
+  /** Chats and bookings that are in progress at a time. */
+  readonly concurrency: number;
+  readonly seed: number;
+}
+
+/** A fleet plan with the names that callers use in it. */
+export interface Deployment {
+  readonly plan: FleetPlan;
+  readonly model: string;
+  /** Route of calls that may run only once. */
+  readonly bookingRoute: string;
+  readonly teams: readonly string[];
+}
+
+const BATINAH: Deployment = {
+  plan: BATINAH_PLAN,
+  model: "lot-writer",
+  bookingRoute: "bid-confirmation",
+  teams: ["sohar-carpenters", "barka-timber-yards", "rustaq-schools"],
+};
+const BARANDAS: Deployment = {
+  plan: BARANDAS_PLAN,
+  model: "survey-writer",
+  bookingRoute: "install-booking",
+  teams: ["cordoba-clinicas", "rosario-hogares", "franchise-office"],
+};
+const FULL = { chats: 150, turnsPerChat: 3, bookings: 150, concurrency: 32 };
+const SMOKE = { chats: 30, turnsPerChat: 2, bookings: 30, concurrency: 16 };
+const DEFAULT_SEED = 1;
+
+export const USAGE = `usage: npm run demo [-- OPTIONS]
+
+  --smoke    a short run of one deployment, for CI
+  --seed N   seed of the load, ${DEFAULT_SEED} unless given
+  --help     print this help
+`;
+
+/** Reads the command line; undefined where help was asked for. */
+export function readDemoOptions(args: string[]): DemoOptions | undefined {
+  const { values } = parseArgs({
+    args,
+    options: {
+      smoke: { type: "boolean", default: false },
+      seed: { type: "string", default: String(DEFAULT_SEED) },
+      help: { type: "boolean", default: false },
+    },
+  });
+  if (values.help) return undefined;
+  const seed = Number(values.seed);
+  if (!Number.isInteger(seed)) throw new Error("--seed takes a whole number");
+  if (values.smoke) return { ...SMOKE, deployments: [BATINAH], seed };
+  return { ...FULL, deployments: [BATINAH, BARANDAS], seed };
+}
--- /dev/null
+++ b/packages/bench/src/demo/main.ts
@@ -0,0 +1,73 @@
+/** Starts the brief's deployments as processes and shows what they do. */
+import { Fleet } from "../harness/index.ts";
+import { DemoLoad } from "./demo_load.ts";
+import {
+  type DemoOptions,
+  type Deployment,
+  readDemoOptions,
+  USAGE,
+} from "./demo_options.ts";
+import {
+  createReport,
+  formatReport,
+  isDemoGood,
+  sampleTraffic,
+} from "./demo_report.ts";
+
+const EXIT_OK = 0;
+const EXIT_PROMISE_BROKEN = 1;
+const EXIT_USAGE = 2;
+const PROGRESS_STEPS = 20;
+
+/** Runs one deployment; true where it kept its promises. */
+async function runDeployment(
+  deployment: Deployment,
+  options: DemoOptions,
+): Promise<boolean> {
+  const { plan } = deployment;
+  console.log(
+    `${plan.name}: starting ${plan.daemons.length} daemons over ` +
+      `${plan.availabilityZones.length} availability zones`,
+  );
+  const fleet = await Fleet.start(plan);
+  try {
+    console.log(`${plan.name}: configuration is in force, sending requests`);
+    const before = await sampleTraffic(fleet);
+    const load = new DemoLoad(fleet, deployment, options, printProgress);
+    await load.run();
+    const report = await createReport(fleet, load.counts, before);
+    console.log(formatReport(plan.name, report));
+    return isDemoGood(report);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function printProgress(done: number, total: number): void {
+  const step = Math.ceil(total / PROGRESS_STEPS);
+  if (done % step !== 0 && done !== total) return;
+  if (process.stdout.isTTY) process.stdout.write(`\r  ${done} of ${total}`);
+  else if (done === total) console.log(`  ${done} of ${total} requests done`);
+  if (process.stdout.isTTY && done === total) process.stdout.write("\n");
+}
+
+async function main(): Promise<number> {
+  const options = readDemoOptions(process.argv.slice(2));
+  if (!options) {
+    console.log(USAGE);
+    return EXIT_OK;
+  }
+  let isGood = true;
+  for (const deployment of options.deployments) {
+    isGood = await runDeployment(deployment, options) && isGood;
+  }
+  console.log(isGood ? "All promises were kept." : "A promise was broken.");
+  return isGood ? EXIT_OK : EXIT_PROMISE_BROKEN;
+}
+
+try {
+  process.exitCode = await main();
+} catch (error) {
+  console.error(error instanceof Error ? error.message : error);
+  process.exitCode = EXIT_USAGE;
+}
