--- a/packages/daemon/src/entry/chat_handler.ts
+++ b/packages/daemon/src/entry/chat_handler.ts
@@ -57,7 +57,7 @@
     route,
     pool,
     chatKey,
-    isReturningChat: isReturning(chat.value),
+    isReturning: isReturning(chat.value),
     priority,
     deadlineAtMs: startedMs + deadlineMs,
     idempotencyKey: headers.value["idempotency-key"],
