Test that answers are whole and own through late, crossed, doubled and cut ones

A doubled whole answer now comes as a second answer on the same connection, where a client may take it for the answer to its next request, and the tests send that next request.

--- /dev/null
+++ b/packages/bench/src/answers/faulty_answers_test.ts
@@ -0,0 +1,81 @@
+import {
+  afterAll,
+  afterEach,
+  beforeAll,
+  describe,
+  expect,
+  it,
+} from "@jest/globals";
+import { expectedAnswer } from "@coltsfootford/standins";
+import type { CallResult, ChatCall } from "../harness/index.ts";
+import { AnswerFixture } from "./answer_fixture.ts";
+
+/** Every way in which an engine can spoil an answer. */
+const FAULTS: Record<string, object> = {
+  late: { lateAnswersMs: 300 },
+  crossed: { crossedAnswers: true },
+  "with a wrong id": { wrongId: true },
+  "with every chunk twice": { doubledChunks: true },
+  "with the whole answer twice": { doubledAnswers: true },
+  "truncated by a broken connection": { truncateAfterTokens: 5 },
+  "truncated with a clean end": {
+    truncateAfterTokens: 5,
+    truncateCleanly: true,
+  },
+  "truncated before the first token": { truncateAfterTokens: 0 },
+  "broken off by the death of the engine": {
+    killAfterTokens: 5,
+    restartAfterMs: 50,
+  },
+};
+
+/** Whether the caller was given a part of its own answer and nothing else. */
+function isOwnPart(call: ChatCall, result: CallResult): boolean {
+  if (result.status !== 200) return true;
+  return expectedAnswer(call.messages, call.maxTokens).text.startsWith(
+    result.text,
+  );
+}
+
+describe("answers of faulty engines", () => {
+  let fixture: AnswerFixture;
+
+  beforeAll(async () => {
+    fixture = await AnswerFixture.start();
+  });
+
+  afterEach(async () => {
+    await fixture.clearFaults();
+  });
+
+  afterAll(async () => {
+    await fixture.stop();
+  });
+
+  for (const [name, faults] of Object.entries(FAULTS)) {
+    for (const isStream of [true, false]) {
+      const kind = isStream ? "a stream" : "a whole answer";
+      it(`${kind} ${name} at one engine still reaches its caller`, async () => {
+        const call = fixture.createCall(isStream);
+        const home = await fixture.findHome(call);
+        await fixture.fleet.targets.setFaults(home, faults);
+        const result = await fixture.ask(call);
+        const next = await fixture.ask(call);
+        for (const { isOwnAndWhole, outcome } of [result, next]) {
+          expect([isOwnAndWhole, outcome]).toEqual([true, "completed"]);
+        }
+      });
+
+      it(`${kind} ${name} at every engine never looks whole`, async () => {
+        const call = fixture.createCall(isStream);
+        await fixture.setAllFaults(faults);
+        const result = await fixture.ask(call);
+        const claimsWhole = result.isEnded && result.status === 200;
+        expect(claimsWhole).toBe(result.isOwnAndWhole);
+        expect(isOwnPart(call, result)).toBe(true);
+        const outcome = result.isOwnAndWhole ? "completed" : "unknown";
+        expect(result.outcome).toBe(outcome);
+      });
+    }
+  }
+});
--- a/packages/bench/src/harness/plans/small.ts
+++ b/packages/bench/src/harness/plans/small.ts
@@ -42,6 +42,8 @@
       protocol: "chat",
       pool: "writers",
       idempotent: true,
+      // Tests of single faults would use up a usual budget at once.
+      retryBudgetRatio: 1,
     },
     { kind: "route", name: "bids", protocol: "service", pool: "desks" },
   ],
--- a/packages/standins/src/engine/answer_writer.ts
+++ b/packages/standins/src/engine/answer_writer.ts
@@ -38,9 +38,19 @@
 
   abstract writeToken(index: number, token: string): void;
 
+  /** Writes the event of a token a second time, where tokens have events. */
+  abstract repeatToken(index: number, token: string): void;
+
   /** Writes what ends a whole answer. */
   abstract finish(finishReason: string, usage: Usage): void;
 
+  /** Writes the whole answer a second time, before or behind its end. */
+  abstract finishTwice(
+    tokens: readonly string[],
+    finishReason: string,
+    usage: Usage,
+  ): void;
+
   /** Ends the body early, as a proper end or as a broken connection. */
   abstract truncate(isClean: boolean): void;
 
@@ -85,6 +95,10 @@
     );
   }
 
+  override repeatToken(index: number, token: string): void {
+    this.writeToken(index, token);
+  }
+
   override finish(finishReason: string, usage: Usage): void {
     this.send(
       `${this.#prefix}"choices":[{"index":0,"delta":{},"finish_reason":` +
@@ -94,6 +108,15 @@
     this.response.end();
   }
 
+  override finishTwice(
+    tokens: readonly string[],
+    finishReason: string,
+    usage: Usage,
+  ): void {
+    tokens.forEach((token, index) => this.writeToken(index, token));
+    this.finish(finishReason, usage);
+  }
+
   override truncate(isClean: boolean): void {
     if (isClean) this.response.end();
     else this.response.destroy();
@@ -108,6 +131,10 @@
     this.#tokens.push(token);
   }
 
+  override repeatToken(_index: number, _token: string): void {
+    // A whole answer has no events that could come twice.
+  }
+
   override finish(finishReason: string, usage: Usage): void {
     const body = this.#body(finishReason, usage);
     this.#writeHead(Buffer.byteLength(body));
@@ -115,6 +142,27 @@
     this.response.end();
   }
 
+  /**
+   * The second answer follows on the connection, where a client may take it
+   * for the answer to its next request.
+   */
+  override finishTwice(
+    _tokens: readonly string[],
+    finishReason: string,
+    usage: Usage,
+  ): void {
+    const body = this.#body(finishReason, usage);
+    const { socket } = this.response;
+    this.response.once("finish", () => {
+      socket?.write(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n" +
+          `x-request-id: ${this.head.requestId}\r\n` +
+          `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+      );
+    });
+    this.finish(finishReason, usage);
+  }
+
   override truncate(isClean: boolean): void {
     const body = this.#body("stop", {
       prompt_tokens: 0,
--- a/packages/standins/src/engine/engine_faults.ts
+++ b/packages/standins/src/engine/engine_faults.ts
@@ -5,9 +5,12 @@
 export const engineFaultsSchema = targetFaultsSchema.extend({
   /** Answers with the answer and the id of another request. */
   crossedAnswers: z.boolean().default(false),
-  /** Sends every token's event twice. */
+  /** Sends every token's event twice; whole answers have none. */
   doubledChunks: z.boolean().default(false),
-  /** Sends all tokens a second time before the end. */
+  /**
+   * Sends all tokens of a stream a second time before its end, and a whole
+   * answer a second time behind its end on the same connection.
+   */
   doubledAnswers: z.boolean().default(false),
   /** Ends the answer after so many tokens, without its terminal events. */
   truncateAfterTokens: z.int().nonnegative().nullable().default(null),
