Use the targets of a silent zone only where a stand-in keeper reaches them

Ruled out: the stand-in keeper reports them dead, which after the heal makes a whole zone's targets dead for a moment everywhere.

--- a/packages/bench/src/membership/membership_test.ts
+++ b/packages/bench/src/membership/membership_test.ts
@@ -141,6 +141,27 @@
     expect(fleet.timeUntil(isWhole, 20_000)).toBeDefined();
   });
 
+  it("uses a silent zone's targets only where a stand-in reaches them", () => {
+    const fleet = startFleet();
+    fleet.cut(["zone-1"]);
+    const stateOf = (vm: string) =>
+      fleet.daemon(vm).membership.targetState("target-1-0");
+    const outside = ["entry-0-0", "entry-0-1", "entry-2-0", "entry-2-1"];
+    const isSuspect = () => outside.every((vm) => stateOf(vm) === "suspect");
+    expect(fleet.timeUntil(isSuspect, 20_000)).toBeDefined();
+    expect(stateOf("entry-1-0")).toBe("live");
+    const standIn = fleet.daemon("entry-2-0");
+    standIn.membership.reportReached(["target-1-0"], fleet.timer.nowMs());
+    fleet.flush(standIn);
+    const isLive = () => outside.every((vm) => stateOf(vm) === "live");
+    expect(fleet.timeUntil(isLive, 1000)).toBeDefined();
+    standIn.membership.reportReached([], fleet.timer.nowMs());
+    fleet.flush(standIn);
+    expect(fleet.timeUntil(isSuspect, 1000)).toBeDefined();
+    fleet.cut([]);
+    expect(fleet.timeUntil(isLive, 20_000)).toBeDefined();
+  });
+
   it("takes the mandate from a paused daemon until it has rejoined", () => {
     const fleet = startFleet();
     const { membership } = fleet.daemon("entry-0-0");
--- a/packages/bench/src/shutdown/steady_load.ts
+++ b/packages/bench/src/shutdown/steady_load.ts
@@ -28,6 +28,9 @@
   readonly result: CallResult;
 }
 
+/** Loads of this process so far; keeps the names of their requests apart. */
+let loadCount = 0;
+
 /** Long streams and bookings at a steady rate, through a balancer. */
 export class SteadyLoad {
   readonly #caller = new Caller();
@@ -35,6 +38,7 @@
   readonly #names: LoadNames;
   readonly #timers: NodeJS.Timeout[];
   readonly #running: Promise<LoadResult>[] = [];
+  readonly #prefix = `load${loadCount++}`;
   #count = 0;
 
   constructor(fleet: Fleet, names: LoadNames) {
@@ -62,7 +66,7 @@
 
   async #stream(): Promise<LoadResult> {
     const { team, model } = this.#names;
-    const name = `chat-${this.#count++}`;
+    const name = `${this.#prefix}-chat-${this.#count++}`;
     const result = await this.#caller.chat(this.#balancer.nextUrl(), {
       team,
       chat: name,
@@ -76,7 +80,7 @@
 
   async #book(): Promise<LoadResult> {
     const { team, serviceRoute } = this.#names;
-    const name = `booking-${this.#count++}`;
+    const name = `${this.#prefix}-booking-${this.#count++}`;
     const result = await this.#caller.service(this.#balancer.nextUrl(), {
       team,
       route: serviceRoute,
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -28,6 +28,13 @@
 
 /** Attachment that lists the zones which a receiver does not hear. */
 const SILENT_ZONES_KEY = "~z";
+/** Attachment that lists the targets of silent zones which a keeper reaches. */
+const REACHED_TARGETS_KEY = "~t";
+/** Attachments that are part of the state that readers see. */
+const STATE_KEYS: ReadonlySet<string> = new Set([
+  SILENT_ZONES_KEY,
+  REACHED_TARGETS_KEY,
+]);
 /** Encoded size of an attachment, for the share of the byte budget. */
 const ATTACHMENT_BYTES = 60;
 /** Daemons for which one refresh period of the attachments is meant. */
@@ -80,6 +87,8 @@
   readonly #digestCheck: DigestCheck;
   readonly #attachments: OwnAttachments;
   #map: ZoneMap | undefined;
+  /** Targets of silent zones that some keeper reaches; undefined if stale. */
+  #reached: ReadonlySet<string> | undefined;
   #incarnation: number;
   #isLeaving = false;
   #hasJoined = false;
@@ -295,14 +304,31 @@
     return this.#table.targets.get(name)?.run ?? "";
   }
 
-  /** The state of a target that the VM list names. */
-  targetState(name: string): "live" | "leaving" | "dead" {
+  /**
+   * Tells which targets of zones without a daemon in hearing this daemon, as
+   * the keeper that stands in, still reaches.
+   */
+  reportReached(names: readonly string[], nowMs: number): void {
+    const before = this.#attachments.get(REACHED_TARGETS_KEY);
+    if (before === undefined && names.length === 0) return;
+    this.attach(REACHED_TARGETS_KEY, [...names].sort(), nowMs);
+    if (this.#attachments.get(REACHED_TARGETS_KEY) !== before) this.#changed();
+  }
+
+  /**
+   * The state of a target that the VM list names. A target of a silent zone
+   * is suspect unless the keeper that stands in reaches it.
+   */
+  targetState(name: string): MemberState {
     const condition = this.#table.targets.get(name)?.condition;
     if (condition === TARGET_CONDITION.leaving) return "leaving";
     if (this.#candidates.targets.get(name)?.state === "leaving") {
       return "leaving";
     }
-    return condition === TARGET_CONDITION.dead ? "dead" : "live";
+    if (condition === TARGET_CONDITION.dead) return "dead";
+    const zone = this.#candidates.targets.get(name)?.availabilityZone;
+    if (zone === undefined || this.isZoneReachable(zone)) return "live";
+    return this.#reachedTargets().has(name) ? "live" : "suspect";
   }
 
   /**
@@ -319,6 +345,16 @@
     });
   }
 
+  #reachedTargets(): ReadonlySet<string> {
+    this.#reached ??= new Set(
+      this.roleHolders().flatMap(({ vm }) => {
+        const names = this.attached(vm, REACHED_TARGETS_KEY);
+        return Array.isArray(names) ? names.map(String) : [];
+      }),
+    );
+    return this.#reached;
+  }
+
   #stateOf(vm: string): MemberState {
     const record = this.#table.daemons.get(vm);
     if (!record || record.health === HEALTH.dead) return "dead";
@@ -518,9 +554,10 @@
   }
 
   #changed(delta?: Delta): void {
-    // Attachments change all the time; only one of them is part of a state.
-    if (delta?.[0] === "a" && delta[4] !== SILENT_ZONES_KEY) return;
+    // Most attachments change all the time and are no part of a state.
+    if (delta?.[0] === "a" && !STATE_KEYS.has(delta[4])) return;
     this.#revision += 1;
+    this.#reached = undefined;
     if (delta === undefined || delta[0] === "d") this.#map = undefined;
   }
 }
--- a/packages/daemon/src/membership/membership_controller.ts
+++ b/packages/daemon/src/membership/membership_controller.ts
@@ -166,6 +166,12 @@
     this.#scheduleFlush();
   }
 
+  /** Tells which targets of silent zones this daemon reaches as a stand-in. */
+  reportReached(names: readonly string[]): void {
+    this.#membership.reportReached(names, this.#parts.timer.nowMs());
+    this.#scheduleFlush();
+  }
+
   /** The run of a target that a keeper reported last, else "". */
   targetRun(name: string): string {
     return this.#membership.targetRun(name);
--- a/packages/daemon/src/membership/target_health_controller.ts
+++ b/packages/daemon/src/membership/target_health_controller.ts
@@ -38,7 +38,8 @@
 
 /**
  * Asks the targets that this daemon keeps for their load and whether they
- * leave, and tells the fleet of changes. It reads `targets` and `keepers`,
+ * leave, and tells the fleet of changes. Of a silent zone's targets, which it
+ * keeps as a stand-in, it tells which ones it reaches. It reads `targets` and `keepers`,
  * and alone writes `loadReports`.
  */
 export class TargetHealthController extends Controller {
@@ -48,6 +49,8 @@
   readonly #writer: FieldWriter<ReadonlyMap<string, LoadReport>>;
   readonly #polls = new Map<string, CancelTimer>();
   readonly #failedPolls = new Map<string, number>();
+  /** Targets of silent zones that answer this daemon, their stand-in keeper. */
+  readonly #reached = new Set<string>();
   #reports = new Map<string, LoadReport>();
   #cancel: CancelSubscription | undefined;
 
@@ -107,6 +110,7 @@
     for (const [target, cancel] of this.#polls) {
       if (!kept.has(target)) this.#drop(target, cancel);
     }
+    this.#reportReached();
     for (const target of kept) {
       if (this.#polls.has(target)) continue;
       const poll = () => void this.#poll(target);
@@ -119,6 +123,7 @@
     cancel();
     this.#polls.delete(target);
     this.#failedPolls.delete(target);
+    this.#reached.delete(target);
     if (!this.#reports.has(target)) return;
     this.#reports = new Map(this.#reports);
     this.#reports.delete(target);
@@ -142,6 +147,9 @@
       ? TARGET_CONDITION.leaving
       : TARGET_CONDITION.live;
     membership.reportTarget(target.name, run, condition);
+    if (this.#isFallback(target.name)) this.#reached.add(target.name);
+    else this.#reached.delete(target.name);
+    this.#reportReached();
     this.#reports = new Map(this.#reports).set(target.name, {
       target: target.name,
       runningRequests: answer.running_requests,
@@ -157,9 +165,23 @@
     const failed = (this.#failedPolls.get(target.name) ?? 0) + 1;
     this.#failedPolls.set(target.name, failed);
     if (failed < FAILED_POLLS_OF_DEAD) return;
+    // The keepers of a silent zone may reach it, so only they call it dead.
+    if (this.#isFallback(target.name)) {
+      this.#reached.delete(target.name);
+      return this.#reportReached();
+    }
     const run = membership.targetRun(target.name);
     membership.reportTarget(target.name, run, TARGET_CONDITION.dead);
   }
+
+  #isFallback(target: string): boolean {
+    const keeper = this.#parts.blackboard.keepers.read().get(target);
+    return keeper?.isFallback === true;
+  }
+
+  #reportReached(): void {
+    this.#parts.membership.reportReached([...this.#reached]);
+  }
 }
 
 /** A short name of the run of a target that gave this answer. */
