Probe each target from its own zone and take its death from its prober alone

Cause: the keeper of a whole pool probed the targets of all zones. In a zone cut each side reported the other's targets dead, and after the heal these records stayed on one side for good: the true keeper never said that they live, and an equal digest of one daemon reset the count against another. 13 probes a second from one daemon also cost more than its budget. Ruled out: making both sides' words on death meet by stamps, which makes a whole zone dead for a moment after a heal. Change: probers by rendezvous in the target's zone; a list of what does not answer is attached by the prober and read only from the present one; probers tell keepers the loads; digests are counted by sender; a pull takes along the leaving targets of the zone.

--- a/packages/core/src/keepers/keeper_table.ts
+++ b/packages/core/src/keepers/keeper_table.ts
@@ -56,16 +56,22 @@
  * members did not change are not worked out again.
  */
 export class KeeperTable {
+  readonly #wholePoolTargets: number;
   #groups = new Map<string, GroupAssignment>();
   #keepers = new Map<string, Keeper>();
 
+  /** Pools of at most `wholePoolTargets` are kept as a whole; 0 for none. */
+  constructor(wholePoolTargets = WHOLE_POOL_TARGETS) {
+    this.#wholePoolTargets = wholePoolTargets;
+  }
+
   /** Works the assignment out again and tells whether it changed. */
   update(
     targets: Iterable<KeptTarget>,
     daemons: Iterable<KeeperCandidate>,
   ): boolean {
     const daemonsByZone = groupDaemons(daemons);
-    const targetGroups = groupTargets([...targets]);
+    const targetGroups = groupTargets([...targets], this.#wholePoolTargets);
     const groups = new Map<string, GroupAssignment>();
     let hasChanged = this.#groups.size !== targetGroups.size;
     for (const [key, group] of targetGroups) {
@@ -112,6 +118,7 @@
 /** Puts small pools in a group of their own, all other targets by zone. */
 function groupTargets(
   targets: readonly KeptTarget[],
+  wholePoolTargets: number,
 ): Map<string, TargetGroup> {
   const poolSizes = new Map<string, number>();
   for (const { pool } of targets) {
@@ -119,7 +126,7 @@
   }
   const groups = new Map<string, TargetGroup>();
   for (const { name, availabilityZone, pool } of targets) {
-    const isWhole = poolSizes.get(pool)! <= WHOLE_POOL_TARGETS;
+    const isWhole = poolSizes.get(pool)! <= wholePoolTargets;
     const key = isWhole ? `pool ${pool}` : `zone ${availabilityZone}`;
     const group = groups.get(key) ?? {
       wholePool: isWhole ? pool : undefined,
--- a/packages/core/src/membership/digest_check.ts
+++ b/packages/core/src/membership/digest_check.ts
@@ -1,20 +1,21 @@
-interface ZoneCheck {
-  mismatches: number;
-  pulledAtMs: number;
+interface Pulls {
+  lastAtMs: number;
   waitMs: number;
 }
 
 const MAX_PULL_WAIT_MS = 60_000;
 
 /**
- * Decides when to pull a zone's records: only after digests differed several
- * times in a row, because changes on their way make them differ for a moment,
- * and ever more seldom while pulls do not make them equal.
+ * Decides when to pull a zone's records from a daemon: only after its digests
+ * differed several times in a row, because changes on their way make them
+ * differ for a moment, and ever more seldom while pulls do not help.
  */
 export class DigestCheck {
   readonly #mismatchCount: number;
   readonly #pullMs: number;
-  readonly #zones = new Map<string, ZoneCheck>();
+  /** By daemon and zone: another daemon's equal digest says nothing here. */
+  readonly #mismatches = new Map<string, number>();
+  readonly #pulls = new Map<string, Pulls>();
 
   constructor(mismatchCount: number, pullMs: number) {
     this.#mismatchCount = mismatchCount;
@@ -22,26 +23,32 @@
   }
 
   /** Notes a comparison and tells whether the records should be pulled. */
-  compare(zone: string, isEqual: boolean, nowMs: number): boolean {
-    const check = this.#zones.get(zone) ?? {
-      mismatches: 0,
-      pulledAtMs: Number.NEGATIVE_INFINITY,
-      waitMs: this.#pullMs,
-    };
-    this.#zones.set(zone, check);
+  compare(from: string, zone: string, isEqual: boolean, nowMs: number) {
+    const key = `${from} ${zone}`;
     if (isEqual) {
-      check.mismatches = 0;
-      check.waitMs = this.#pullMs;
+      this.#mismatches.delete(key);
+      this.#pulls.delete(key);
       return false;
     }
-    check.mismatches += 1;
-    if (check.mismatches < this.#mismatchCount) return false;
-    if (nowMs - check.pulledAtMs < check.waitMs) return false;
-    check.waitMs = Number.isFinite(check.pulledAtMs)
-      ? Math.min(MAX_PULL_WAIT_MS, check.waitMs * 2)
-      : check.waitMs;
-    check.pulledAtMs = nowMs;
-    check.mismatches = 0;
+    const mismatches = (this.#mismatches.get(key) ?? 0) + 1;
+    this.#mismatches.set(key, mismatches);
+    if (mismatches < this.#mismatchCount) return false;
+    const pulls = this.#pulls.get(key);
+    if (pulls && nowMs - pulls.lastAtMs < pulls.waitMs) return false;
+    const waitMs = pulls
+      ? Math.min(MAX_PULL_WAIT_MS, pulls.waitMs * 2)
+      : this.#pullMs;
+    this.#pulls.set(key, { lastAtMs: nowMs, waitMs });
+    this.#mismatches.delete(key);
     return true;
   }
+
+  /** Forgets a daemon that is no longer believed in. */
+  forget(from: string): void {
+    for (const counts of [this.#mismatches, this.#pulls]) {
+      for (const key of counts.keys()) {
+        if (key.startsWith(`${from} `)) counts.delete(key);
+      }
+    }
+  }
 }
--- a/packages/core/src/membership/member_table.ts
+++ b/packages/core/src/membership/member_table.ts
@@ -8,6 +8,7 @@
   HEALTH,
   type Health,
   TARGET_CONDITION,
+  type TargetCondition,
   type TargetDelta,
 } from "./wire.ts";
 
@@ -21,12 +22,12 @@
   suspectedBy: string | undefined;
 }
 
-/** What keepers said of one target. */
+/** What was said of the present run of one target. */
 export interface TargetRecord {
   readonly name: string;
   /** Names the run of the target's process. */
   run: string;
-  condition: Health;
+  condition: TargetCondition;
   stamp: number;
 }
 
@@ -101,6 +102,17 @@
     return deltas;
   }
 
+  /** The leaving targets of a zone as deltas. */
+  dumpLeavingTargets(zone: string): Delta[] {
+    const deltas: Delta[] = [];
+    for (const record of this.targets.values()) {
+      if (record.condition !== TARGET_CONDITION.leaving) continue;
+      const home = this.#candidates.targets.get(record.name)?.availabilityZone;
+      if (home === zone) deltas.push(toTargetDelta(record));
+    }
+    return deltas;
+  }
+
   /** A number that is equal for equal records of daemons and targets. */
   digest(zone: string): number {
     let sum = 0;
@@ -216,10 +228,10 @@
 
 /** A target never stops leaving within one run, whatever the stamps say. */
 function mergeCondition(
-  known: Health,
-  heard: Health,
+  known: TargetCondition,
+  heard: TargetCondition,
   isHeardNewer: boolean,
-): Health {
+): TargetCondition {
   const { leaving } = TARGET_CONDITION;
   if (known === leaving || heard === leaving) return leaving;
   return isHeardNewer ? heard : known;
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -22,18 +22,19 @@
   type OutgoingMessage,
   type PullParams,
   TARGET_CONDITION,
+  type TargetCondition,
 } from "./wire.ts";
 import { createZoneMap, type ReportLink, type ZoneMap } from "./zone_map.ts";
 import { ZoneWatch } from "./zone_watch.ts";
 
 /** Attachment that lists the zones which a receiver does not hear. */
 const SILENT_ZONES_KEY = "~z";
-/** Attachment that lists the targets of silent zones which a keeper reaches. */
-const REACHED_TARGETS_KEY = "~t";
+/** Attachment that lists the targets that do not answer their prober. */
+const DOWN_TARGETS_KEY = "~d";
 /** Attachments that are part of the state that readers see. */
 const STATE_KEYS: ReadonlySet<string> = new Set([
   SILENT_ZONES_KEY,
-  REACHED_TARGETS_KEY,
+  DOWN_TARGETS_KEY,
 ]);
 /** Encoded size of an attachment, for the share of the byte budget. */
 const ATTACHMENT_BYTES = 60;
@@ -87,8 +88,6 @@
   readonly #digestCheck: DigestCheck;
   readonly #attachments: OwnAttachments;
   #map: ZoneMap | undefined;
-  /** Targets of silent zones that some keeper reaches; undefined if stale. */
-  #reached: ReadonlySet<string> | undefined;
   #incarnation: number;
   #isLeaving = false;
   #hasJoined = false;
@@ -165,8 +164,9 @@
     this.#applyAll(deltas, from);
     this.#answerSender(from, incarnation);
     const isEqual = this.#table.digest(zone) === digest;
-    if (!this.#digestCheck.compare(zone, isEqual, nowMs)) return;
-    this.#outbox.addPull(from, [zone, [this.#ownDelta()]]);
+    if (!this.#digestCheck.compare(from, zone, isEqual, nowMs)) return;
+    const leaving = this.#table.dumpLeavingTargets(zone);
+    this.#outbox.addPull(from, [zone, [this.#ownDelta(), ...leaving]]);
   }
 
   /** Takes changes that another daemon passed on. */
@@ -205,6 +205,7 @@
   applyList(list: FleetList): void {
     for (const vm of this.#candidates.apply(list, this.#vm)) {
       this.#table.remove(vm);
+      this.#digestCheck.forget(vm);
     }
     this.#table.removeUnlistedTargets();
     this.#changed();
@@ -236,8 +237,8 @@
     }
   }
 
-  /** Notes what this daemon, as its keeper, saw of a target. */
-  reportTarget(name: string, run: string, condition: Health): void {
+  /** Notes that a run of a target is leaving, or that it is a live one. */
+  reportTarget(name: string, run: string, condition: TargetCondition): void {
     const known = this.#table.targets.get(name);
     if (known?.run === run && known.condition === condition) return;
     // A target that was told to leave stays so until it starts anew.
@@ -299,36 +300,31 @@
     return this.#zoneMap().zones.filter((zone) => !this.isZoneReachable(zone));
   }
 
-  /** The run of a target that its keeper reported last, else "". */
-  targetRun(name: string): string {
-    return this.#table.targets.get(name)?.run ?? "";
-  }
-
-  /**
-   * Tells which targets of zones without a daemon in hearing this daemon, as
-   * the keeper that stands in, still reaches.
-   */
-  reportReached(names: readonly string[], nowMs: number): void {
-    const before = this.#attachments.get(REACHED_TARGETS_KEY);
+  /** Tells which of the targets that this daemon probes do not answer. */
+  reportDown(names: readonly string[], nowMs: number): void {
+    const before = this.#attachments.get(DOWN_TARGETS_KEY);
     if (before === undefined && names.length === 0) return;
-    this.attach(REACHED_TARGETS_KEY, [...names].sort(), nowMs);
-    if (this.#attachments.get(REACHED_TARGETS_KEY) !== before) this.#changed();
+    this.attach(DOWN_TARGETS_KEY, [...names].sort(), nowMs);
+    if (this.#attachments.get(DOWN_TARGETS_KEY) !== before) this.#changed();
   }
 
   /**
-   * The state of a target that the VM list names. A target of a silent zone
-   * is suspect unless the keeper that stands in reaches it.
+   * The state of a target that the VM list names. Whether it is dead is the
+   * word of its present prober alone, so that the two sides of a zone cut
+   * never have to be brought together about it.
    */
-  targetState(name: string): MemberState {
+  targetState(
+    name: string,
+    prober: string | undefined,
+  ): "live" | "leaving" | "dead" {
     const condition = this.#table.targets.get(name)?.condition;
     if (condition === TARGET_CONDITION.leaving) return "leaving";
     if (this.#candidates.targets.get(name)?.state === "leaving") {
       return "leaving";
     }
-    if (condition === TARGET_CONDITION.dead) return "dead";
-    const zone = this.#candidates.targets.get(name)?.availabilityZone;
-    if (zone === undefined || this.isZoneReachable(zone)) return "live";
-    return this.#reachedTargets().has(name) ? "live" : "suspect";
+    if (prober === undefined) return "live";
+    const down = this.attached(prober, DOWN_TARGETS_KEY);
+    return Array.isArray(down) && down.includes(name) ? "dead" : "live";
   }
 
   /**
@@ -345,16 +341,6 @@
     });
   }
 
-  #reachedTargets(): ReadonlySet<string> {
-    this.#reached ??= new Set(
-      this.roleHolders().flatMap(({ vm }) => {
-        const names = this.attached(vm, REACHED_TARGETS_KEY);
-        return Array.isArray(names) ? names.map(String) : [];
-      }),
-    );
-    return this.#reached;
-  }
-
   #stateOf(vm: string): MemberState {
     const record = this.#table.daemons.get(vm);
     if (!record || record.health === HEALTH.dead) return "dead";
@@ -557,7 +543,6 @@
     // Most attachments change all the time and are no part of a state.
     if (delta?.[0] === "a" && !STATE_KEYS.has(delta[4])) return;
     this.#revision += 1;
-    this.#reached = undefined;
     if (delta === undefined || delta[0] === "d") this.#map = undefined;
   }
 }
--- a/packages/core/src/membership/wire.ts
+++ b/packages/core/src/membership/wire.ts
@@ -13,11 +13,13 @@
 /** How alive a daemon is thought to be; a higher number overrides a lower. */
 export const HEALTH = { live: 0, suspect: 1, dead: 2 } as const;
 
-/** What a keeper says of a target. */
-export const TARGET_CONDITION = { live: 0, leaving: 1, dead: 2 } as const;
+/** What is said of a run of a target. */
+export const TARGET_CONDITION = { live: 0, leaving: 1 } as const;
 
 const healthSchema = z.union([z.literal(0), z.literal(1), z.literal(2)]);
 
+const conditionSchema = z.union([z.literal(0), z.literal(1)]);
+
 /** A daemon: incarnation, health, 1 where it is leaving, who suspects it. */
 export const daemonDeltaSchema = z.tuple([
   z.literal("d"),
@@ -33,7 +35,7 @@
   z.literal("t"),
   nameSchema,
   z.string().max(64),
-  healthSchema,
+  conditionSchema,
   z.int().nonnegative(),
 ]);
 
@@ -81,6 +83,7 @@
 export type HeartbeatParams = z.infer<typeof heartbeatSchema>;
 export type PullParams = z.infer<typeof pullSchema>;
 export type Health = z.infer<typeof healthSchema>;
+export type TargetCondition = z.infer<typeof conditionSchema>;
 /** A value that can be attached: anything that JSON can carry. */
 export type AttachedValue = z.infer<ReturnType<typeof z.json>>;
 
--- a/packages/daemon/src/blackboard/blackboard.ts
+++ b/packages/daemon/src/blackboard/blackboard.ts
@@ -34,7 +34,7 @@
   readonly state: "live" | "leaving" | "suspect" | "dead";
 }
 
-/** What a target said of itself when its keeper, this daemon, asked last. */
+/** What a target said of itself when its prober asked last. */
 export interface LoadReport {
   readonly target: string;
   readonly runningRequests: number;
@@ -58,7 +58,9 @@
   readonly vmList: Field<readonly Vm[] | undefined>;
   /** Keepers by name of the target. */
   readonly keepers: Field<ReadonlyMap<string, Keeper>>;
-  /** Reports of the targets that this daemon keeps, by name. */
+  /** The daemons that ask the targets for their load, by name of the target. */
+  readonly probers: Field<ReadonlyMap<string, Keeper>>;
+  /** Reports of the targets that this daemon probes or keeps, by name. */
   readonly loadReports: Field<ReadonlyMap<string, LoadReport>>;
   /** Loads of targets as their keepers told them last: a hint. */
   readonly targetLoads: Field<ReadonlyMap<string, number>>;
@@ -77,6 +79,7 @@
     daemons: new Field<ReadonlyMap<string, DaemonView>>("daemons", new Map()),
     vmList: new Field<readonly Vm[] | undefined>("vmList", undefined),
     keepers: new Field<ReadonlyMap<string, Keeper>>("keepers", new Map()),
+    probers: new Field<ReadonlyMap<string, Keeper>>("probers", new Map()),
     loadReports: new Field<ReadonlyMap<string, LoadReport>>(
       "loadReports",
       new Map(),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -76,6 +76,7 @@
     vm: settings.vm,
     blackboard,
     membership,
+    peers,
     timer,
   });
   const controllers: Controller[] = [
--- a/packages/daemon/src/membership/membership_controller.ts
+++ b/packages/daemon/src/membership/membership_controller.ts
@@ -2,11 +2,11 @@
   type AttachedValue,
   type CancelTimer,
   DEFAULT_MEMBERSHIP_OPTIONS,
-  type Health,
   HEARTBEAT_METHOD,
   heartbeatSchema,
   type Keeper,
   KeeperTable,
+  type KeptTarget,
   type Member,
   Membership,
   type OutgoingMessage,
@@ -15,6 +15,7 @@
   pullSchema,
   SPREAD_METHOD,
   spreadSchema,
+  type TargetCondition,
   type TimerService,
 } from "@coltsfootford/core";
 import type {
@@ -33,6 +34,7 @@
   createTargetViews,
   type SeedPeer,
   toFleetList,
+  toKeptTargets,
 } from "./views.ts";
 
 /** Start of the count of incarnations: the first second of 2026. */
@@ -55,17 +57,20 @@
 
 /**
  * Runs the membership protocol over the connections between daemons. It reads
- * `vmList` and `lifecycle`, and alone writes `daemons`, `targets` and
- * `keepers`.
+ * `vmList` and `lifecycle`, and alone writes `daemons`, `targets`, `keepers`
+ * and `probers`.
  */
 export class MembershipController extends Controller {
   override readonly name = "membership";
   readonly #parts: MembershipControllerParts;
   readonly #membership: Membership;
   readonly #keeperTable = new KeeperTable();
+  /** Every target is probed from its own zone, whoever keeps it. */
+  readonly #proberTable = new KeeperTable(0);
   readonly #daemons: FieldWriter<ReadonlyMap<string, DaemonView>>;
   readonly #targets: FieldWriter<ReadonlyMap<string, TargetView>>;
   readonly #keepers: FieldWriter<ReadonlyMap<string, Keeper>>;
+  readonly #probers: FieldWriter<ReadonlyMap<string, Keeper>>;
   readonly #cancels: (CancelTimer | CancelSubscription)[] = [];
   #cancelAttachments: CancelTimer | undefined;
   #isFlushScheduled = false;
@@ -87,6 +92,7 @@
     this.#daemons = blackboard.daemons.claimWriter(this.name);
     this.#targets = blackboard.targets.claimWriter(this.name);
     this.#keepers = blackboard.keepers.claimWriter(this.name);
+    this.#probers = blackboard.probers.claimWriter(this.name);
     this.#handleMessages();
   }
 
@@ -160,21 +166,21 @@
     this.#scheduleFlush();
   }
 
-  /** Notes what this daemon, as its keeper, saw of a target. */
-  reportTarget(name: string, run: string, condition: Health): void {
+  /** Notes that a run of a target is leaving, or that it is a live one. */
+  reportTarget(name: string, run: string, condition: TargetCondition): void {
     this.#membership.reportTarget(name, run, condition);
     this.#scheduleFlush();
   }
 
-  /** Tells which targets of silent zones this daemon reaches as a stand-in. */
-  reportReached(names: readonly string[]): void {
-    this.#membership.reportReached(names, this.#parts.timer.nowMs());
+  /** Tells which of the targets that this daemon probes do not answer. */
+  reportDown(names: readonly string[]): void {
+    this.#membership.reportDown(names, this.#parts.timer.nowMs());
     this.#scheduleFlush();
   }
 
-  /** The run of a target that a keeper reported last, else "". */
-  targetRun(name: string): string {
-    return this.#membership.targetRun(name);
+  /** Whether a zone can be heard from this one. */
+  isZoneReachable(zone: string): boolean {
+    return this.#membership.isZoneReachable(zone);
   }
 
   /** Tells the fleet that this daemon takes no more work. */
@@ -285,28 +291,36 @@
     const { blackboard, seeds, logger } = this.#parts;
     const vms = blackboard.vmList.read();
     const daemons = createDaemonViews(vms, seeds, this.#membership);
-    const targets = createTargetViews(vms ?? [], this.#membership);
+    const listed = toKeptTargets(vms ?? []);
+    const holders = this.#membership.roleHolders();
+    const haveProbersChanged = this.#proberTable.update(listed, holders);
+    const probers = assignTargets(this.#proberTable, listed);
+    const targets = createTargetViews(vms ?? [], this.#membership, probers);
     const before = {
       daemons: blackboard.daemons.read(),
       targets: blackboard.targets.read(),
     };
     this.#daemons.write(daemons);
     this.#targets.write(targets);
-    this.#showKeepers(targets);
+    if (haveProbersChanged) this.#probers.write(probers);
+    if (this.#keeperTable.update(listed, holders)) {
+      this.#keepers.write(assignTargets(this.#keeperTable, listed));
+    }
     logViewChanges(logger, before, { daemons, targets });
     const unreachable = this.#membership.unreachableZones();
     logZoneChanges(logger, this.#unreachableZones, unreachable);
     this.#unreachableZones = unreachable;
   }
+}
 
-  #showKeepers(targets: ReadonlyMap<string, TargetView>): void {
-    const holders = this.#membership.roleHolders();
-    if (!this.#keeperTable.update(targets.values(), holders)) return;
-    const keepers = new Map<string, Keeper>();
-    for (const target of targets.values()) {
-      const keeper = this.#keeperTable.keeperOf(target);
-      if (keeper) keepers.set(target.name, keeper);
-    }
-    this.#keepers.write(keepers);
+function assignTargets(
+  table: KeeperTable,
+  targets: readonly KeptTarget[],
+): Map<string, Keeper> {
+  const assigned = new Map<string, Keeper>();
+  for (const target of targets) {
+    const keeper = table.keeperOf(target);
+    if (keeper) assigned.set(target.name, keeper);
   }
+  return assigned;
 }
--- a/packages/daemon/src/membership/target_health_controller.ts
+++ b/packages/daemon/src/membership/target_health_controller.ts
@@ -7,6 +7,7 @@
   type TimerService,
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
 import type {
   Blackboard,
   CancelSubscription,
@@ -15,6 +16,7 @@
   TargetView,
 } from "../blackboard/index.ts";
 import { Controller } from "../controllers/index.ts";
+import type { Peers } from "../peers/index.ts";
 import { type LoadAnswer, LoadClient } from "./load_client.ts";
 import type { MembershipController } from "./membership_controller.ts";
 
@@ -23,6 +25,19 @@
 const FAILED_POLLS_OF_DEAD = 3;
 const RUN_RADIX = 36;
 
+/** Method by which a prober tells a keeper the loads; a notification. */
+const LOADS_METHOD = "tl";
+
+/** Target, running requests, waiting requests, running tokens. */
+const loadTupleSchema = z.tuple([
+  z.string().min(1),
+  z.number().nonnegative(),
+  z.number().nonnegative(),
+  z.number().nonnegative(),
+]);
+const loadsSchema = z.tuple([z.array(loadTupleSchema)]);
+type LoadTuple = z.infer<typeof loadTupleSchema>;
+
 /** Why a target could not be drained. */
 export type DrainError = StepError<
   "unknown-target" | "unreachable" | "invalid-answer"
@@ -33,14 +48,14 @@
   readonly vm: string;
   readonly blackboard: Blackboard;
   readonly membership: MembershipController;
+  readonly peers: Peers;
   readonly timer: TimerService;
 }
 
 /**
- * Asks the targets that this daemon keeps for their load and whether they
- * leave, and tells the fleet of changes. Of a silent zone's targets, which it
- * keeps as a stand-in, it tells which ones it reaches. It reads `targets` and `keepers`,
- * and alone writes `loadReports`.
+ * Probes the targets that fall to this daemon: asks for their load and whether
+ * they leave, tells the fleet of changes and their keepers of the loads. It
+ * reads `targets`, `keepers` and `probers`, and alone writes `loadReports`.
  */
 export class TargetHealthController extends Controller {
   override readonly name = "target-health";
@@ -49,10 +64,9 @@
   readonly #writer: FieldWriter<ReadonlyMap<string, LoadReport>>;
   readonly #polls = new Map<string, CancelTimer>();
   readonly #failedPolls = new Map<string, number>();
-  /** Targets of silent zones that answer this daemon, their stand-in keeper. */
-  readonly #reached = new Set<string>();
+  readonly #down = new Set<string>();
   #reports = new Map<string, LoadReport>();
-  #cancel: CancelSubscription | undefined;
+  readonly #cancels: (CancelTimer | CancelSubscription)[] = [];
 
   constructor(parts: TargetHealthControllerParts) {
     super();
@@ -61,21 +75,28 @@
   }
 
   override async start(): Promise<void> {
-    const { blackboard } = this.#parts;
-    this.#cancel = blackboard.keepers.subscribe(() => this.#assign());
+    const { blackboard, peers, timer } = this.#parts;
+    peers.handle(LOADS_METHOD, loadsSchema, ([tuples]) => {
+      this.#receiveReports(tuples);
+    });
+    this.#cancels.push(
+      blackboard.probers.subscribe(() => this.#assign()),
+      timer.every(POLL_MS, () => this.#sendReports()),
+    );
     this.#assign();
     await Promise.resolve();
   }
 
   override async stop(): Promise<void> {
-    this.#cancel?.();
+    for (const cancel of this.#cancels) cancel();
     for (const cancel of this.#polls.values()) cancel();
     await this.#client.close();
   }
 
   override dumpState(): unknown {
     return {
-      kept: [...this.#polls.keys()],
+      probed: [...this.#polls.keys()],
+      down: [...this.#down],
       failedPolls: Object.fromEntries(this.#failedPolls),
       reports: [...this.#reports.values()],
       traffic: this.#client.traffic(),
@@ -100,30 +121,39 @@
     return ok(undefined);
   }
 
-  /** Starts and ends polls as the keepers change. */
+  /** Starts and ends polls as the probers change. */
   #assign(): void {
-    const { vm, blackboard, timer } = this.#parts;
-    const kept = new Set<string>();
-    for (const [target, keeper] of blackboard.keepers.read()) {
-      if (keeper.vm === vm) kept.add(target);
+    const { vm, blackboard, timer, membership } = this.#parts;
+    const probed = new Set<string>();
+    for (const [target, prober] of blackboard.probers.read()) {
+      if (prober.vm === vm) probed.add(target);
     }
     for (const [target, cancel] of this.#polls) {
-      if (!kept.has(target)) this.#drop(target, cancel);
+      if (!probed.has(target)) this.#drop(target, cancel);
     }
-    this.#reportReached();
-    for (const target of kept) {
+    for (const target of probed) {
       if (this.#polls.has(target)) continue;
+      if (this.#isDoubtful(target)) this.#down.add(target);
       const poll = () => void this.#poll(target);
       this.#polls.set(target, timer.every(POLL_MS, poll));
       poll();
     }
+    membership.reportDown([...this.#down]);
+  }
+
+  /** Whether a target must answer first: it was dead, or its zone is silent. */
+  #isDoubtful(name: string): boolean {
+    const { blackboard, membership } = this.#parts;
+    const target = blackboard.targets.read().get(name);
+    if (!target || target.state === "dead") return true;
+    return !membership.isZoneReachable(target.availabilityZone);
   }
 
   #drop(target: string, cancel: CancelTimer): void {
     cancel();
     this.#polls.delete(target);
     this.#failedPolls.delete(target);
-    this.#reached.delete(target);
+    this.#down.delete(target);
     if (!this.#reports.has(target)) return;
     this.#reports = new Map(this.#reports);
     this.#reports.delete(target);
@@ -147,9 +177,7 @@
       ? TARGET_CONDITION.leaving
       : TARGET_CONDITION.live;
     membership.reportTarget(target.name, run, condition);
-    if (this.#isFallback(target.name)) this.#reached.add(target.name);
-    else this.#reached.delete(target.name);
-    this.#reportReached();
+    if (this.#down.delete(target.name)) membership.reportDown([...this.#down]);
     this.#reports = new Map(this.#reports).set(target.name, {
       target: target.name,
       runningRequests: answer.running_requests,
@@ -164,23 +192,50 @@
     const { membership } = this.#parts;
     const failed = (this.#failedPolls.get(target.name) ?? 0) + 1;
     this.#failedPolls.set(target.name, failed);
-    if (failed < FAILED_POLLS_OF_DEAD) return;
-    // The keepers of a silent zone may reach it, so only they call it dead.
-    if (this.#isFallback(target.name)) {
-      this.#reached.delete(target.name);
-      return this.#reportReached();
-    }
-    const run = membership.targetRun(target.name);
-    membership.reportTarget(target.name, run, TARGET_CONDITION.dead);
+    const isSilent = !membership.isZoneReachable(target.availabilityZone);
+    if (failed < FAILED_POLLS_OF_DEAD && !isSilent) return;
+    this.#down.add(target.name);
+    membership.reportDown([...this.#down]);
   }
 
-  #isFallback(target: string): boolean {
-    const keeper = this.#parts.blackboard.keepers.read().get(target);
-    return keeper?.isFallback === true;
+  #sendReports(): void {
+    const { vm, blackboard, peers } = this.#parts;
+    const keepers = blackboard.keepers.read();
+    const byKeeper = new Map<string, LoadTuple[]>();
+    for (const report of this.#reports.values()) {
+      const keeper = keepers.get(report.target)?.vm;
+      const isOwn = this.#polls.has(report.target);
+      if (keeper === undefined || keeper === vm || !isOwn) continue;
+      const tuples = byKeeper.get(keeper) ?? [];
+      byKeeper.set(keeper, tuples);
+      tuples.push([
+        report.target,
+        report.runningRequests,
+        report.waitingRequests,
+        report.runningTokens,
+      ]);
+    }
+    for (const [keeper, tuples] of byKeeper) {
+      peers.notify(keeper, LOADS_METHOD, [tuples]);
+    }
   }
 
-  #reportReached(): void {
-    this.#parts.membership.reportReached([...this.#reached]);
+  /** Takes the reports of targets that another daemon probes for this one. */
+  #receiveReports(tuples: readonly LoadTuple[]): void {
+    const { blackboard, timer, vm } = this.#parts;
+    const keepers = blackboard.keepers.read();
+    this.#reports = new Map(this.#reports);
+    for (const [target, runningRequests, waitingRequests, tokens] of tuples) {
+      if (keepers.get(target)?.vm !== vm) continue;
+      this.#reports.set(target, {
+        target,
+        runningRequests,
+        waitingRequests,
+        runningTokens: tokens,
+        receivedAtMs: timer.nowMs(),
+      });
+    }
+    this.#writer.write(this.#reports);
   }
 }
 
--- a/packages/daemon/src/membership/views.ts
+++ b/packages/daemon/src/membership/views.ts
@@ -1,4 +1,9 @@
-import type { FleetList, Membership } from "@coltsfootford/core";
+import type {
+  FleetList,
+  Keeper,
+  KeptTarget,
+  Membership,
+} from "@coltsfootford/core";
 import type { Vm } from "@coltsfootford/platform";
 import type { DaemonView, TargetView } from "../blackboard/index.ts";
 
@@ -26,16 +31,26 @@
   };
 }
 
-/** The targets of the VM list, each in the state that its keeper reported. */
+/** The targets of the VM list, as keepers and probers are worked out. */
+export function toKeptTargets(vms: readonly Vm[]): KeptTarget[] {
+  return vms.filter((vm) => vm.role === "target").map((vm) => ({
+    name: vm.name,
+    availabilityZone: vm.availabilityZone,
+    pool: vm.pool ?? "",
+  }));
+}
+
+/** The targets of the VM list, each in the state that its prober reported. */
 export function createTargetViews(
   vms: readonly Vm[],
   membership: Membership,
+  probers: ReadonlyMap<string, Keeper>,
 ): Map<string, TargetView> {
   const views = new Map<string, TargetView>();
   for (const vm of vms) {
     if (vm.role !== "target") continue;
     const { name, availabilityZone, host, port } = vm;
-    const state = membership.targetState(name);
+    const state = membership.targetState(name, probers.get(name)?.vm);
     const pool = vm.pool ?? "";
     views.set(name, { name, availabilityZone, pool, host, port, state });
   }
