Ask for any of a keeper's targets in one message

Change: an ask names every target of the order that has the same keeper, and waits there, first for its home, then for any. An ask that was given up is dropped at the keeper, and a grant that comes too late is handed back.

--- a/packages/bench/src/replay/admission_gate.ts
+++ b/packages/bench/src/replay/admission_gate.ts
@@ -4,6 +4,7 @@
 
 /** The right to send one request to a target. */
 export interface Admission {
+  readonly target: string;
   /** Call it right before the request is sent; false means it must not be. */
   readonly start: () => boolean;
   /** The answer has ended, or the request was not taken. */
@@ -16,9 +17,10 @@
 /** One ask of an entry daemon. */
 export interface GateAsk {
   readonly daemon: FakeDaemon;
-  readonly target: string;
+  /** Targets that may take the request, best first. */
+  readonly order: readonly string[];
   readonly request: TraceRequest;
-  /** Time that the ask may wait for a place, where the gate can wait. */
+  /** Time to wait for the first target, where the gate can wait. */
   readonly waitMs: number;
   readonly onAnswer: (answer: GateAnswer) => void;
 }
@@ -33,3 +35,28 @@
   /** Bytes of control messages that the daemon sent and received so far. */
   abstract controlBytesOf(daemon: string): number;
 }
+
+/** A gate that decides on one target after the other, at once. */
+export abstract class SequentialGate extends AdmissionGate {
+  override ask(ask: GateAsk): void {
+    for (const target of ask.order) {
+      const answer = this.tryTarget(ask, target);
+      if (answer) return ask.onAnswer(answer);
+    }
+    ask.onAnswer("at-limit");
+  }
+
+  /** Admits the request to one target, or not. */
+  protected abstract tryTarget(
+    ask: GateAsk,
+    target: string,
+  ): Admission | undefined;
+}
+
+/** An admission that needs nothing done at its end. */
+export function createAdmission(
+  target: string,
+  end: () => void = () => undefined,
+): Admission {
+  return { target, start: () => true, end };
+}
--- a/packages/bench/src/replay/baseline_admission.ts
+++ b/packages/bench/src/replay/baseline_admission.ts
@@ -1,6 +1,11 @@
 import { DividedShareGate, LocalEstimateGate } from "@coltsfootford/core";
 import { maxLoadRequests } from "@coltsfootford/core";
-import { AdmissionGate, type GateAsk } from "./admission_gate.ts";
+import {
+  type Admission,
+  createAdmission,
+  type GateAsk,
+  SequentialGate,
+} from "./admission_gate.ts";
 import type { World } from "./world.ts";
 
 /** Bytes of one load report of a target as JSON, with its HTTP headers. */
@@ -8,7 +13,7 @@
 const POLL_PERIOD_MS = 500;
 
 /** Shared part of the baselines: each daemon polls the load of every target. */
-abstract class PollingGate extends AdmissionGate {
+abstract class PollingGate extends SequentialGate {
   protected readonly world: World;
 
   constructor(world: World) {
@@ -26,8 +31,8 @@
 export class OpenGate extends PollingGate {
   override readonly name = "no-bound";
 
-  override ask(ask: GateAsk): void {
-    ask.onAnswer({ start: () => true, end: () => undefined });
+  protected override tryTarget(_ask: GateAsk, target: string): Admission {
+    return createAdmission(target);
   }
 }
 
@@ -37,10 +42,12 @@
   readonly #gates = new Map<string, LocalEstimateGate>();
   readonly #polledAtMs = new Map<string, number>();
 
-  override ask(ask: GateAsk): void {
-    const gate = this.#gateOf(ask);
-    if (!gate.tryAdmit(ask.target)) return ask.onAnswer("at-limit");
-    ask.onAnswer({ start: () => true, end: () => undefined });
+  protected override tryTarget(
+    ask: GateAsk,
+    target: string,
+  ): Admission | undefined {
+    if (!this.#gateOf(ask).tryAdmit(target)) return undefined;
+    return createAdmission(target);
   }
 
   #gateOf(ask: GateAsk): LocalEstimateGate {
@@ -69,17 +76,17 @@
   override readonly name = "divided-shares";
   readonly #gates = new Map<string, DividedShareGate>();
 
-  override ask(ask: GateAsk): void {
+  protected override tryTarget(
+    ask: GateAsk,
+    target: string,
+  ): Admission | undefined {
     const name = ask.daemon.name;
     const gate = this.#gates.get(name) ??
       new DividedShareGate(this.world.options.loadFactor);
     this.#gates.set(name, gate);
     gate.noteMean(this.#meanOf(ask), ask.daemon.view.daemons().size);
-    if (!gate.tryAdmit(ask.target)) return ask.onAnswer("at-limit");
-    ask.onAnswer({
-      start: () => true,
-      end: () => gate.noteEnd(ask.target),
-    });
+    if (!gate.tryAdmit(target)) return undefined;
+    return createAdmission(target, () => gate.noteEnd(target));
   }
 
   #meanOf(ask: GateAsk): number {
@@ -95,7 +102,7 @@
 }
 
 /** Knows every load at once: the bound without any exchange. */
-export class ExactGate extends AdmissionGate {
+export class ExactGate extends SequentialGate {
   override readonly name = "exact";
   readonly #world: World;
   readonly #onTheWay = new Map<string, number>();
@@ -109,19 +116,19 @@
     return 0;
   }
 
-  override ask(ask: GateAsk): void {
-    const { target } = ask;
+  protected override tryTarget(
+    _ask: GateAsk,
+    target: string,
+  ): Admission | undefined {
     const engine = this.#world.engine(target);
-    if (!engine?.isInPool) return ask.onAnswer("leaving");
+    if (!engine?.isInPool) return undefined;
     const onTheWay = this.#onTheWay.get(target) ?? 0;
     const limit = maxLoadRequests(
       this.#world.options.loadFactor,
       this.#world.poolLoadRequests(),
       this.#world.poolSize(),
     );
-    if (engine.loadRequests + onTheWay + 1 > limit) {
-      return ask.onAnswer("at-limit");
-    }
+    if (engine.loadRequests + onTheWay + 1 > limit) return undefined;
     this.#onTheWay.set(target, onTheWay + 1);
     const isOver = { value: false };
     const arrive = () => {
@@ -130,6 +137,6 @@
       this.#onTheWay.set(target, this.#onTheWay.get(target)! - 1);
     };
     this.#world.heap.after(this.#world.options.zoneDelayMs * 2, arrive);
-    ask.onAnswer({ start: () => true, end: arrive });
+    return createAdmission(target, arrive);
   }
 }
--- a/packages/bench/src/replay/entry.ts
+++ b/packages/bench/src/replay/entry.ts
@@ -23,8 +23,9 @@
   readonly daemon: FakeDaemon;
   readonly request: TraceRequest;
   readonly order: readonly string[];
-  index: number;
-  hasWaited: boolean;
+  /** The targets of the order that have not failed the request. */
+  left: readonly string[];
+  readonly hasWaited: boolean;
 }
 
 interface Flight {
@@ -118,35 +119,39 @@
       daemon,
       request,
       order,
-      index: 0,
+      left: order,
       hasWaited,
     };
     this.#askNext(attempt);
   }
 
   #askNext(attempt: Attempt): void {
-    const target = attempt.order[attempt.index];
-    if (target === undefined) return this.#wait(attempt);
+    if (attempt.left.length === 0) return this.#wait(attempt);
     this.#gate.ask({
       daemon: attempt.daemon,
-      target,
+      order: attempt.left,
       request: attempt.request,
       waitMs: this.#waitMs(attempt),
-      onAnswer: (answer) => this.#takeAnswer(attempt, target, answer),
+      onAnswer: (answer) => this.#takeAnswer(attempt, answer),
     });
   }
 
   /** The first target is worth a wait; so is any once all were full. */
   #waitMs(attempt: Attempt): number {
-    if (attempt.index > 0) return 0;
+    if (attempt.left.length < attempt.order.length) return 0;
     if (attempt.hasWaited) return MAX_ASK_WAIT_MS;
     const { prefixTokens } = attempt.request;
     return homeWaitMs(this.#deployment.reuseWeight, prefixTokens);
   }
 
-  #takeAnswer(attempt: Attempt, target: string, answer: GateAnswer): void {
-    if (typeof answer !== "string") return this.#send(attempt, target, answer);
-    attempt.index += 1;
+  #takeAnswer(attempt: Attempt, answer: GateAnswer): void {
+    if (typeof answer !== "string") return this.#send(attempt, answer);
+    this.#wait(attempt);
+  }
+
+  /** Goes on without a target that did not take the request. */
+  #leaveOut(attempt: Attempt, target: string): void {
+    attempt.left = attempt.left.filter((name) => name !== target);
     this.#askNext(attempt);
   }
 
@@ -163,12 +168,10 @@
     );
   }
 
-  #send(attempt: Attempt, target: string, admission: Admission): void {
+  #send(attempt: Attempt, admission: Admission): void {
     const { daemon } = attempt;
-    if (!admission.start()) {
-      attempt.index += 1;
-      return this.#askNext(attempt);
-    }
+    const { target } = admission;
+    if (!admission.start()) return this.#leaveOut(attempt, target);
     const engine = this.#world.engine(target)!;
     const flight: Flight = {
       daemon,
@@ -191,14 +194,14 @@
       return this.#afterDelay(flight, () =>
         daemon.run(() => {
           this.#finish(flight);
-          attempt.index += 1;
-          this.#askNext(attempt);
+          this.#leaveOut(attempt, engine.name);
         }));
     }
     const { request } = attempt;
     const allowedRequests = this.#world.allowedLoadRequests(engine);
     this.#metrics.noteAdmission(engine.loadRequests + 1, allowedRequests);
-    if (attempt.index > 0) this.#metrics.spilled += 1;
+    const isSpilled = engine.name !== attempt.order[0];
+    if (isSpilled) this.#metrics.spilled += 1;
     flight.running = engine.start({
       chat: request.chat,
       prefixTokens: request.prefixTokens,
--- a/packages/bench/src/replay/message_bytes.ts
+++ b/packages/bench/src/replay/message_bytes.ts
@@ -20,7 +20,10 @@
     return { jsonrpc, method: PERMIT_ASK_METHOD, params, id };
   }
   if (message.kind === "answer") {
-    const result = encodeAnswer(message.answer, message.extras);
+    const { answer, extras } = message;
+    const target = answer.kind === "granted" ? answer.target : "";
+    const ask = { askId: answer.askId, target };
+    const result = encodeAnswer(ask, answer, extras);
     return { jsonrpc, id: message.answer.askId, result };
   }
   if (message.kind === "returns") {
--- a/packages/bench/src/replay/permit_admission.ts
+++ b/packages/bench/src/replay/permit_admission.ts
@@ -55,7 +55,7 @@
 
   override ask(ask: GateAsk): void {
     const node = this.#nodes.get(ask.daemon.name)!;
-    node.ask(ask.target, ask.waitMs, ask.onAnswer);
+    node.ask(ask.order, ask.waitMs, ask.onAnswer);
   }
 
   override controlBytesOf(daemon: string): number {
--- a/packages/bench/src/replay/replay_node.ts
+++ b/packages/bench/src/replay/replay_node.ts
@@ -1,11 +1,11 @@
 import {
   type AskOutcome,
+  KeeperTable,
   type KeptTargetView,
   type PermitMessage,
   PermitNode,
   type PermitNodeOptions,
   type PermitView,
-  pickByRendezvous,
 } from "@coltsfootford/core";
 import { DaemonTimer } from "./daemon_timer.ts";
 import type { FakeDaemon } from "./fake_daemon.ts";
@@ -28,7 +28,7 @@
   readonly permits: PermitNode;
   readonly #world: World;
   readonly #timer: DaemonTimer;
-  readonly #keepers = new Map<string, string | undefined>();
+  readonly #keepers = new KeeperTable();
   #keepersVersion = -1;
   #keptVersion = -1;
 
@@ -57,16 +57,16 @@
     this.#timer.every(POLL_MS, () => this.#pollTargets());
   }
 
-  /** Asks the target's keeper for a place. */
+  /** Asks the keepers of the targets for a place. */
   ask(
-    target: string,
+    order: readonly string[],
     waitMs: number,
     onOutcome: (outcome: AskOutcome) => void,
   ): void {
-    this.permits.ask(target, waitMs > 0 ? { waitMs } : {}, (outcome) => {
+    this.permits.askAny(order, waitMs, (outcome) => {
       if (typeof outcome === "string") return onOutcome(outcome);
       const end = () => this.daemon.run(outcome.end);
-      onOutcome({ start: outcome.start, end });
+      onOutcome({ ...outcome, end });
     });
   }
 
@@ -92,19 +92,23 @@
     };
   }
 
-  /** The daemon of the target's zone that keeps it by this daemon's view. */
+  /** The daemon that keeps a target by this daemon's view. */
   #keeperOf(target: string): string | undefined {
-    this.#forgetOldKeepers();
-    if (this.#keepers.has(target)) return this.#keepers.get(target);
-    const zone = this.daemon.view.target(target)?.availabilityZone;
-    const daemons = this.daemon.view.daemons();
-    const inZone = [...daemons.keys()].filter((name) =>
-      daemons.get(name) === zone
-    );
-    const candidates = inZone.length > 0 ? inZone : [...daemons.keys()];
-    const keeper = pickByRendezvous(target, candidates);
-    this.#keepers.set(target, keeper);
-    return keeper;
+    this.#assignKeepers();
+    const view = this.daemon.view.target(target);
+    return view && this.#keepers.keeperOf({ ...view, pool: POOL })?.vm;
+  }
+
+  #assignKeepers(): void {
+    const { view } = this.daemon;
+    if (this.#keepersVersion === view.version) return;
+    this.#keepersVersion = view.version;
+    const targets = view.targets().map((it) => ({ ...it, pool: POOL }));
+    const daemons = [...view.daemons()].map(([vm, availabilityZone]) => ({
+      vm,
+      availabilityZone,
+    }));
+    this.#keepers.update(targets, daemons);
   }
 
   #otherKeepers(): readonly string[] {
@@ -116,12 +120,6 @@
     return [...names];
   }
 
-  #forgetOldKeepers(): void {
-    if (this.#keepersVersion === this.daemon.view.version) return;
-    this.#keepersVersion = this.daemon.view.version;
-    this.#keepers.clear();
-  }
-
   #tick(): void {
     this.#assign();
     this.permits.tick();
--- /dev/null
+++ b/packages/core/src/bound/ask_queue.ts
@@ -0,0 +1,118 @@
+import {
+  ANY_TARGET_WAIT_MS,
+  MAX_ASK_WAIT_MS,
+  type PermitAnswer,
+  type PermitAsk,
+} from "./permit.ts";
+
+/** Asks that wait beyond this number are refused at once. */
+const MAX_WAITING_ASKS = 512;
+
+/** An answer to an ask that waited. */
+export interface LateAnswer {
+  readonly holder: string;
+  readonly answer: PermitAnswer;
+}
+
+interface WaitingAsk {
+  readonly holder: string;
+  readonly ask: PermitAsk;
+  /** Until then only the first target is good enough. */
+  readonly firstUntilMs: number;
+  /** Then the ask is refused. */
+  readonly untilMs: number;
+}
+
+/** Decides on one target of an ask now. */
+export type DecideTarget = (
+  holder: string,
+  ask: PermitAsk,
+  target: string,
+) => PermitAnswer;
+
+/**
+ * Asks for which every target that is good enough is full, in the order in
+ * which they came.
+ */
+export class AskQueue {
+  #waiting: WaitingAsk[] = [];
+
+  /** Answers an ask now; undefined means that it waits from now on. */
+  answer(
+    holder: string,
+    ask: PermitAsk,
+    nowMs: number,
+    decide: DecideTarget,
+  ): PermitAnswer | undefined {
+    const waitMs = Math.min(ask.waitMs ?? 0, MAX_ASK_WAIT_MS);
+    const firstUntilMs = nowMs + waitMs;
+    const anyWaitMs = ask.alternatives ? ANY_TARGET_WAIT_MS : 0;
+    const untilMs = firstUntilMs + anyWaitMs;
+    const entry = { holder, ask, firstUntilMs, untilMs };
+    const answer = decideEntry(entry, nowMs, decide);
+    const mayWait = nowMs < untilMs && this.#waiting.length < MAX_WAITING_ASKS;
+    if (!isFull(answer) || !mayWait) return answer;
+    this.#waiting.push(entry);
+    return undefined;
+  }
+
+  /** Answers what has a place now, or whose wait is over. */
+  takeLateAnswers(nowMs: number, decide: DecideTarget): LateAnswer[] {
+    const late: LateAnswer[] = [];
+    const stillWaiting: WaitingAsk[] = [];
+    for (const entry of this.#waiting) {
+      const answer = decideEntry(entry, nowMs, decide);
+      const mayWait = isFull(answer) && nowMs < entry.untilMs;
+      if (mayWait) stillWaiting.push(entry);
+      else late.push({ holder: entry.holder, answer });
+    }
+    this.#waiting = stillWaiting;
+    return late;
+  }
+
+  /** Refuses the asks whose first target is no longer kept here. */
+  refuseTarget(target: string): LateAnswer[] {
+    const refused = this.#waiting.filter((it) => it.ask.target === target);
+    this.#waiting = this.#waiting.filter((it) => it.ask.target !== target);
+    return refused.map(({ holder, ask }) => ({
+      holder,
+      answer: { kind: "refused", askId: ask.askId, reason: "not-keeper" },
+    }));
+  }
+
+  /** Drops an ask that was given up. */
+  drop(holder: string, askId: number): void {
+    this.#waiting = this.#waiting.filter((it) =>
+      it.holder !== holder || it.ask.askId !== askId
+    );
+  }
+
+  /** Drops the asks of a daemon that is gone. */
+  dropHolder(holder: string): void {
+    this.#waiting = this.#waiting.filter((it) => it.holder !== holder);
+  }
+}
+
+/** The first target, or once that was waited for long enough, any. */
+function decideEntry(
+  entry: WaitingAsk,
+  nowMs: number,
+  decide: DecideTarget,
+): PermitAnswer {
+  const { holder, ask, firstUntilMs } = entry;
+  const first = decide(holder, ask, ask.target);
+  if (first.kind === "granted") return first;
+  if (isFull(first) && nowMs < firstUntilMs) return first;
+  let best: PermitAnswer = first;
+  for (const target of ask.alternatives ?? []) {
+    const answer = decide(holder, ask, target);
+    if (answer.kind === "granted") return answer;
+    // A full target may have a place soon, the others will not.
+    if (isFull(answer)) best = answer;
+  }
+  return best;
+}
+
+function isFull(answer: PermitAnswer): boolean {
+  return answer.kind === "refused" && answer.reason === "at-limit";
+}
--- a/packages/core/src/bound/index.ts
+++ b/packages/core/src/bound/index.ts
@@ -1,3 +1,4 @@
+export * from "./ask_queue.ts";
 export * from "./baseline_gates.ts";
 export * from "./keeper_book.ts";
 export * from "./load.ts";
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -1,8 +1,8 @@
+import { AskQueue, type LateAnswer } from "./ask_queue.ts";
 import {
   type CollectAnswer,
   type CollectRequest,
   DEFAULT_START_WITHIN_MS,
-  MAX_ASK_WAIT_MS,
   type PermitAnswer,
   type PermitAsk,
 } from "./permit.ts";
@@ -54,19 +54,6 @@
   readonly mean: PoolMeanEstimate;
 }
 
-/** An ask that waits for a place, and the end of its wait. */
-interface WaitingAsk {
-  readonly holder: string;
-  readonly ask: PermitAsk;
-  readonly untilMs: number;
-}
-
-/** An answer to an ask that waited. */
-export interface LateAnswer {
-  readonly holder: string;
-  readonly answer: PermitAnswer;
-}
-
 interface KeptTarget {
   readonly pool: string;
   readonly keeper: TargetKeeper;
@@ -75,7 +62,6 @@
   /** Nothing is granted before. */
   grantsFromMs: number;
   /** In order of arrival. */
-  waiting: WaitingAsk[];
 }
 
 /** Everything that one daemon keeps: its targets and the means of their pools. */
@@ -84,6 +70,7 @@
   readonly #options: KeeperBookOptions;
   readonly #pools = new Map<string, PoolState>();
   readonly #targets = new Map<string, KeptTarget>();
+  readonly #queue = new AskQueue();
   #aliveAtMs: number | undefined;
 
   constructor(
@@ -131,7 +118,6 @@
       keeper: new TargetKeeper(target, this.#daemon, this.#options),
       vouchedFromMs: 0,
       grantsFromMs: 0,
-      waiting: [],
     };
     kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
     this.#targets.set(target, kept);
@@ -143,12 +129,8 @@
    * result answers the asks that wait.
    */
   stopKeeping(target: string): readonly LateAnswer[] {
-    const waiting = this.#targets.get(target)?.waiting ?? [];
     this.#targets.delete(target);
-    return waiting.map(({ holder, ask }) => ({
-      holder,
-      answer: { kind: "refused", askId: ask.askId, reason: "not-keeper" },
-    }));
+    return this.#queue.refuseTarget(target);
   }
 
   /**
@@ -223,15 +205,12 @@
     nowMs: number,
   ): PermitAnswer | undefined {
     this.noteAlive(nowMs);
-    const kept = this.#targets.get(ask.target);
-    const answer = this.#decide(holder, ask, kept, nowMs);
-    if (!kept || !ask.waitMs) return answer;
-    if (answer.kind === "granted" || answer.reason !== "at-limit") {
-      return answer;
-    }
-    const waitMs = Math.min(ask.waitMs, MAX_ASK_WAIT_MS);
-    kept.waiting.push({ holder, ask, untilMs: nowMs + waitMs });
-    return undefined;
+    return this.#queue.answer(
+      holder,
+      ask,
+      nowMs,
+      (...parts) => this.#decide(...parts, nowMs),
+    );
   }
 
   /**
@@ -239,32 +218,20 @@
    * Call it after permits came back and at every turn of the daemon's timer.
    */
   takeLateAnswers(nowMs: number): readonly LateAnswer[] {
-    const late: LateAnswer[] = [];
-    for (const kept of this.#targets.values()) {
-      if (kept.waiting.length > 0) this.#answerWaiting(kept, nowMs, late);
-    }
-    return late;
-  }
-
-  #answerWaiting(kept: KeptTarget, nowMs: number, late: LateAnswer[]): void {
-    const stillWaiting: WaitingAsk[] = [];
-    for (const entry of kept.waiting) {
-      const { holder, ask, untilMs } = entry;
-      const answer = this.#decide(holder, ask, kept, nowMs);
-      const isFull = answer.kind === "refused" && answer.reason === "at-limit";
-      if (isFull && nowMs < untilMs) stillWaiting.push(entry);
-      else late.push({ holder, answer });
-    }
-    kept.waiting = stillWaiting;
+    return this.#queue.takeLateAnswers(
+      nowMs,
+      (...parts) => this.#decide(...parts, nowMs),
+    );
   }
 
   #decide(
     holder: string,
     ask: PermitAsk,
-    kept: KeptTarget | undefined,
+    target: string,
     nowMs: number,
   ): PermitAnswer {
     const { askId } = ask;
+    const kept = this.#targets.get(target);
     if (!kept) return { kind: "refused", askId, reason: "not-keeper" };
     if (nowMs < kept.grantsFromMs) {
       return { kind: "refused", askId, reason: "not-ready" };
@@ -275,6 +242,8 @@
 
   /** Takes a permit back. A daemon keeps few targets, so all are tried. */
   release(holder: string, askId: number, nowMs: number): void {
+    // An ask that was given up must not be granted later.
+    this.#queue.drop(holder, askId);
     for (const kept of this.#targets.values()) {
       if (kept.keeper.release(holder, askId, nowMs)) return;
     }
@@ -300,8 +269,8 @@
 
   /** A daemon is gone, or the connection to it was lost. */
   noteHolderGone(holder: string, nowMs: number): void {
+    this.#queue.dropHolder(holder);
     for (const kept of this.#targets.values()) {
-      kept.waiting = kept.waiting.filter((entry) => entry.holder !== holder);
       kept.keeper.noteHolderGone(holder, nowMs);
     }
   }
--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -4,8 +4,10 @@
  * which a silent keeper is replaced.
  */
 export const DEFAULT_START_WITHIN_MS = 1_000;
-/** Longest time that an ask may wait at the keeper for a place. */
+/** Longest time that an ask may wait at the keeper for its first target. */
 export const MAX_ASK_WAIT_MS = 500;
+/** Time that it may wait for any of its targets after that. */
+export const ANY_TARGET_WAIT_MS = 250;
 
 /** One run of one keeper for one target. Higher numbers replace lower ones. */
 export interface KeeperEpoch {
@@ -26,6 +28,11 @@
   readonly target: string;
   /** Time that the ask may wait at the keeper while the target is full. */
   readonly waitMs?: number;
+  /**
+   * Further targets of the same keeper, in order. Where the first one stays
+   * full they are tried, and the ask may wait a short time for any of them.
+   */
+  readonly alternatives?: readonly string[];
 }
 
 /** Why a keeper gave no permit. */
@@ -46,6 +53,8 @@
 export interface PermitGrant {
   readonly kind: "granted";
   readonly askId: number;
+  /** The target of the ask, or one of its alternatives. */
+  readonly target: string;
   readonly epoch: KeeperEpoch;
   /** Counted on the holder's clock from before it asked. */
   readonly startWithinMs: number;
@@ -79,3 +88,9 @@
     /** The epoch that the holder answered to already. */
     readonly epoch: KeeperEpoch;
   };
+
+/** Longest time that the keeper may hold an ask back, in ms. */
+export function longestWaitMs(ask: PermitAsk): number {
+  const anyWaitMs = ask.alternatives ? ANY_TARGET_WAIT_MS : 0;
+  return Math.min(ask.waitMs ?? 0, MAX_ASK_WAIT_MS) + anyWaitMs;
+}
--- a/packages/core/src/bound/permit_codec.ts
+++ b/packages/core/src/bound/permit_codec.ts
@@ -25,20 +25,25 @@
 ]);
 const reportsSchema = z.union([absentSchema, z.array(reportSchema)]);
 
-/** `[askId, target, wait in ms, returns, reports]`. */
+/** `[askId, target, wait in ms, alternatives, returns, reports]`. */
 export const permitAskParamsSchema = z.tuple([
   z.int(),
   z.string(),
   z.int().nonnegative().optional(),
+  z.union([absentSchema, z.array(z.string())]).optional(),
   returnsSchema.optional(),
   reportsSchema.optional(),
 ]);
 
-/** `[epoch number or minus the refusal, returns, reports]`. */
+/**
+ * `[epoch number or minus the refusal, returns, reports, place of the target
+ * among the asked ones]`.
+ */
 export const permitAskResultSchema = z.tuple([
   z.int(),
   returnsSchema.optional(),
   reportsSchema.optional(),
+  z.int().nonnegative().optional(),
 ]);
 
 /** `[returns, reports]`. */
@@ -71,46 +76,70 @@
   ask: PermitAsk,
   extras: PermitExtras,
 ): PermitAskParams {
-  const { askId, target, waitMs } = ask;
+  const { askId, target, waitMs, alternatives } = ask;
   return trimAbsent([
     askId,
     target,
     waitMs ?? 0,
+    alternatives ?? 0,
     ...encodeExtras(extras),
   ]) as PermitAskParams;
 }
 
 /** The reverse of `encodeAsk`. */
 export function decodeAsk(params: PermitAskParams): PermitAsk & PermitExtras {
-  const [askId, target, waitMs, returns, reports] = params;
-  const extras = decodeExtras(returns, reports);
-  if (!waitMs) return { askId, target, ...extras };
-  return { askId, target, waitMs, ...extras };
+  const [askId, target, waitMs, alternatives, returns, reports] = params;
+  return {
+    askId,
+    target,
+    ...(waitMs ? { waitMs } : {}),
+    ...(alternatives ? { alternatives } : {}),
+    ...decodeExtras(returns, reports),
+  };
 }
 
 /** Result of a call that asks for a permit. */
 export function encodeAnswer(
+  ask: PermitAsk,
   answer: PermitAnswer,
   extras: PermitExtras,
 ): PermitAskResult {
   const code = answer.kind === "granted"
     ? answer.epoch.number
     : -1 - REFUSAL_REASONS.indexOf(answer.reason);
-  return trimAbsent([code, ...encodeExtras(extras)]) as PermitAskResult;
+  const place = answer.kind === "granted"
+    ? targetsOf(ask).indexOf(answer.target)
+    : 0;
+  const result = [code, ...encodeExtras(extras), place];
+  return trimAbsent(result) as PermitAskResult;
+}
+
+/** Every target that an ask may be granted for, the first one first. */
+export function targetsOf(ask: PermitAsk): readonly string[] {
+  return [ask.target, ...ask.alternatives ?? []];
 }
 
 /** The reverse of `encodeAnswer`, with what the asker knows. */
 export function decodeAnswer(
   result: PermitAskResult,
-  askId: number,
+  ask: PermitAsk,
   keeper: string,
   startWithinMs: number,
 ): { readonly answer: PermitAnswer; readonly extras: PermitExtras } {
-  const [code, returns, reports] = result;
+  const [code, returns, reports, place = 0] = result;
+  const { askId } = ask;
   const extras = decodeExtras(returns, reports);
-  if (code > 0) {
+  const target = targetsOf(ask)[place];
+  if (code > 0 && target !== undefined) {
     const epoch = { number: code, keeper };
-    return { answer: { kind: "granted", askId, epoch, startWithinMs }, extras };
+    const answer = {
+      kind: "granted",
+      askId,
+      target,
+      epoch,
+      startWithinMs,
+    } as const;
+    return { answer, extras };
   }
   const reason = REFUSAL_REASONS[-1 - code] ?? "not-ready";
   return { answer: { kind: "refused", askId, reason }, extras };
--- a/packages/core/src/bound/permit_codec_test.ts
+++ b/packages/core/src/bound/permit_codec_test.ts
@@ -10,6 +10,7 @@
   permitAskResultSchema,
   permitReturnParamsSchema,
 } from "./permit_codec.ts";
+import type { PermitAnswer } from "./permit.ts";
 
 const NO_EXTRAS = { returns: [], reports: [] };
 const EXTRAS = {
@@ -26,7 +27,9 @@
   it("come back from the wire as they were", () => {
     const ask = { askId: 7, target: "t1" };
     for (const extras of [NO_EXTRAS, EXTRAS]) {
-      for (const sent of [ask, { ...ask, waitMs: 90 }]) {
+      const waiting = { ...ask, waitMs: 90 };
+      const open = { ...waiting, alternatives: ["t2", "t3"] };
+      for (const sent of [ask, waiting, open]) {
         const wire = JSON.parse(JSON.stringify(encodeAsk(sent, extras)));
         const read = decodeAsk(permitAskParamsSchema.parse(wire));
         expect(read).toEqual({ ...sent, ...extras });
@@ -39,23 +42,28 @@
 
   it("carry grants and every refusal", () => {
     const epoch = { number: 5, keeper: "k" };
+    const ask = { askId: 7, target: "t1", alternatives: ["t2"] };
+    const grant = { kind: "granted", askId: 7, epoch, startWithinMs: 400 };
     const answers = [
-      { kind: "granted", askId: 7, epoch, startWithinMs: 400 },
+      { ...grant, target: "t1" },
+      { ...grant, target: "t2" },
       { kind: "refused", askId: 7, reason: "at-limit" },
       { kind: "refused", askId: 7, reason: "leaving" },
-    ] as const;
+    ] as PermitAnswer[];
     for (const answer of answers) {
-      const wire = JSON.parse(JSON.stringify(encodeAnswer(answer, EXTRAS)));
+      const sent = encodeAnswer(ask, answer, EXTRAS);
+      const wire = JSON.parse(JSON.stringify(sent));
       const result = permitAskResultSchema.parse(wire);
-      const read = decodeAnswer(result, 7, "k", 400);
+      const read = decodeAnswer(result, ask, "k", 400);
       expect(read).toEqual({ answer, extras: EXTRAS });
     }
   });
 
   it("leave absent parts out", () => {
-    const params = encodeAsk({ askId: 7, target: "t1" }, NO_EXTRAS);
+    const ask = { askId: 7, target: "t1" };
+    const params = encodeAsk(ask, NO_EXTRAS);
     expect(params).toEqual([7, "t1"]);
     const answer = { kind: "refused", askId: 7, reason: "at-limit" } as const;
-    expect(encodeAnswer(answer, NO_EXTRAS)).toEqual([-1]);
+    expect(encodeAnswer(ask, answer, NO_EXTRAS)).toEqual([-1]);
   });
 });
--- a/packages/core/src/bound/permit_holder.ts
+++ b/packages/core/src/bound/permit_holder.ts
@@ -11,7 +11,8 @@
 
 interface HeldPermit {
   readonly askId: number;
-  readonly target: string;
+  /** The first target of the ask; once granted, that of the permit. */
+  target: string;
   /** The keeper that was asked, or that collected the permit since. */
   keeper: string;
   /** Read before the ask was sent. */
@@ -70,6 +71,7 @@
   noteGrant(grant: PermitGrant, nowMs: number): GrantVerdict {
     const permit = this.#permits.get(grant.askId);
     if (!permit) return "unknown-ask";
+    permit.target = grant.target;
     permit.startByMs = permit.askedAtMs + grant.startWithinMs;
     permit.epoch = grant.epoch;
     permit.state = "granted";
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -1,12 +1,17 @@
 import type { TimerService } from "../timer/index.ts";
+import type { LateAnswer } from "./ask_queue.ts";
 import {
   DEFAULT_KEEPER_BOOK_OPTIONS,
   KeeperBook,
   type KeeperBookOptions,
   type KeptPool,
-  type LateAnswer,
 } from "./keeper_book.ts";
-import type { CollectRequest, PermitAnswer, RefusalReason } from "./permit.ts";
+import {
+  type CollectRequest,
+  longestWaitMs,
+  type PermitAnswer,
+  type RefusalReason,
+} from "./permit.ts";
 import type { PermitExtras } from "./permit_codec.ts";
 import { PermitHolder } from "./permit_holder.ts";
 import type { PermitMessage } from "./permit_message.ts";
@@ -75,10 +80,14 @@
 export interface AskParts {
   /** Time that the ask may wait at the keeper while the target is full. */
   readonly waitMs?: number;
+  /** Further targets of the same keeper, in order. */
+  readonly alternatives?: readonly string[];
 }
 
 /** A usable permit. */
 export interface UsablePermit {
+  /** The target that was asked for, or one of the alternatives. */
+  readonly target: string;
   /** Call it right before the request is sent; false means it must not be. */
   readonly start: () => boolean;
   /** Hands the permit back, used or not. */
@@ -90,7 +99,6 @@
 
 interface PendingAsk {
   readonly keeper: string;
-  readonly target: string;
   readonly onOutcome: (outcome: AskOutcome) => void;
 }
 
@@ -145,6 +153,30 @@
     }
   }
 
+  /**
+   * Asks for the first of `targets`, best first, that has a place. One ask
+   * names every target that has the same keeper. `waitMs` is how long the first
+   * target is worth a wait.
+   */
+  askAny(
+    targets: readonly string[],
+    waitMs: number,
+    onOutcome: (outcome: AskOutcome) => void,
+  ): void {
+    const [first, ...others] = targets;
+    if (first === undefined) return onOutcome("no-keeper");
+    const { keeperOf } = this.#parts.view;
+    const keeper = keeperOf(first);
+    const alternatives = others.filter((name) => keeperOf(name) === keeper);
+    const rest = others.filter((name) => keeperOf(name) !== keeper);
+    const parts = waitMs > 0 ? { waitMs, alternatives } : { alternatives };
+    this.ask(first, parts, (outcome) => {
+      const isLast = typeof outcome !== "string" || rest.length === 0;
+      if (isLast) return onOutcome(outcome);
+      this.askAny(rest, 0, onOutcome);
+    });
+  }
+
   /** Asks the keeper of a target for a place. */
   ask(
     target: string,
@@ -155,7 +187,7 @@
     if (keeper === undefined) return onOutcome("no-keeper");
     const askId = this.#holder.createAsk(target, keeper, this.#nowMs);
     const ask = { askId, target, ...parts };
-    this.#pending.set(askId, { keeper, target, onOutcome });
+    this.#pending.set(askId, { keeper, onOutcome });
     if (keeper === this.#parts.name) {
       const answer = this.#answer(keeper, ask);
       if (answer) this.#takeAnswer(answer);
@@ -163,8 +195,8 @@
     }
     const extras = this.#outbox.take(keeper, this.#nowMs);
     this.#parts.send(keeper, { kind: "ask", ask, extras });
-    const waitMs = this.#options.askTimeoutMs + (parts.waitMs ?? 0);
-    this.#parts.timer.after(waitMs, () => this.giveUp(askId));
+    const timeoutMs = this.#options.askTimeoutMs + longestWaitMs(ask);
+    this.#parts.timer.after(timeoutMs, () => this.giveUp(askId));
   }
 
   /** Ends an ask that has no answer; the keeper may have granted it. */
@@ -312,8 +344,7 @@
   #takeAnswer(answer: PermitAnswer): void {
     const { askId } = answer;
     const pending = this.#pending.get(askId);
-    // A late grant was handed back when its ask was given up.
-    if (!pending) return;
+    if (!pending) return this.#handBack(answer);
     this.#pending.delete(askId);
     if (answer.kind === "refused") {
       this.#holder.noteRefusal(askId);
@@ -322,16 +353,27 @@
     const verdict = this.#holder.noteGrant(answer, this.#nowMs);
     this.#sendAdoptions(answer.epoch.keeper);
     if (verdict !== "usable") {
-      if (verdict === "stale-epoch") this.#tellNewerEpoch(pending);
+      if (verdict === "stale-epoch") {
+        this.#tellNewerEpoch(pending.keeper, answer.target);
+      }
       this.#queueReturns();
       return pending.onOutcome("timeout");
     }
     pending.onOutcome({
+      target: answer.target,
       start: () => this.#start(askId),
       end: () => this.#end(askId),
     });
   }
 
+  /** A grant that comes after its ask was given up must not stay counted. */
+  #handBack(answer: PermitAnswer): void {
+    if (answer.kind === "refused") return;
+    const { keeper } = answer.epoch;
+    this.#outbox.addReturn(keeper, answer.askId);
+    this.#planFlush(keeper);
+  }
+
   #start(askId: number): boolean {
     const mayStart = this.#holder.start(askId, this.#nowMs);
     if (!mayStart) this.#queueReturns();
@@ -355,7 +397,7 @@
   }
 
   /** Tells a keeper that it was replaced. */
-  #tellNewerEpoch({ keeper, target }: PendingAsk): void {
+  #tellNewerEpoch(keeper: string, target: string): void {
     const epoch = this.#holder.epochOf(target);
     if (!epoch) return;
     const answer = { kind: "newer-epoch", target, epoch } as const;
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -30,6 +30,11 @@
   readonly maxReportAgeMs: number;
   /** Standard deviations of random ends that the discount covers. */
   readonly safetyDeviations: number;
+  /**
+   * Part of the load that is taken off besides: ends that come in a burst are
+   * not in the rate yet.
+   */
+  readonly reserveRatio: number;
   /**
    * From this many reports on, targets without a report are taken to have the
    * mean of the others, less its standard error; with fewer they count for
@@ -44,6 +49,7 @@
   reportDelayMs: 4,
   maxReportAgeMs: 1_200,
   safetyDeviations: 2,
+  reserveRatio: 0.04,
   sampleReports: 30,
 };
 
@@ -131,7 +137,9 @@
     const sums = this.#sumReports(nowMs);
     const spread = this.#options.safetyDeviations *
       Math.sqrt(sums.expectedEnds);
-    const lowerRequests = sums.loadRequests - sums.expectedEnds - spread;
+    const reserve = this.#options.reserveRatio * sums.loadRequests;
+    const lowerRequests = sums.loadRequests - sums.expectedEnds - spread -
+      reserve;
     if (sums.targets === 0) return 0;
     const missingTargets = poolTargets - sums.targets;
     if (sums.reports < this.#options.sampleReports || missingTargets <= 0) {
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -173,6 +173,7 @@
     }
     return {
       kind: "granted",
+      target: this.target,
       askId,
       epoch: this.#epoch,
       startWithinMs: this.#options.startWithinMs,
--- a/packages/daemon/src/entry/local_permit_gate.ts
+++ b/packages/daemon/src/entry/local_permit_gate.ts
@@ -11,15 +11,16 @@
   readonly #running = new Map<string, number>();
 
   override acquire(
-    target: TargetView,
+    targets: readonly TargetView[],
     context: RequestContext,
   ): Promise<Result<Permit, PermitRefusal>> {
-    const running = this.#running.get(target.name) ?? 0;
-    if (running >= context.pool.maxConcurrentPerTarget) {
-      return Promise.resolve(err({ reason: "at-bound" }));
+    for (const { name } of targets) {
+      const running = this.#running.get(name) ?? 0;
+      if (running >= context.pool.maxConcurrentPerTarget) continue;
+      this.#running.set(name, running + 1);
+      return Promise.resolve(ok(this.#createPermit(name)));
     }
-    this.#running.set(target.name, running + 1);
-    return Promise.resolve(ok(this.#createPermit(target.name)));
+    return Promise.resolve(err({ reason: "at-bound" }));
   }
 
   #createPermit(target: string): Permit {
--- a/packages/daemon/src/entry/permit_gate.ts
+++ b/packages/daemon/src/entry/permit_gate.ts
@@ -4,6 +4,7 @@
 
 /** The right to run one request on one target. */
 export interface Permit {
+  /** Name of the target. */
   readonly target: string;
   /**
    * Starts the request under this permit. Call it right before the request is
@@ -14,17 +15,16 @@
   release(): void;
 }
 
-/** Why a target takes no request now. */
+/** Why no target takes a request now. */
 export interface PermitRefusal {
   readonly reason: "at-bound" | "keeper-unreachable" | "target-leaving";
 }
 
-/** Decides whether a target may take one more request. */
+/** Decides which target may take one more request. */
 export abstract class PermitGate {
+  /** Takes the first of `targets`, best first, that has a place. */
   abstract acquire(
-    target: TargetView,
+    targets: readonly TargetView[],
     context: RequestContext,
-    /** Whether the target is the first in the request's order. */
-    isHome: boolean,
   ): Promise<Result<Permit, PermitRefusal>>;
 }
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -64,15 +64,12 @@
     const ordered = question.isSuspect ? this.#keepIsolated(all) : all;
     const untried = ordered.filter((target) => !tried.has(target.name));
     const candidates = untried.length > 0 ? untried : ordered;
-    for (const [index, target] of candidates.entries()) {
-      const isHome = index === 0;
-      const permit = await this.#parts.permitGate.acquire(
-        target,
-        context,
-        isHome,
-      );
-      if (permit.isOk()) return { target, permit: permit.value };
-    }
+    const result = await this.#parts.permitGate.acquire(candidates, context);
+    if (result.isErr()) return undefined;
+    const permit = result.value;
+    const target = candidates.find((it) => it.name === permit.target);
+    if (target) return { target, permit };
+    permit.release();
     return undefined;
   }
 
--- a/packages/daemon/src/keepers/keeper_permit_gate.ts
+++ b/packages/daemon/src/keepers/keeper_permit_gate.ts
@@ -15,7 +15,7 @@
 /** Characters of a prompt for one token, about. */
 const CHARACTERS_PER_TOKEN = 4;
 
-/** Asks the keeper of a target for every request. */
+/** Asks the keepers of targets for every request. */
 export class KeeperPermitGate extends PermitGate {
   readonly #node: PermitNode;
 
@@ -25,16 +25,13 @@
   }
 
   override acquire(
-    target: TargetView,
+    targets: readonly TargetView[],
     context: RequestContext,
-    isHome: boolean,
   ): Promise<Result<Permit, PermitRefusal>> {
-    const waitMs = isHome ? waitForHomeMs(context) : 0;
+    const names = targets.map((target) => target.name);
+    const waitMs = waitForHomeMs(context);
     return new Promise((resolve) => {
-      const parts = waitMs > 0 ? { waitMs } : {};
-      this.#node.ask(target.name, parts, (outcome) => {
-        resolve(toResult(target.name, outcome));
-      });
+      this.#node.askAny(names, waitMs, (outcome) => resolve(toResult(outcome)));
     });
   }
 }
@@ -46,12 +43,10 @@
   return homeWaitMs(context.route.reuseWeight, prefixTokens);
 }
 
-function toResult(
-  target: string,
-  outcome: AskOutcome,
-): Result<Permit, PermitRefusal> {
+function toResult(outcome: AskOutcome): Result<Permit, PermitRefusal> {
   if (typeof outcome === "object") {
-    return ok({ target, start: outcome.start, release: outcome.end });
+    const { target, start, end } = outcome;
+    return ok({ target, start, release: end });
   }
   if (outcome === "leaving") return err({ reason: "target-leaving" });
   if (outcome === "timeout" || outcome === "no-keeper") {
--- a/packages/daemon/src/keepers/permit_transport.ts
+++ b/packages/daemon/src/keepers/permit_transport.ts
@@ -7,6 +7,7 @@
   encodeAnswer,
   encodeAsk,
   encodeReturns,
+  longestWaitMs,
   PERMIT_ASK_METHOD,
   PERMIT_RETURN_METHOD,
   type PermitAnswer,
@@ -36,12 +37,18 @@
 /** Takes messages of other daemons. */
 export type PermitReceiver = (from: string, message: PermitMessage) => void;
 
+/** An ask of another daemon that waits for its answer. */
+interface OpenAsk {
+  readonly ask: PermitAsk;
+  readonly resolve: (result: PermitAskResult) => void;
+}
+
 /** Carries the messages of a `PermitNode` over the daemons' JSON-RPC. */
 export class PermitTransport {
   readonly #peers: Peers;
   readonly #options: PermitNodeOptions;
   /** Asks of other daemons that wait for their answer, by holder and number. */
-  readonly #openAsks = new Map<string, (result: PermitAskResult) => void>();
+  readonly #openAsks = new Map<string, OpenAsk>();
   /** Set while a collect request is answered, which happens at once. */
   #onCollected: ((answer: CollectAnswer) => void) | undefined;
 
@@ -56,7 +63,7 @@
     peers.handle(PERMIT_ASK_METHOD, permitAskParamsSchema, (params, { vm }) => {
       const { returns, reports, ...ask } = decodeAsk(params);
       return new Promise<PermitAskResult>((resolve) => {
-        this.#openAsks.set(nameAsk(vm, ask.askId), resolve);
+        this.#openAsks.set(nameAsk(vm, ask.askId), { ask, resolve });
         receive(vm, { kind: "ask", ask, extras: { returns, reports } });
       });
     });
@@ -117,13 +124,13 @@
       PERMIT_ASK_METHOD,
       encodeAsk(ask, extras),
       permitAskResultSchema,
-      { timeoutMs: askTimeoutMs + (ask.waitMs ?? 0) },
+      { timeoutMs: askTimeoutMs + longestWaitMs(ask) },
     );
     // Without an answer the node gives the ask up by its own timer.
     if (result.isErr()) return;
     const { answer, extras: answerExtras } = decodeAnswer(
       result.value,
-      ask.askId,
+      ask,
       to,
       book.startWithinMs,
     );
@@ -132,9 +139,9 @@
 
   #answerAsk(to: string, answer: PermitAnswer, extras: PermitExtras): void {
     const name = nameAsk(to, answer.askId);
-    const resolve = this.#openAsks.get(name);
+    const open = this.#openAsks.get(name);
     this.#openAsks.delete(name);
-    resolve?.(encodeAnswer(answer, extras));
+    open?.resolve(encodeAnswer(open.ask, answer, extras));
   }
 
   async #collect(
