Tell a keeper that it was replaced unawares, and bound load by reports always

Change: a daemon that meets a peer again names the newer epoch; the target's report caps the count at all times; the discount covers three deviations. Tests: packages/core/src/bound, 12 passed.

--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -215,6 +215,7 @@
   peerBack(peer: string, targets: Iterable<string>): void {
     for (const target of targets) {
       if (this.#parts.view.keeperOf(target) !== peer) continue;
+      this.#tellReplaced(peer, target);
       const askIds = this.#holder.startedAskIds(target);
       if (askIds.length === 0) continue;
       this.#parts.send(peer, { kind: "adopt", target, askIds });
@@ -354,6 +355,14 @@
     }
   }
 
+  /** A keeper that others do not know yet may have been replaced unawares. */
+  #tellReplaced(peer: string, target: string): void {
+    const epoch = this.#holder.epochOf(target);
+    if (!epoch || epoch.keeper === peer) return;
+    const answer = { kind: "newer-epoch", target, epoch } as const;
+    this.#parts.send(peer, { kind: "collected", answer });
+  }
+
   /** Tells a keeper that it was replaced. */
   #tellNewerEpoch({ keeper, target }: PendingAsk): void {
     const epoch = this.#holder.epochOf(target);
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -43,7 +43,7 @@
   permitLagMs: 35,
   reportDelayMs: 4,
   maxReportAgeMs: 1_200,
-  safetyDeviations: 2,
+  safetyDeviations: 3,
   sampleReports: 30,
 };
 
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -65,7 +65,9 @@
       this.#lostRequests,
       this.#countOrphans(nowMs),
     );
-    return this.#heldRequests + lostRequests - this.#countOnTheWay(nowMs);
+    const permitRequests = this.#heldRequests + lostRequests -
+      this.#countOnTheWay(nowMs);
+    return Math.min(permitRequests, this.#reportBound());
   }
 
   /** Upper bound of the target's load at `nowMs`. */
@@ -73,9 +75,12 @@
     const orphanRequests = this.#countOrphans(nowMs);
     const permitBound = this.#heldRequests + orphanRequests;
     this.#forgetOldReport(nowMs);
-    if (!this.#report || orphanRequests === 0) return permitBound;
-    const reportBound = this.#report.loadRequests + this.#grantTimesMs.length;
-    return Math.min(permitBound, reportBound);
+    return Math.min(permitBound, this.#reportBound());
+  }
+
+  #reportBound(): number {
+    if (!this.#report) return Number.POSITIVE_INFINITY;
+    return this.#report.loadRequests + this.#grantTimesMs.length;
   }
 
   /**
