--- a/packages/bench/src/load/generate_load.ts
+++ b/packages/bench/src/load/generate_load.ts
@@ -26,6 +26,8 @@
   readonly calmMs: number;
   readonly surgeMs: number;
   readonly afterMs: number;
+  /** Length of the shortened weekend. */
+  readonly weekendMs: number;
 }
 
 /** The load of a whole run and of a quick one. */
@@ -33,11 +35,13 @@
   calmMs: 30 * MINUTE_MS,
   surgeMs: 15 * MINUTE_MS,
   afterMs: 15 * MINUTE_MS,
+  weekendMs: WEEKEND_MS,
 };
 export const QUICK_LOAD = {
   calmMs: 8 * MINUTE_MS,
   surgeMs: 4 * MINUTE_MS,
   afterMs: 4 * MINUTE_MS,
+  weekendMs: WEEKEND_MS / 2,
 };
 
 /**
@@ -79,7 +83,7 @@
 
 function createPhases(options: LoadOptions): TracePhase[] {
   const calmEndMs = options.calmMs;
-  const mondayMs = calmEndMs + WEEKEND_MS;
+  const mondayMs = calmEndMs + options.weekendMs;
   const surgeEndMs = mondayMs + options.surgeMs;
   return [
     { name: "calm", startMs: 0, endMs: calmEndMs },
--- a/packages/bench/src/replay/fake_engine.ts
+++ b/packages/bench/src/replay/fake_engine.ts
@@ -58,7 +58,7 @@
   #reports: { readonly atMs: number; readonly loadRequests: number }[] = [];
   isUp = true;
   isLeaving = false;
-  /** True from the time when its keeper may first give it work. */
+  /** True while its keeper gives it work. */
   isServing = false;
   incarnation = 1;
 
@@ -81,7 +81,7 @@
 
   /** Whether it counts among the pool's serving targets. */
   get isInPool(): boolean {
-    return this.isUp && this.isServing && !this.isLeaving;
+    return this.isUp && this.isServing;
   }
 
   /** Tokens of the chat that are cached now. */
--- a/packages/bench/src/replay/fault_injector.ts
+++ b/packages/bench/src/replay/fault_injector.ts
@@ -4,6 +4,8 @@
 import type { ViewSpreader } from "./view_spreader.ts";
 import type { World } from "./world.ts";
 
+/** Time after which every keeper knows that a target leaves, in ms. */
+const LEAVE_KNOWN_MS = 3_000;
 /** Time after which a target that leaves is gone at the latest, in ms. */
 const DRAIN_MS = 30_000;
 
@@ -86,6 +88,9 @@
   #leave(engine: FakeEngine): void {
     engine.isLeaving = true;
     this.#views.targetLeaving(engine);
+    this.#world.heap.after(LEAVE_KNOWN_MS, () => {
+      engine.isServing = false;
+    });
     this.#world.heap.after(DRAIN_MS, () => engine.goDown());
   }
 
--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -5,7 +5,7 @@
  */
 export const DEFAULT_START_WITHIN_MS = 1_000;
 /** Longest time that an ask may wait at the keeper for a place. */
-export const MAX_ASK_WAIT_MS = 500;
+export const MAX_ASK_WAIT_MS = 800;
 
 /** One run of one keeper for one target. Higher numbers replace lower ones. */
 export interface KeeperEpoch {
