--- /dev/null
+++ b/packages/bench/src/harness/settings_files.ts
@@ -0,0 +1,31 @@
+import { cpSync, mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+/** A directory of settings files that goes away with the fleet. */
+export class SettingsFiles {
+  readonly #directory = mkdtempSync(join(tmpdir(), "coltsfoot-"));
+
+  /** Writes settings and returns the path of their file. */
+  write(name: string, settings: unknown): string {
+    const path = join(this.#directory, `${name}.json`);
+    writeFileSync(path, JSON.stringify(settings, null, 2));
+    return path;
+  }
+
+  /** Writes objects, or copies the files of a directory, and returns where. */
+  writeObjects(objects: readonly unknown[] | string): string {
+    const path = join(this.#directory, "objects");
+    if (typeof objects === "string") {
+      cpSync(objects, path, { recursive: true });
+      return path;
+    }
+    mkdirSync(path, { recursive: true });
+    writeFileSync(join(path, "all.json"), JSON.stringify(objects));
+    return path;
+  }
+
+  remove(): void {
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+}
