--- /dev/null
+++ b/packages/bench/src/capacity/index.ts
@@ -0,0 +1,1 @@
+export * from "./run_capacity.ts";
--- /dev/null
+++ b/packages/bench/src/capacity/measure_placement.ts
@@ -0,0 +1,38 @@
+import { PoolView, RendezvousPolicy } from "@coltsfootford/core";
+import { measureCpuUs, measureHeapBytes } from "./slope.ts";
+
+const PLACEMENTS = 5_000;
+const ZONES = 14;
+
+/** A view of so many targets. */
+export function createPoolView(targets: number): PoolView {
+  return new PoolView(
+    Array.from({ length: targets }, (_, index) => ({
+      name: `target-${index}`,
+      availabilityZone: `zone-${index % ZONES}`,
+      loadRequests: index % 7,
+      onProbation: false,
+    })),
+  );
+}
+
+/** Processor time of one placement over a pool of so many targets. */
+export function measurePlacementUs(targets: number): number {
+  const view = createPoolView(targets);
+  const policy = new RendezvousPolicy();
+  let chat = 0;
+  return measureCpuUs(PLACEMENTS, () => {
+    policy.orderTargets({
+      chatKey: `chat-${chat++}`,
+      availabilityZone: "zone-3",
+      reuseWeight: 0.7,
+      crossZonePenalty: 0.2,
+      maxTargets: 6,
+    }, view);
+  });
+}
+
+/** Heap of one target in a view. */
+export function measureTargetBytes(targets: number): number {
+  return measureHeapBytes(targets, () => createPoolView(targets));
+}
--- a/packages/bench/src/replay/index.ts
+++ b/packages/bench/src/replay/index.ts
@@ -1,4 +1,6 @@
+export * from "./contenders.ts";
 export * from "./faults.ts";
 export * from "./permit_admission.ts";
 export * from "./replay.ts";
 export * from "./replay_metrics.ts";
+export * from "./scenarios.ts";
--- /dev/null
+++ b/packages/bench/src/replay/scenarios.ts
@@ -0,0 +1,47 @@
+import type { Deployment, LoadOptions } from "../load/index.ts";
+import { TRUST } from "../load/index.ts";
+import type { FaultPlanOptions } from "./faults.ts";
+
+/** Churn of targets in an hour, on top of faults of daemons and zones. */
+const CHURN = {
+  restartsPerHour: 6,
+  replacementsPerHour: 6,
+  blipsPerHour: 4,
+  flappingTargets: 2,
+};
+
+/** The faults that every contender meets at today's sizes. */
+export function churnOptions(
+  deployment: Deployment,
+  seed: number,
+): FaultPlanOptions {
+  return {
+    seed,
+    targets: deployment.targets,
+    daemons: deployment.daemons,
+    zones: deployment.zones,
+    ...CHURN,
+    hasDaemonFaults: true,
+    hasZoneCut: deployment.zones.length > 1,
+  };
+}
+
+/** Hundreds of daemons of one zone before its share of 7,100 workers. */
+export const LARGE_ZONE: Deployment = {
+  ...TRUST,
+  name: "large-zone",
+  zones: ["zone-1"],
+  zoneDelayMs: 1,
+  daemons: 192,
+  targets: 500,
+  calmRequestsPerSecond: 1_400,
+  surgeFactor: 1.5,
+};
+
+/** A short load for the large zone: it is for the bound and the bytes. */
+export const LARGE_ZONE_LOAD: Omit<LoadOptions, "seed"> = {
+  calmMs: 40_000,
+  weekendMs: 0,
+  surgeMs: 20_000,
+  afterMs: 0,
+};
