--- a/packages/bench/src/replay/baseline_admission.ts
+++ b/packages/bench/src/replay/baseline_admission.ts
@@ -68,13 +68,19 @@
 export class DividedShareAdmission extends PollingGate {
   override readonly name = "divided-shares";
   readonly #gates = new Map<string, DividedShareGate>();
+  readonly #polledAtMs = new Map<string, number>();
 
   override ask(ask: GateAsk): void {
     const name = ask.daemon.name;
+    const nowMs = this.world.heap.nowMs;
     const gate = this.#gates.get(name) ??
       new DividedShareGate(this.world.options.loadFactor);
     this.#gates.set(name, gate);
-    gate.noteMean(this.#meanOf(ask), ask.daemon.view.daemons().size);
+    const polledAtMs = this.#polledAtMs.get(name) ?? -Infinity;
+    if (nowMs - polledAtMs >= POLL_PERIOD_MS) {
+      this.#polledAtMs.set(name, nowMs);
+      gate.noteMean(this.#meanOf(ask), ask.daemon.view.daemons().size);
+    }
     if (!gate.tryAdmit(ask.target)) return ask.onAnswer("at-limit");
     ask.onAnswer({
       start: () => true,
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -328,6 +328,7 @@
 
   /** Load of the kept targets of a pool, for the pool's other keepers. */
   ownReport(pool: string, nowMs: number): PoolLoadReport {
+    this.noteAlive(nowMs);
     const loadsRequests: number[] = [];
     let endedPerSecond = 0;
     for (const target of [...this.#targets.keys()].sort()) {
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -129,9 +129,11 @@
   /** Lower bound of the load of `poolTargets` targets at `nowMs`. */
   lowerLoadRequests(poolTargets: number, nowMs: number): number {
     const sums = this.#sumReports(nowMs);
-    const spread = this.#options.safetyDeviations *
-      Math.sqrt(sums.expectedEnds);
-    const lowerRequests = sums.loadRequests - sums.expectedEnds - spread;
+    const mostEnds = upperEnds(
+      sums.expectedEnds,
+      this.#options.safetyDeviations,
+    );
+    const lowerRequests = sums.loadRequests - mostEnds;
     if (sums.targets === 0) return 0;
     const missingTargets = poolTargets - sums.targets;
     if (sums.reports < this.#options.sampleReports || missingTargets <= 0) {
@@ -167,6 +169,15 @@
   }
 }
 
+/**
+ * Upper quantile of a Poisson count, by its square root, which is close to
+ * normal with a deviation of a half also where the mean is small.
+ */
+function upperEnds(expectedEnds: number, deviations: number): number {
+  if (expectedEnds === 0) return 0;
+  return (Math.sqrt(expectedEnds) + deviations / 2) ** 2;
+}
+
 function sum(numbers: readonly number[]): number {
   return numbers.reduce((total, number) => total + number, 0);
 }
