Leave targets without a keeper out of the mean, and pass silent keepers over

Cause: after a keeper was lost the limit of all other targets fell with its targets still in the divisor, so requests waited for seconds; asks to it timed out one by one; and reports from before a loss kept what had ended with it. Change: a small pool is the targets whose keepers are heard; loads are dropped but targets counted when a daemon is lost; a take-over after a silence vouches at once; a keeper that gave no answer is passed over for half a second.

--- a/packages/bench/src/replay/fault_injector.ts
+++ b/packages/bench/src/replay/fault_injector.ts
@@ -14,6 +14,8 @@
   daemonAdded(daemon: FakeDaemon): void;
   /** The process is gone; its connections to targets close if `isKill`. */
   daemonGone(daemon: FakeDaemon, isKill: boolean): void;
+  /** The daemon stopped: nobody gives work to the targets that it keeps. */
+  daemonStopped(daemon: FakeDaemon): void;
   /** A zone was cut off: streams across the cut stall. */
   zoneCut(): void;
 }
@@ -98,6 +100,7 @@
     fault: Extract<Fault, { daemon: string }>,
     daemon: FakeDaemon,
   ): void {
+    this.#listener.daemonStopped(daemon);
     if (fault.kind === "daemon-pause") {
       daemon.pause();
       this.#views.daemonSilent(daemon);
--- a/packages/bench/src/replay/replay.ts
+++ b/packages/bench/src/replay/replay.ts
@@ -92,6 +92,7 @@
   new FaultInjector(world, views, {
     daemonAdded: (daemon) => permits?.addDaemon(daemon),
     daemonGone: (daemon, isKill) => entry.daemonGone(daemon, isKill),
+    daemonStopped: (daemon) => permits?.node(daemon.name)?.stopServing(),
     zoneCut: () => entry.zoneCut(),
   }).plan(options.faults);
   spreadLoadHints(world);
--- a/packages/bench/src/replay/replay_node.ts
+++ b/packages/bench/src/replay/replay_node.ts
@@ -77,6 +77,14 @@
     }
   }
 
+  /** Without their keeper, its targets are out of the pool. */
+  stopServing(): void {
+    for (const target of this.permits.book.keptTargets()) {
+      const engine = this.#world.engine(target);
+      if (engine) engine.isServing = false;
+    }
+  }
+
   peerBack(peer: string): void {
     const targets = this.daemon.view.targets().map((target) => target.name);
     this.permits.peerBack(peer, targets);
@@ -155,8 +163,7 @@
       .map(({ name, startedAtMs }) => {
         const isYoung = startedAtMs !== undefined &&
           nowMs - startedAtMs < STARTED_AGE_MS;
-        const isNew = isYoung || !this.#world.engine(name)?.isServing;
-        return { name, pool: POOL, isNew, isLeaving: false };
+        return { name, pool: POOL, isNew: isYoung, isLeaving: false };
       });
   }
 
--- a/packages/bench/src/replay/view_spreader.ts
+++ b/packages/bench/src/replay/view_spreader.ts
@@ -94,12 +94,10 @@
   /** A closed connection tells at once; belief in the death takes longer. */
   daemonKilled(killed: FakeDaemon): void {
     for (const daemon of this.#world.daemons()) {
-      const delayMs = this.#world.network.drawDelayMs(
+      this.#world.network.deliver(
+        `${killed.name}>${daemon.name}`,
         killed.availabilityZone,
         daemon.availabilityZone,
-      );
-      this.#world.heap.after(
-        delayMs,
         () => daemon.run(() => this.#listener.peerLost(daemon, killed.name)),
       );
     }
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -54,6 +54,14 @@
   readonly mean: PoolMeanEstimate;
 }
 
+/** What is known of the keeper that a target had before. */
+export interface FormerKeeper {
+  /** The newest epoch that this daemon's `PermitHolder` met, or 0. */
+  readonly epochNumber: number;
+  /** Whether reports of it that count the target may be in force somewhere. */
+  readonly mayReport: boolean;
+}
+
 /** An ask that waits for a place, and the end of its wait. */
 interface WaitingAsk {
   readonly holder: string;
@@ -115,15 +123,14 @@
 
   /**
    * Starts to keep a target, or starts its take-over anew. The result is to be
-   * sent to all `holders`, this daemon included. `knownEpochNumber` is the
-   * newest that this daemon's `PermitHolder` met for the target.
+   * sent to all `holders`, this daemon included.
    */
   beginKeeping(
     target: string,
     pool: string,
     holders: Iterable<string>,
     nowMs: number,
-    knownEpochNumber = 0,
+    former: FormerKeeper = { epochNumber: 0, mayReport: false },
   ): CollectRequest {
     this.noteAlive(nowMs);
     const kept = this.#targets.get(target) ?? {
@@ -133,9 +140,12 @@
       grantsFromMs: 0,
       waiting: [],
     };
-    kept.vouchedFromMs = nowMs + this.#options.poolMean.maxReportAgeMs;
+    const delayMs = former.mayReport
+      ? this.#options.poolMean.maxReportAgeMs
+      : 0;
+    kept.vouchedFromMs = nowMs + delayMs;
     this.#targets.set(target, kept);
-    return kept.keeper.beginTakeOver(holders, nowMs, knownEpochNumber);
+    return kept.keeper.beginTakeOver(holders, nowMs, former.epochNumber);
   }
 
   /**
@@ -294,8 +304,8 @@
    * A daemon is gone with its requests: what other keepers reported before may
    * count them, so it is forgotten until they report anew.
    */
-  forgetPoolReports(): void {
-    for (const state of this.#pools.values()) state.mean.forgetReports();
+  forgetPoolLoads(): void {
+    for (const state of this.#pools.values()) state.mean.forgetLoads();
   }
 
   /** A daemon is gone, or the connection to it was lost. */
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -1,6 +1,7 @@
 import type { TimerService } from "../timer/index.ts";
 import {
   DEFAULT_KEEPER_BOOK_OPTIONS,
+  type FormerKeeper,
   KeeperBook,
   type KeeperBookOptions,
   type KeptPool,
@@ -39,6 +40,9 @@
   retakeMs: 400,
 };
 
+/** Time for which a keeper that gave no answer is passed over, in ms. */
+const SILENT_MS = 500;
+
 /** What a `PermitNode` needs to know of the fleet. */
 export interface PermitView {
   /** The daemon that keeps a target, if any is known. */
@@ -107,6 +111,9 @@
   readonly #pending = new Map<number, PendingAsk>();
   readonly #plannedFlushes = new Set<string>();
   readonly #retakesAtMs = new Map<string, number>();
+  /** When each peer was heard last, and until when it is taken to be silent. */
+  readonly #heardAtMs = new Map<string, number>();
+  readonly #silentUntilMs = new Map<string, number>();
   #kept = new Map<string, KeptTargetView>();
   #poolNames: readonly string[] = [];
   #couldKeep = false;
@@ -153,6 +160,7 @@
   ): void {
     const keeper = this.#parts.view.keeperOf(target);
     if (keeper === undefined) return onOutcome("no-keeper");
+    if (this.#isSilent(keeper)) return onOutcome("timeout");
     const askId = this.#holder.createAsk(target, keeper, this.#nowMs);
     const ask = { askId, target, ...parts };
     this.#pending.set(askId, { keeper, target, onOutcome });
@@ -164,7 +172,22 @@
     const extras = this.#outbox.take(keeper, this.#nowMs);
     this.#parts.send(keeper, { kind: "ask", ask, extras });
     const waitMs = this.#options.askTimeoutMs + (parts.waitMs ?? 0);
-    this.#parts.timer.after(waitMs, () => this.giveUp(askId));
+    this.#parts.timer.after(waitMs, () => this.#timeOut(askId));
+  }
+
+  /** A keeper that did not answer is not asked again for a while. */
+  #timeOut(askId: number): void {
+    const keeper = this.#pending.get(askId)?.keeper;
+    if (keeper !== undefined) this.#noteSilent(keeper);
+    this.giveUp(askId);
+  }
+
+  #noteSilent(peer: string): void {
+    this.#silentUntilMs.set(peer, this.#nowMs + SILENT_MS);
+  }
+
+  #isSilent(peer: string): boolean {
+    return this.#nowMs < (this.#silentUntilMs.get(peer) ?? 0);
   }
 
   /** Ends an ask that has no answer; the keeper may have granted it. */
@@ -179,6 +202,8 @@
   /** Takes a message of another daemon. */
   receive(from: string, message: PermitMessage): void {
     const nowMs = this.#nowMs;
+    this.#heardAtMs.set(from, nowMs);
+    this.#silentUntilMs.delete(from);
     if ("extras" in message) this.#takeExtras(from, message.extras);
     if (message.kind === "ask") {
       const answer = this.#answer(from, message.ask);
@@ -204,8 +229,12 @@
     this.#book.noteHolderGone(peer, this.#nowMs);
     this.#book.forgetKeeper(peer);
     this.#outbox.drop(peer);
+    this.#noteSilent(peer);
+    for (const [askId, pending] of [...this.#pending]) {
+      if (pending.keeper === peer) this.giveUp(askId);
+    }
     if (this.#options.loneReportMs === 0) return;
-    this.#book.forgetPoolReports();
+    this.#book.forgetPoolLoads();
     for (const keeper of this.#parts.view.otherKeepers()) {
       if (keeper !== peer) this.#sendReturns(keeper, true);
     }
@@ -273,7 +302,7 @@
       pool,
       holders,
       nowMs,
-      this.#holder.epochOf(name)?.number ?? 0,
+      this.#formerKeeper(name),
     );
     if (target.isNew) this.#book.noteStarted(name, nowMs);
     this.#book.keeperOf(name)?.noteLeaving(target.isLeaving);
@@ -285,6 +314,15 @@
     this.#book.noteCollectAnswer(this.#parts.name, own, nowMs);
   }
 
+  #formerKeeper(target: string): FormerKeeper {
+    const epoch = this.#holder.epochOf(target);
+    if (!epoch) return { epochNumber: 0, mayReport: false };
+    const { maxReportAgeMs } = this.#options.book.poolMean;
+    const heardAtMs = this.#heardAtMs.get(epoch.keeper) ?? -Infinity;
+    const mayReport = this.#nowMs - heardAtMs <= maxReportAgeMs;
+    return { epochNumber: epoch.number, mayReport };
+  }
+
   /** Two daemons that disagree must not take from each other at once. */
   #retake(nowMs: number): void {
     const dropped = new Set(this.#book.droppedTargets());
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -68,6 +68,7 @@
   /** Least difference seen between this daemon's clock and the sender's. */
   readonly #clockOffsetsMs = new Map<string, number>();
   #poolTargets = 0;
+  #firstUseMs: number | undefined;
 
   constructor(options: PoolMeanEstimateOptions = DEFAULT_POOL_MEAN_OPTIONS) {
     this.#options = options;
@@ -102,11 +103,13 @@
   }
 
   /**
-   * Drops the reports of all keepers: a daemon is gone, and its requests may
-   * have ended with it since they were measured.
+   * Drops the loads that all keepers reported: a daemon is gone, and its
+   * requests may have ended with it since. The targets still count.
    */
-  forgetReports(): void {
-    this.#reports.clear();
+  forgetLoads(): void {
+    for (const [keeper, report] of this.#reports) {
+      this.#reports.set(keeper, { ...report, loadRequests: 0 });
+    }
   }
 
   /** Drops what is known of a keeper that is gone, restarted or cut off. */
@@ -117,15 +120,25 @@
 
   /** The most load that a target may have at an admission at `nowMs`. */
   limitRequests(factor: number, nowMs: number): number {
-    let reportedTargets = 0;
-    for (const report of this.#reports.values()) {
-      reportedTargets += report.targets;
-    }
-    const poolTargets = Math.max(this.#poolTargets, reportedTargets, 1);
+    const poolTargets = this.#countTargets(nowMs);
     const loadRequests = this.lowerLoadRequests(poolTargets, nowMs);
     return maxLoadRequests(factor, loadRequests, poolTargets);
   }
 
+  /**
+   * A small pool is what can be heard: targets whose keeper is silent get no
+   * new work from anyone and are left out. A large pool is what the view shows.
+   */
+  #countTargets(nowMs: number): number {
+    this.#firstUseMs ??= nowMs;
+    const { reports, targets } = this.#sumReports(nowMs);
+    const hasHeardAll = nowMs - this.#firstUseMs > this.#options.maxReportAgeMs;
+    if (hasHeardAll && reports < this.#options.sampleReports) {
+      return Math.max(targets, 1);
+    }
+    return Math.max(this.#poolTargets, targets, 1);
+  }
+
   /** Lower bound of the load of `poolTargets` targets at `nowMs`. */
   lowerLoadRequests(poolTargets: number, nowMs: number): number {
     const sums = this.#sumReports(nowMs);
--- a/packages/core/src/bound/target_keeper_test.ts
+++ b/packages/core/src/bound/target_keeper_test.ts
@@ -41,7 +41,7 @@
     "writers",
     names,
     nowMs,
-    Math.max(...known),
+    { epochNumber: Math.max(...known), mayReport: false },
   );
   for (const name of names) {
     const answer = holders[name]!.answerCollect(request);
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -40,6 +40,7 @@
   readonly #createdAtMs: number;
   /** Requests of lost holders that the last report showed to be running. */
   #lostRequests = 0;
+  #holderLostAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: TargetLedgerOptions, createdAtMs: number) {
     this.#options = options;
@@ -125,6 +126,8 @@
     if (!held) return;
     this.#heldByHolder.delete(holder);
     this.#heldRequests -= held.size;
+    this.#holderLostAtMs = nowMs;
+    this.#lostRequests = 0;
     this.addOrphans(held.size, nowMs);
   }
 
@@ -154,13 +157,17 @@
     const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
       this.#releaseTimesMs.length;
     this.addOrphans(report.loadRequests - explainedRequests, nowMs);
-    this.#lostRequests = Math.max(
-      0,
-      report.loadRequests - this.#heldRequests - this.#releaseTimesMs.length,
-    );
+    this.#lostRequests = this.#countLost(report);
     this.#limitOrphans(report.loadRequests - this.#countRunning(measuredAtMs));
   }
 
+  /** A report from before a holder was lost may count what ended with it. */
+  #countLost({ loadRequests, measuredAtMs }: TargetReport): number {
+    if (measuredAtMs < this.#holderLostAtMs) return 0;
+    const explainedRequests = this.#heldRequests + this.#releaseTimesMs.length;
+    return Math.max(0, loadRequests - explainedRequests);
+  }
+
   /**
    * Permits that were in use at `measuredAtMs`: they had to be started before
    * and are held still. A permit that ended before it would be back by now; if
