--- a/packages/core/src/poison/poison_test.ts
+++ b/packages/core/src/poison/poison_test.ts
@@ -3,7 +3,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { DEFAULT_POISON_SETTINGS, PoisonLedger } from "./poison_ledger.ts";
 import type { CrashReport } from "./poison_messages.ts";
-import { SuspectIsolation } from "./suspect_isolation.ts";
+import { findSuspectArbiter, SuspectGrants } from "./suspect_grants.ts";
 
 const POISON = "f".repeat(32);
 const DAEMONS = ["vm-1", "vm-2", "vm-3"];
@@ -57,6 +57,18 @@
     expect(ledger.judge(POISON, 9e9)).toBe("clear");
   });
 
+  it("grants a target to one suspect, until release or the grant's end", () => {
+    const grants = new SuspectGrants();
+    expect(grants.tryGrant("t1", "a", 1_000, 0)).toBe(true);
+    expect(grants.tryGrant("t1", "a", 1_000, 1)).toBe(true);
+    expect(grants.tryGrant("t1", "b", 1_000, 999)).toBe(false);
+    expect(grants.tryGrant("t1", "b", 1_000, 1_001)).toBe(true);
+    grants.release("t1", "a");
+    expect(grants.tryGrant("t1", "c", 1_000, 1_002)).toBe(false);
+    grants.release("t1", "b");
+    expect(grants.tryGrant("t1", "c", 1_000, 1_002)).toBe(true);
+  });
+
   it("singles the cause out of 40 requests that died beside it", () => {
     for (let seed = 1; seed <= 50; seed++) {
       const verdict = replaySurge(seed);
@@ -73,9 +85,9 @@
 function replaySurge(seed: number): { crashes: number; refused: string[] } {
   const random = xoroshiro128plus(seed);
   const ledger = new PoisonLedger(DEFAULT_POISON_SETTINGS);
-  const isolations = new Map(
-    DAEMONS.map((vm) => [vm, new SuspectIsolation()]),
-  );
+  const grants = new Map(DAEMONS.map((vm) => [vm, new SuspectGrants()]));
+  const grantsOf = (target: string) =>
+    grants.get(findSuspectArbiter(target, DAEMONS)!)!;
   const first = Array.from({ length: 40 }, (_, index) => digestOf(index + 1));
   const refused = [...ledger.noteCrash(report("c0", [POISON, ...first]), 0)];
   let crashes = 1;
@@ -89,14 +101,15 @@
         waiting.splice(waiting.indexOf(digest), 1);
         continue;
       }
-      const isolation = isolations.get(vm)!;
-      const [target] = isolation.findFreeTargets(vm, DAEMONS, TARGETS);
-      if (!target || !isolation.tryStart(target, digest)) continue;
+      const target = TARGETS.find((name) =>
+        grantsOf(name).tryGrant(name, digest, 5_000, nowMs)
+      );
+      if (!target) continue;
       running.push({ digest, target, vm });
     }
     const newcomer = digestOf(1_000 + nowMs);
     for (const { digest, target, vm } of running) {
-      isolations.get(vm)!.end(target, digest);
+      grantsOf(target).release(target, digest);
       if (digest === POISON) {
         crashes += 1;
         const crash = report(`c${crashes}`, [digest, newcomer], vm, target);
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -132,7 +132,7 @@
     const mark = poison.begin(target, context.requestId, digest);
     try {
       // Nothing may be awaited between these checks and the send.
-      const mayStart = mark !== undefined && !context.signal.aborted &&
+      const mayStart = !context.signal.aborted &&
         claims.mayStart(context) && permit.start();
       if (!mayStart) {
         const message = "the right to start ended before the request was sent";
@@ -144,7 +144,8 @@
       if (result.kind !== "answered") this.#logFailure(place, context, result);
       return { result, hasTargetCrashed };
     } finally {
-      mark?.end();
+      mark.end();
+      place.endIsolation?.();
       permit.release();
     }
   }
@@ -184,6 +185,7 @@
     });
     if (response.isOk()) return relay.relay(response.value, context);
     const { kind, message } = response.error;
+    if (kind === "not-sent") this.#places.noteUnreachable(target);
     return { kind: kind === "not-sent" ? "not-sent" : "unknown", message };
   }
 
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -1,17 +1,23 @@
 import type { TimerService } from "@coltsfootford/core";
 import type { AdmissionTicket } from "../admission/index.ts";
 import type { Blackboard, TargetView } from "../blackboard/index.ts";
-import type { PoisonController } from "../poison/index.ts";
+import type { PoisonController, ReleaseIsolation } from "../poison/index.ts";
 import type { Permit, PermitGate } from "./permit_gate.ts";
 import type { RequestContext } from "./request_context.ts";
+import { UnreachableTargets } from "./unreachable_targets.ts";
 import type { TargetOrder } from "./target_order.ts";
 
 const FULL_POOL_WAIT_MS = 10;
+/** A suspect asks other daemons for a target, so it asks less often. */
+const SUSPECT_WAIT_MS = 100;
+const MAX_ISOLATION_ASKS = 3;
 
 /** A target that may take the request, with the permit for it. */
 export interface Place {
   readonly target: TargetView;
   readonly permit: Permit;
+  /** Lets the next suspect run on the target; set for suspects only. */
+  readonly endIsolation?: ReleaseIsolation;
 }
 
 /** What a search for a place depends on. */
@@ -36,9 +42,11 @@
 /** Finds the first target in order that gives a permit. */
 export class PlaceFinder {
   readonly #parts: PlaceFinderParts;
+  readonly #unreachable: UnreachableTargets;
 
   constructor(parts: PlaceFinderParts) {
     this.#parts = parts;
+    this.#unreachable = new UnreachableTargets(parts.timer);
   }
 
   /** Waits for a place; undefined once the request has been aborted. */
@@ -53,17 +61,53 @@
       // A suspect waits for a target of its own, which says nothing about
       // room for others.
       if (!isSuspect) ticket.setBlocked(true);
-      await this.#wait(FULL_POOL_WAIT_MS);
+      await this.#wait(isSuspect ? SUSPECT_WAIT_MS : FULL_POOL_WAIT_MS);
     }
     return undefined;
   }
 
+  /** Notes that a target could not be reached, so that it is left alone. */
+  noteUnreachable(target: TargetView): void {
+    this.#unreachable.note(target.name);
+  }
+
   async #findNow(question: PlaceQuestion): Promise<Place | undefined> {
     const { context, tried } = question;
     const all = this.#parts.placement.orderTargets(context);
-    const ordered = question.isSuspect ? this.#keepIsolated(all) : all;
-    const untried = ordered.filter((target) => !tried.has(target.name));
-    const candidates = untried.length > 0 ? untried : ordered;
+    const untried = all.filter((target) => !tried.has(target.name));
+    const candidates = (untried.length > 0 ? untried : all)
+      .filter((target) => !this.#unreachable.has(target.name));
+    if (!question.isSuspect) return await this.#takeFirst(candidates, context);
+    for (const target of candidates.slice(0, MAX_ISOLATION_ASKS)) {
+      const place = await this.#takeIsolated(target, context);
+      if (place) return place;
+    }
+    return undefined;
+  }
+
+  async #takeIsolated(
+    target: TargetView,
+    context: RequestContext,
+  ): Promise<Place | undefined> {
+    const { poison, timer } = this.#parts;
+    const endIsolation = await poison.isolation.acquire(
+      target.name,
+      context.requestId,
+      context.deadlineAtMs - timer.nowMs(),
+    );
+    if (!endIsolation) return undefined;
+    const place = await this.#takeFirst([target], context);
+    if (!place) {
+      endIsolation();
+      return undefined;
+    }
+    return { ...place, endIsolation };
+  }
+
+  async #takeFirst(
+    candidates: readonly TargetView[],
+    context: RequestContext,
+  ): Promise<Place | undefined> {
     for (const [index, target] of candidates.entries()) {
       const isHome = index === 0;
       const permit = await this.#parts.permitGate.acquire(
@@ -76,12 +120,6 @@
     return undefined;
   }
 
-  #keepIsolated(targets: readonly TargetView[]): TargetView[] {
-    const names = targets.map((target) => target.name);
-    const isolated = new Set(this.#parts.poison.findIsolatedTargets(names));
-    return targets.filter((target) => isolated.has(target.name));
-  }
-
   #wait(durationMs: number): Promise<void> {
     return new Promise((resolve) => {
       this.#parts.timer.after(durationMs, resolve);
--- a/packages/daemon/src/guards.ts
+++ b/packages/daemon/src/guards.ts
@@ -17,6 +17,7 @@
   PoisonController,
   PoisonPeers,
   QuarantineStore,
+  SuspectIsolation,
 } from "./poison/index.ts";
 
 /** Parts of the daemon that the guards are built from. */
@@ -51,6 +52,7 @@
     peers: new PoisonPeers(parts),
     store: new QuarantineStore(parts.keyValue),
     detector: new CrashDetector(parts.timer),
+    isolation: new SuspectIsolation(parts),
     settings: DEFAULT_POISON_SETTINGS,
   });
   const guards: RequestGuards = {
--- a/packages/daemon/src/poison/poison_controller.ts
+++ b/packages/daemon/src/poison/poison_controller.ts
@@ -6,7 +6,6 @@
   type PoisonSettings,
   type PoisonVerdict,
   type QuarantineNotice,
-  SuspectIsolation,
   type TimerService,
 } from "@coltsfootford/core";
 import type { TargetView } from "../blackboard/index.ts";
@@ -15,6 +14,7 @@
 import type { CrashDetector } from "./crash_detector.ts";
 import type { PoisonPeers } from "./poison_peers.ts";
 import type { QuarantineStore } from "./quarantine_store.ts";
+import type { SuspectIsolation } from "./suspect_isolation.ts";
 
 /** How often the platform's quarantine is read. */
 const READ_PERIOD_MS = 30_000;
@@ -28,6 +28,7 @@
   readonly peers: PoisonPeers;
   readonly store: QuarantineStore;
   readonly detector: CrashDetector;
+  readonly isolation: SuspectIsolation;
   readonly settings: PoisonSettings;
 }
 
@@ -58,7 +59,6 @@
   override readonly name = "poison";
   readonly #parts: PoisonControllerParts;
   readonly #ledger: PoisonLedger;
-  readonly #isolation = new SuspectIsolation();
   readonly #running = new Map<string, Map<string, string>>();
   readonly #checks = new Map<string, CrashCheck>();
   /** Digests that the platform is known to hold. */
@@ -97,32 +97,22 @@
     return this.#ledger.list();
   }
 
-  judge(digest: string): PoisonVerdict {
-    return this.#ledger.judge(digest, this.#parts.timer.nowMs());
+  /** Keeps suspects apart from one another. */
+  get isolation(): SuspectIsolation {
+    return this.#parts.isolation;
   }
 
-  /** Names of the targets on which a suspect may start now. */
-  findIsolatedTargets(targets: readonly string[]): string[] {
-    const { vm, peers } = this.#parts;
-    return this.#isolation.findFreeTargets(vm, peers.listAll(), targets);
+  judge(digest: string): PoisonVerdict {
+    return this.#ledger.judge(digest, this.#parts.timer.nowMs());
   }
 
-  /** Marks a request as sent; undefined where a suspect may not start there. */
-  begin(
-    target: TargetView,
-    requestId: string,
-    digest: string,
-  ): RunningMark | undefined {
-    const isSuspect = this.judge(digest) === "suspect";
-    if (isSuspect && !this.#isolation.tryStart(target.name, requestId)) {
-      return undefined;
-    }
+  /** Marks a request as sent to a target. */
+  begin(target: TargetView, requestId: string, digest: string): RunningMark {
     const running = this.#running.get(target.name) ?? new Map();
     this.#running.set(target.name, running.set(requestId, digest));
     void this.#parts.detector.learn(target);
     const end = () => {
       running.delete(requestId);
-      this.#isolation.end(target.name, requestId);
     };
     return {
       end,
@@ -136,10 +126,8 @@
         // begin before this one is taken off.
         const check = this.#checkCrash(target);
         check.digests.add(digest);
-        running.delete(requestId);
-        const hasCrashed = await check.done;
         end();
-        return hasCrashed;
+        return await check.done;
       },
     };
   }
--- a/packages/daemon/src/poison/poison_peers.ts
+++ b/packages/daemon/src/poison/poison_peers.ts
@@ -70,16 +70,6 @@
     return this.#spread(QUARANTINE_METHOD, notice, notice.digest);
   }
 
-  /** Names of the live daemons of all zones, this one included. */
-  listAll(): string[] {
-    const { vm, blackboard } = this.#parts;
-    const names = new Set([vm]);
-    for (const daemon of blackboard.daemons.read().values()) {
-      if (daemon.state === "live") names.add(daemon.vm);
-    }
-    return [...names];
-  }
-
   #handle<T>(
     method: string,
     schema: z.ZodType<T>,
