--- /dev/null
+++ b/packages/bench/src/claims/main.ts
@@ -0,0 +1,13 @@
+/**
+ * Prints what bookings cost in writes to the key-value service, at several
+ * rates: `node packages/bench/dist/claims/main.js`.
+ */
+import { measureClaims } from "./measure_claims.ts";
+
+const RATES_PER_SECOND = [50, 200, 500, 1_000, 2_000];
+const DURATION_MS = 5_000;
+
+for (const rate of RATES_PER_SECOND) {
+  const measurement = await measureClaims(rate, DURATION_MS);
+  process.stdout.write(`${JSON.stringify(measurement)}\n`);
+}
