--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -147,6 +147,7 @@
       mark.end();
       place.endIsolation?.();
       permit.release();
+      this.#places.noteRelease();
     }
   }
 
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -43,6 +43,7 @@
 export class PlaceFinder {
   readonly #parts: PlaceFinderParts;
   readonly #unreachable: UnreachableTargets;
+  readonly #waiting = new Set<() => void>();
 
   constructor(parts: PlaceFinderParts) {
     this.#parts = parts;
@@ -66,6 +67,11 @@
     return undefined;
   }
 
+  /** Lets the searches look again, after a place was given back. */
+  noteRelease(): void {
+    for (const wake of [...this.#waiting]) wake();
+  }
+
   /** Notes that a target could not be reached, so that it is left alone. */
   noteUnreachable(target: TargetView): void {
     this.#unreachable.note(target.name);
@@ -120,9 +126,16 @@
     return undefined;
   }
 
+  /** Waits for a time, or until a request of this daemon has ended. */
   #wait(durationMs: number): Promise<void> {
     return new Promise((resolve) => {
-      this.#parts.timer.after(durationMs, resolve);
+      const wake = () => {
+        cancel();
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const cancel = this.#parts.timer.after(durationMs, wake);
+      this.#waiting.add(wake);
     });
   }
 }
