Measure claims alone, against the key-value service as a process

Cause: through the whole daemons a pool of short bookings was held back by permits (p50 2.2 s at 200 bookings/s, machine load 30), which hid the claims. Change: the measurement drives six claim controllers without targets.

--- a/packages/bench/src/claims/measure_claims.ts
+++ b/packages/bench/src/claims/measure_claims.ts
@@ -1,95 +1,105 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { Caller, Fleet, type FleetPlan } from "../harness/index.ts";
+import {
+  DEFAULT_CLAIM_BOOK_SETTINGS,
+  findClaimPlace,
+} from "@coltsfootford/core";
+import { ClaimController, Metrics } from "@coltsfootford/daemon";
+import { EtcdGatewayClient, SystemTimerService } from "@coltsfootford/platform";
+import { type StandIns, startStandIns } from "../harness/index.ts";
+import { SettingsFiles } from "../harness/settings_files.ts";
 
-const ZONE = "zone-a";
-const DAEMONS = 6;
-/** With one target the bound on its load never refuses a booking. */
-const SERVICES = 1;
-const SETTLE_MS = 500;
 const TICK_MS = 5;
+/** How long a booking runs at its service. */
+const RUN_MS = 10;
+const ANSWER = {
+  status: 200,
+  contentType: "application/json",
+  body: JSON.stringify({ booking: "x".repeat(200) }),
+};
+const SUMMARY = { status: 200, bodyDigest: "0".repeat(64), sizeBytes: 220 };
 
 /** What one rate of bookings cost. */
 export interface ClaimMeasurement {
+  readonly daemons: number;
   readonly bookingsPerSecond: number;
   readonly bookings: number;
-  readonly completed: number;
-  /** Most runs of one key, by the services' own count. */
-  readonly maxRunsOfKey: number;
+  readonly let: number;
   readonly platformWrites: number;
   readonly peakWritesPerSecond: number;
   readonly writesPerBooking: number;
+  /** Time from the booking's arrival until it may be sent. */
   readonly p50Ms: number;
   readonly p99Ms: number;
 }
 
-const PLAN: FleetPlan = {
-  name: "bookings",
-  availabilityZones: [ZONE],
-  daemons: nameVms("entry", DAEMONS),
-  pools: [{
-    kind: "service",
-    pool: "bookings",
-    targets: nameVms("booking", SERVICES),
-    settings: { runMs: 5, maxRunningRequests: 2_000 },
-  }],
-  objects: [
-    { kind: "team", name: "installers" },
-    { kind: "service", name: "booking" },
-    {
-      kind: "pool",
-      name: "bookings",
-      service: "booking",
-      loadFactor: 2,
-      maxConcurrentPerTarget: 2_000,
-    },
-    { kind: "route", name: "installs", protocol: "service", pool: "bookings" },
-  ],
-  vmListLagMs: 0,
-};
+/** One daemon's claims with its own connection to the platform. */
+interface Claimer {
+  readonly controller: ClaimController;
+  readonly keyValue: EtcdGatewayClient;
+}
 
-/** Sends bookings at a rate for a time and reads what the platform counted. */
+/**
+ * Claims and finishes bookings at a rate through the claim controllers of
+ * several daemons, against the key-value service as a process of its own.
+ * Targets and permits are left out, so that only claims are measured.
+ */
 export async function measureClaims(
+  daemons: number,
   bookingsPerSecond: number,
   durationMs: number,
 ): Promise<ClaimMeasurement> {
-  const fleet = await Fleet.start(PLAN);
-  const caller = new Caller();
+  const files = new SettingsFiles();
+  const settings = { platforms: [{ name: "platform" }] };
+  const platform = await startStandIns("platform", settings, files);
+  const claimers = Array.from(
+    { length: daemons },
+    (_, index) => createClaimer(platform, `entry-${index + 1}`),
+  );
   try {
-    await fleet.platform.reset();
-    const latenciesMs: number[] = [];
-    let completed = 0;
+    const waitsMs: number[] = [];
     const book = async (index: number) => {
-      const daemon = fleet.daemons[index % DAEMONS]!;
-      const result = await caller.service(daemon.url, {
-        team: "installers",
-        route: "installs",
-        path: "/book",
-        body: JSON.stringify({ index }),
-        idempotencyKey: `booking-${bookingsPerSecond}-${index}`,
+      const { controller } = claimers[index % daemons]!;
+      const startedMs = performance.now();
+      const callId = `call-${index}`;
+      const digest = index.toString(16).padStart(64, "0");
+      const decision = await controller.claim({
+        callId,
+        place: findClaimPlace(callId, digest, 0)._unsafeUnwrap(),
+        bodyDigest: digest,
+        deadlineAtMs: Infinity,
       });
-      latenciesMs.push(result.totalMs);
-      if (result.status === 200) completed += 1;
+      if (decision.kind !== "dispatch") return;
+      waitsMs.push(performance.now() - startedMs);
+      await sleep(RUN_MS);
+      const result = {
+        kind: "done",
+        summary: SUMMARY,
+        answer: ANSWER,
+      } as const;
+      await controller.finish(callId, result);
     };
-    const sent = await sendOpenLoop(bookingsPerSecond, durationMs, book);
-    await sleep(SETTLE_MS);
-    const { standIns } = await fleet.platform.readTruth();
+    const bookings = await sendOpenLoop(bookingsPerSecond, durationMs, book);
+    const { standIns } = await platform.client.readTruth();
     const calls = standIns["platform"]?.["calls"] as PlatformCalls;
-    const runs = await fleet.targets.read("runs");
-    latenciesMs.sort((a, b) => a - b);
+    waitsMs.sort((a, b) => a - b);
     return {
+      daemons,
       bookingsPerSecond,
-      bookings: sent,
-      completed,
-      maxRunsOfKey: countMaxRuns(runs.map((run) => run.idempotencyKey)),
+      bookings,
+      let: waitsMs.length,
       platformWrites: calls.totals.write,
       peakWritesPerSecond: calls.peaksPerSecond.write,
-      writesPerBooking: calls.totals.write / sent,
-      p50Ms: percentile(latenciesMs, 0.5),
-      p99Ms: percentile(latenciesMs, 0.99),
+      writesPerBooking: calls.totals.write / bookings,
+      p50Ms: percentile(waitsMs, 0.5),
+      p99Ms: percentile(waitsMs, 0.99),
     };
   } finally {
-    await caller.close();
-    await fleet.stop();
+    for (const { controller, keyValue } of claimers) {
+      await controller.stop();
+      await keyValue.close();
+    }
+    await platform.process.kill();
+    files.remove();
   }
 }
 
@@ -98,7 +108,26 @@
   readonly peaksPerSecond: { readonly write: number };
 }
 
-/** Starts requests on time whether or not earlier ones have ended. */
+function createClaimer(platform: StandIns, vm: string): Claimer {
+  const timer = new SystemTimerService();
+  const keyValue = new EtcdGatewayClient({
+    endpoints: [`http://127.0.0.1:${platform.ports["platform"]}`],
+    timer,
+    random: Math.random,
+  });
+  const controller = new ClaimController({
+    vm,
+    incarnation: "measured",
+    keyValue,
+    timer,
+    logger: { event: () => undefined },
+    metrics: new Metrics(),
+    settings: DEFAULT_CLAIM_BOOK_SETTINGS,
+  });
+  return { controller, keyValue };
+}
+
+/** Starts bookings on time whether or not earlier ones have ended. */
 async function sendOpenLoop(
   perSecond: number,
   durationMs: number,
@@ -117,19 +146,6 @@
   return running.length;
 }
 
-function countMaxRuns(keys: readonly string[]): number {
-  const counts = new Map<string, number>();
-  for (const key of keys) counts.set(key, (counts.get(key) ?? 0) + 1);
-  return Math.max(0, ...counts.values());
-}
-
 function percentile(sorted: readonly number[], share: number): number {
   return Math.round(sorted[Math.floor(sorted.length * share)] ?? 0);
 }
-
-function nameVms(prefix: string, count: number) {
-  return Array.from({ length: count }, (_, index) => ({
-    vm: `${prefix}-${index + 1}`,
-    availabilityZone: ZONE,
-  }));
-}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,5 @@
 /** The daemon `coltsfootd`, as a library for tests and benches. */
 export * from "./daemon.ts";
 export * from "./settings/index.ts";
+export { ClaimController } from "./claims/index.ts";
+export { Metrics } from "./metrics/index.ts";
