Give the messages about crashes method names of their own

Cause: the keepers' `pc` (collect permits) and the crash reports' `pc` were registered under one name, and the later one silently replaced the earlier. Change: crash messages are named x*, and a second handler of a method is an error at start.

--- a/packages/daemon/src/peers/peer_handlers.ts
+++ b/packages/daemon/src/peers/peer_handlers.ts
@@ -31,12 +31,18 @@
     this.#onEvent = onEvent;
   }
 
-  /** Registers the handler of `method`; each method has one handler. */
+  /**
+   * Registers the handler of `method`. Each method has one handler; a second
+   * one is a programming error, since it would silently replace the first.
+   */
   handle<Params>(
     method: string,
     schema: z.ZodType<Params>,
     handler: PeerHandler<Params>,
   ): void {
+    if (this.#server.hasMethod(method)) {
+      throw new Error(`peer method ${method} has a handler already`);
+    }
     this.#server.addMethod(method, async (input: unknown, sender) => {
       const parsed = schema.safeParse(input);
       if (!parsed.success) {
--- a/packages/daemon/src/poison/poison_peers.ts
+++ b/packages/daemon/src/poison/poison_peers.ts
@@ -11,9 +11,9 @@
 import type { Blackboard, DaemonView } from "../blackboard/index.ts";
 import type { Peers } from "../peers/index.ts";
 
-const CRASH_METHOD = "pc";
-const CLEAR_METHOD = "pl";
-const QUARANTINE_METHOD = "pq";
+const CRASH_METHOD = "xc";
+const CLEAR_METHOD = "xl";
+const QUARANTINE_METHOD = "xq";
 /** How long an answer to the caller waits until the peers know of a crash. */
 const SPREAD_TIMEOUT_MS = 300;
 /** Daemons of each other zone that are told, and tell the rest of it. */
--- a/packages/daemon/src/poison/suspect_isolation.ts
+++ b/packages/daemon/src/poison/suspect_isolation.ts
@@ -8,8 +8,8 @@
 import type { Blackboard } from "../blackboard/index.ts";
 import type { Peers } from "../peers/index.ts";
 
-const GRANT_METHOD = "pg";
-const RELEASE_METHOD = "pr";
+const GRANT_METHOD = "xg";
+const RELEASE_METHOD = "xr";
 const GRANT_TIMEOUT_MS = 300;
 
 const nameSchema = z.string().min(1).max(200);
