--- a/packages/daemon/src/poison/poison_peers.ts
+++ b/packages/daemon/src/poison/poison_peers.ts
@@ -11,9 +11,9 @@
 import type { Blackboard, DaemonView } from "../blackboard/index.ts";
 import type { Peers } from "../peers/index.ts";
 
-const CRASH_METHOD = "pc";
-const CLEAR_METHOD = "pl";
-const QUARANTINE_METHOD = "pq";
+const CRASH_METHOD = "xc";
+const CLEAR_METHOD = "xl";
+const QUARANTINE_METHOD = "xq";
 /** How long an answer to the caller waits until the peers know of a crash. */
 const SPREAD_TIMEOUT_MS = 300;
 /** Daemons of each other zone that are told, and tell the rest of it. */
@@ -70,16 +70,6 @@
     return this.#spread(QUARANTINE_METHOD, notice, notice.digest);
   }
 
-  /** Names of the live daemons of all zones, this one included. */
-  listAll(): string[] {
-    const { vm, blackboard } = this.#parts;
-    const names = new Set([vm]);
-    for (const daemon of blackboard.daemons.read().values()) {
-      if (daemon.state === "live") names.add(daemon.vm);
-    }
-    return [...names];
-  }
-
   #handle<T>(
     method: string,
     schema: z.ZodType<T>,
