Send a keeper only fresh load reports, with their age

Cause: a prober repeated the last report of a target each second, also when the target had not answered again, and the keeper took it for new. Such a floor of the load is too high. Change: the report carries its age; one that is older than a poll is not sent again.

--- a/packages/daemon/src/membership/target_health_controller.ts
+++ b/packages/daemon/src/membership/target_health_controller.ts
@@ -28,12 +28,13 @@
 /** Method by which a prober tells a keeper the loads; a notification. */
 const LOADS_METHOD = "tl";
 
-/** Target, running requests, waiting requests, running tokens. */
+/** Target, running requests, waiting requests, running tokens, age in ms. */
 const loadTupleSchema = z.tuple([
   z.string().min(1),
   z.number().nonnegative(),
   z.number().nonnegative(),
   z.number().nonnegative(),
+  z.int().nonnegative(),
 ]);
 const loadsSchema = z.tuple([z.array(loadTupleSchema)]);
 type LoadTuple = z.infer<typeof loadTupleSchema>;
@@ -199,13 +200,16 @@
   }
 
   #sendReports(): void {
-    const { vm, blackboard, peers } = this.#parts;
+    const { vm, blackboard, peers, timer } = this.#parts;
     const keepers = blackboard.keepers.read();
     const byKeeper = new Map<string, LoadTuple[]>();
     for (const report of this.#reports.values()) {
       const keeper = keepers.get(report.target)?.vm;
       const isOwn = this.#polls.has(report.target);
       if (keeper === undefined || keeper === vm || !isOwn) continue;
+      const ageMs = timer.nowMs() - report.receivedAtMs;
+      // An older report was sent before, and a target that fails has no newer.
+      if (ageMs > POLL_MS) continue;
       const tuples = byKeeper.get(keeper) ?? [];
       byKeeper.set(keeper, tuples);
       tuples.push([
@@ -213,6 +217,7 @@
         report.runningRequests,
         report.waitingRequests,
         report.runningTokens,
+        Math.ceil(ageMs),
       ]);
     }
     for (const [keeper, tuples] of byKeeper) {
@@ -225,14 +230,14 @@
     const { blackboard, timer, vm } = this.#parts;
     const keepers = blackboard.keepers.read();
     this.#reports = new Map(this.#reports);
-    for (const [target, runningRequests, waitingRequests, tokens] of tuples) {
+    for (const [target, running, waiting, tokens, ageMs] of tuples) {
       if (keepers.get(target)?.vm !== vm) continue;
       this.#reports.set(target, {
         target,
-        runningRequests,
-        waitingRequests,
+        runningRequests: running,
+        waitingRequests: waiting,
         runningTokens: tokens,
-        receivedAtMs: timer.nowMs(),
+        receivedAtMs: timer.nowMs() - ageMs,
       });
     }
     this.#writer.write(this.#reports);
