Send load reports that are up to one and a half polls old

Cause: polls and sends have the same period, so a report could be a little older than a period at every send and never be sent.

--- a/packages/daemon/src/membership/target_health_controller.ts
+++ b/packages/daemon/src/membership/target_health_controller.ts
@@ -23,6 +23,8 @@
 const POLL_MS = 1000;
 /** Polls that must fail in a row before a target counts as dead. */
 const FAILED_POLLS_OF_DEAD = 3;
+/** Reports older than this belong to a poll that has failed since. */
+const MAX_REPORT_AGE_MS = 1.5 * POLL_MS;
 const RUN_RADIX = 36;
 
 /** Method by which a prober tells a keeper the loads; a notification. */
@@ -209,7 +211,7 @@
       if (keeper === undefined || keeper === vm || !isOwn) continue;
       const ageMs = timer.nowMs() - report.receivedAtMs;
       // An older report was sent before, and a target that fails has no newer.
-      if (ageMs > POLL_MS) continue;
+      if (ageMs > MAX_REPORT_AGE_MS) continue;
       const tuples = byKeeper.get(keeper) ?? [];
       byKeeper.set(keeper, tuples);
       tuples.push([
