--- /dev/null
+++ b/packages/bench/src/config/config_fleet.ts
@@ -0,0 +1,65 @@
+import {
+  Fleet,
+  type FleetDaemon,
+  type FleetPlan,
+  waitUntil,
+} from "../harness/index.ts";
+import { Operator } from "./operator.ts";
+
+const ZONES = ["zone-a", "zone-b"];
+const DAEMONS_PER_ZONE = 2;
+const ZONE_DELAY_MS = 3;
+
+/** Two zones with two daemons each and no targets, linked with a delay. */
+export const CONFIG_PLAN: FleetPlan = {
+  name: "config",
+  availabilityZones: ZONES,
+  daemons: ZONES.flatMap((availabilityZone) =>
+    Array.from({ length: DAEMONS_PER_ZONE }, (_item, index) => ({
+      vm: `entry-${availabilityZone}-${index + 1}`,
+      availabilityZone,
+    }))
+  ),
+  pools: [],
+  objects: [],
+  zoneDelayMs: ZONE_DELAY_MS,
+  vmListLagMs: 0,
+};
+
+/** The parts of a daemon's dump that the configuration fills. */
+export interface ConfigDump {
+  readonly revision: number;
+  readonly nonce?: string;
+  readonly isPlatformReachable: boolean;
+  /** The daemons that it tells of a new set. */
+  readonly children: readonly string[];
+}
+
+/** Creates an operator who knows the platform and all daemons. */
+export function createOperator(fleet: Fleet, operator: string): Operator {
+  return new Operator({
+    operator,
+    platform: [fleet.platformUrl],
+    daemons: fleet.daemons.map((daemon) => daemon.adminUrl),
+  });
+}
+
+/** Reads a daemon's view of the configuration. */
+export async function readConfig(daemon: FleetDaemon): Promise<ConfigDump> {
+  const dump = await daemon.dump();
+  const controllers = dump["controllers"] as Record<string, unknown>;
+  return controllers["config"] as ConfigDump;
+}
+
+/** Waits until daemons have a revision in force. */
+export async function waitForRevision(
+  daemons: readonly FleetDaemon[],
+  revision: number,
+): Promise<void> {
+  for (const daemon of daemons) {
+    await waitUntil(
+      `revision ${revision} at ${daemon.vm}`,
+      async () => (await readConfig(daemon)).revision === revision,
+    );
+  }
+}
--- a/packages/bench/src/harness/publish.ts
+++ b/packages/bench/src/harness/publish.ts
@@ -1,34 +1,35 @@
-import { createHash } from "node:crypto";
-import { type FleetObject, objectSchema } from "@coltsfootford/core";
-import { request } from "undici";
+import { randomUUID } from "node:crypto";
+import { Publisher, readPublishedSet } from "@coltsfootford/cli";
+import { createObjectSet, objectSchema } from "@coltsfootford/core";
+import { EtcdGatewayClient, SystemTimerService } from "@coltsfootford/platform";
+import { ResultAsync } from "neverthrow";
 import type { ObjectInput } from "./fleet_plan.ts";
 
-const HEAD_KEY = "coltsfoot/config/head";
-const PART_PREFIX = "coltsfoot/config/part/";
-
-/** Writes objects as one part and a head straight into the platform. */
+/** Publishes objects as the operators' tool does, over what is published. */
 export async function publishObjects(
   platformUrl: string,
   inputs: readonly ObjectInput[],
   revision: number,
 ): Promise<void> {
-  const objects: FleetObject[] = inputs.map((input) =>
-    objectSchema.parse(input)
-  );
-  const part = JSON.stringify(objects);
-  const digest = createHash("sha256").update(part).digest("hex");
-  await put(platformUrl, PART_PREFIX + digest, part);
-  const head = { revision, parts: { all: digest } };
-  await put(platformUrl, HEAD_KEY, JSON.stringify(head));
-}
-
-async function put(url: string, key: string, value: string): Promise<void> {
-  const response = await request(`${url}/v3/kv/put`, {
-    method: "POST",
-    body: JSON.stringify({
-      key: Buffer.from(key).toString("base64"),
-      value: Buffer.from(value).toString("base64"),
-    }),
+  const timer = new SystemTimerService();
+  const client = new EtcdGatewayClient({
+    endpoints: [platformUrl],
+    timer,
+    random: Math.random,
   });
-  await response.body.text();
+  const set = createObjectSet(inputs.map((it) => objectSchema.parse(it)));
+  const facts = {
+    revision,
+    nonce: randomUUID(),
+    publishedBy: "harness",
+    publishedAtMs: timer.wallClockMs(),
+  };
+  const published = await (await readPublishedSet(client)).asyncAndThen(
+    (current) =>
+      new ResultAsync(
+        new Publisher({ client, timer }).publish({ set, current, facts }),
+      ),
+  );
+  await client.close();
+  if (published.isErr()) throw new Error(published.error.message);
 }
--- a/packages/daemon/src/config/collect_heads.ts
+++ b/packages/daemon/src/config/collect_heads.ts
@@ -1,6 +1,6 @@
 import type { ConfigSource, TimerService } from "@coltsfootford/core";
 import type { ConfigPeers } from "./config_peers.ts";
-import { pickRandom } from "./part_fetcher.ts";
+import { pickRandom, selectPeers } from "./part_fetcher.ts";
 
 /** Longest wait for the heads of the platform and of peers. */
 const START_WAIT_MS = 1_500;
@@ -53,11 +53,9 @@
 
 function pickStartPeers({ peers, random }: CollectHeadsParts): string[] {
   const listed = peers.list();
-  const own = listed.filter((peer) => peer.isOwnZone);
-  const others = listed.filter((peer) => !peer.isOwnZone);
   return [
-    ...pickRandom(own, START_PEERS, random),
-    ...pickRandom(others, START_PEERS, random),
+    ...pickRandom(selectPeers(listed, true), START_PEERS, random),
+    ...pickRandom(selectPeers(listed, false), START_PEERS, random),
   ].map((peer) => peer.vm);
 }
 
--- a/packages/daemon/src/config/config_controller.ts
+++ b/packages/daemon/src/config/config_controller.ts
@@ -26,14 +26,19 @@
 import { collectHeads } from "./collect_heads.ts";
 import type { HeadAnswer, RevisionMessage } from "./config_messages.ts";
 import type { ConfigPeers } from "./config_peers.ts";
-import { nameSource, PartFetcher, pickRandom } from "./part_fetcher.ts";
+import {
+  nameSource,
+  PartFetcher,
+  pickRandom,
+  selectPeers,
+} from "./part_fetcher.ts";
 
 /** Time between two questions to another daemon. */
 const POLL_PERIOD_MS = 2_000;
 /** Every so many questions, a relay asks a daemon of another zone. */
 const OTHER_ZONE_TURN = 2;
 /** Time between two reads of the head by a relay, beside its watch. */
-const RELAY_RECHECK_MS = 10_000;
+const RELAY_RECHECK_MS = 4_000;
 /** The same for a daemon that does not watch. */
 const RECHECK_MS = 60_000;
 /** Parts of the daemon that the controller uses. */
@@ -129,7 +134,7 @@
   /** Starts or ends the watch where the daemon's place has changed. */
   #takePlace(): void {
     const { vm, peers } = this.#parts;
-    const own = peers.list().filter((peer) => peer.isOwnZone);
+    const own = peers.list().filter((peer) => peer.isOwnZone && peer.isLive);
     this.#place = findRelayPlace(vm, [vm, ...own.map((peer) => peer.vm)]);
     if (this.#place.isRelay && !this.#watch) {
       this.#watch = this.#parts.keyValue.watch({
@@ -187,9 +192,7 @@
     this.#pollTurn += 1;
     const isOtherZoneTurn = this.#place.isRelay &&
       this.#pollTurn % OTHER_ZONE_TURN === 0;
-    const candidates = peers.list().filter((peer) =>
-      peer.isOwnZone !== isOtherZoneTurn
-    );
+    const candidates = selectPeers(peers.list(), !isOtherZoneTurn);
     const [peer] = pickRandom(candidates, 1, random);
     if (!peer) return;
     const answer = await peers.poll(peer.vm, { revision: this.#revision() });
--- a/packages/daemon/src/config/config_peers.ts
+++ b/packages/daemon/src/config/config_peers.ts
@@ -11,6 +11,8 @@
 export interface ConfigPeer {
   readonly vm: string;
   readonly isOwnZone: boolean;
+  /** Whether it is thought to be live. */
+  readonly isLive: boolean;
 }
 
 /** Answers the messages of other daemons. */
@@ -23,7 +25,7 @@
 
 /** What the configuration says to other daemons and hears from them. */
 export abstract class ConfigPeers {
-  /** The other daemons that are thought to be live, in no set order. */
+  /** The other daemons that are known of, in no set order. */
   abstract list(): readonly ConfigPeer[];
 
   /** Registers the handlers; called once. */
--- a/packages/daemon/src/config/part_fetcher.ts
+++ b/packages/daemon/src/config/part_fetcher.ts
@@ -1,7 +1,7 @@
 import type { ConfigSource, WantedParts } from "@coltsfootford/core";
 import { type KeyValueClient, readConfigParts } from "@coltsfootford/platform";
 import { MAX_PARTS_PER_CALL } from "./config_messages.ts";
-import type { ConfigPeers } from "./config_peers.ts";
+import type { ConfigPeer, ConfigPeers } from "./config_peers.ts";
 
 /** Other daemons that are asked where the first source has no answer. */
 const MAX_FALLBACK_PEERS = 2;
@@ -52,7 +52,7 @@
   #listSources(first: ConfigSource): ConfigSource[] {
     const platform: ConfigSource = { kind: "platform" };
     const others = pickRandom(
-      this.#peers.list().filter((peer) => peer.isOwnZone),
+      selectPeers(this.#peers.list(), true),
       MAX_FALLBACK_PEERS,
       this.#random,
     );
@@ -95,6 +95,19 @@
   return source.kind === "platform" ? "platform" : source.vm;
 }
 
+/**
+ * The live peers of the own zone or of others; all that are known of where
+ * none is live, since a cut-off VM that starts may not have heard of any yet.
+ */
+export function selectPeers(
+  peers: readonly ConfigPeer[],
+  isOwnZone: boolean,
+): readonly ConfigPeer[] {
+  const known = peers.filter((peer) => peer.isOwnZone === isOwnZone);
+  const live = known.filter((peer) => peer.isLive);
+  return live.length > 0 ? live : known;
+}
+
 /** Picks up to `count` items without repeats. */
 export function pickRandom<Item>(
   items: readonly Item[],
--- a/packages/daemon/src/config/rpc_config_peers.ts
+++ b/packages/daemon/src/config/rpc_config_peers.ts
@@ -31,7 +31,7 @@
   readonly availabilityZone: string;
   readonly blackboard: Blackboard;
   readonly peers: Peers;
-  /** Daemons of the settings, used until the blackboard lists others. */
+  /** Daemons of the settings, beside those that the blackboard lists. */
   readonly seeds: readonly {
     readonly vm: string;
     readonly availabilityZone: string;
@@ -49,16 +49,18 @@
 
   override list(): readonly ConfigPeer[] {
     const { vm, availabilityZone, blackboard, seeds } = this.#parts;
-    const listed = [...blackboard.daemons.read().values()]
-      .filter((daemon) => daemon.vm !== vm);
-    const live = listed.filter((daemon) =>
-      daemon.state === "live" || daemon.state === "leaving"
-    );
-    const known = listed.length > 0 ? live : seeds;
-    return known.filter((daemon) => daemon.vm !== vm).map((daemon) => ({
-      vm: daemon.vm,
-      isOwnZone: daemon.availabilityZone === availabilityZone,
-    }));
+    const peers = new Map<string, ConfigPeer>();
+    const add = (name: string, zone: string, isLive: boolean) => {
+      if (name === vm) return;
+      const isOwnZone = zone === availabilityZone;
+      peers.set(name, { vm: name, isOwnZone, isLive });
+    };
+    for (const seed of seeds) add(seed.vm, seed.availabilityZone, false);
+    for (const daemon of blackboard.daemons.read().values()) {
+      const isLive = daemon.state === "live" || daemon.state === "leaving";
+      add(daemon.vm, daemon.availabilityZone, isLive);
+    }
+    return [...peers.values()];
   }
 
   override handle(handlers: ConfigPeerHandlers): void {
--- a/packages/daemon/src/config/testing/fake_config_network.ts
+++ b/packages/daemon/src/config/testing/fake_config_network.ts
@@ -62,7 +62,11 @@
   list(self: Member): ConfigPeer[] {
     return [...this.#members.values()]
       .filter((member) => member !== self)
-      .map(({ vm, zone }) => ({ vm, isOwnZone: zone === self.zone }));
+      .map(({ vm, zone }) => ({
+        vm,
+        isOwnZone: zone === self.zone,
+        isLive: true,
+      }));
   }
 
   /** Delivers a message; undefined where it is lost. */
