Follow the harness, which publishes through the tool

Cause: the harness publishes revision 1 itself now, and runs the tool.

Change: the operators of the configuration tests run the tool through the harness; their revisions start at 2; the direct publisher of the measurement moved to packages/bench/src/config.

--- a/packages/bench/src/config/config_fleet.ts
+++ b/packages/bench/src/config/config_fleet.ts
@@ -1,10 +1,8 @@
 import {
-  Fleet,
   type FleetDaemon,
   type FleetPlan,
   waitUntil,
 } from "../harness/index.ts";
-import { Operator } from "./operator.ts";
 
 const ZONES = ["zone-a", "zone-b"];
 const DAEMONS_PER_ZONE = 2;
@@ -35,15 +33,6 @@
   readonly children: readonly string[];
 }
 
-/** Creates an operator who knows the platform and all daemons. */
-export function createOperator(fleet: Fleet, operator: string): Operator {
-  return new Operator({
-    operator,
-    platform: [fleet.platformUrl],
-    daemons: fleet.daemons.map((daemon) => daemon.adminUrl),
-  });
-}
-
 /** Reads a daemon's view of the configuration. */
 export async function readConfig(daemon: FleetDaemon): Promise<ConfigDump> {
   const dump = await daemon.dump();
--- a/packages/bench/src/config/in_force.ts
+++ b/packages/bench/src/config/in_force.ts
@@ -1,12 +1,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { CONFIG_HEAD_KEY } from "@coltsfootford/core";
-import {
-  Fleet,
-  type FleetDaemon,
-  type FleetPlan,
-  publishObjects,
-} from "../harness/index.ts";
+import { Fleet, type FleetDaemon, type FleetPlan } from "../harness/index.ts";
 import { readConfig } from "./config_fleet.ts";
+import { publishObjects } from "./publish_objects.ts";
 
 const POLL_MS = 5;
 /** Longest wait for one publication. */
@@ -34,10 +30,9 @@
   hindrance: Hindrance,
   publications: number,
 ): Promise<InForceTimes> {
+  // The harness waits until its own publication is in force.
   const fleet = await Fleet.start(plan);
   try {
-    await publishWeight(fleet, 1);
-    await waitInForce(fleet, 1, []);
     const timesMs: number[] = [];
     for (let index = 0; index < publications; index++) {
       const revision = index + 2;
--- a/packages/bench/src/config/never_back_test.ts
+++ b/packages/bench/src/config/never_back_test.ts
@@ -1,13 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 import { EXIT_CODES } from "@coltsfootford/cli";
 import { Fleet, type FleetDaemon, waitUntil } from "../harness/index.ts";
-import {
-  CONFIG_PLAN,
-  createOperator,
-  readConfig,
-  waitForRevision,
-} from "./config_fleet.ts";
-import type { Operator } from "./operator.ts";
+import { CONFIG_PLAN, readConfig, waitForRevision } from "./config_fleet.ts";
+import { Operator } from "./operator.ts";
 
 const TEST_LIMIT_MS = 120_000;
 const EVENT_CONFIG_REFUSED = 2002;
@@ -29,8 +24,10 @@
 
 beforeEach(async () => {
   fleet = await Fleet.start(CONFIG_PLAN);
-  operator = createOperator(fleet, "ana");
-  expect((await publish(1, "--wait")).exitCode).toBe(0);
+  operator = new Operator(fleet, "ana");
+  // The harness has published revision 1, and this is the next.
+  const first = await publish(1, "--base", "1", "--wait");
+  expect(first).toMatchObject({ exitCode: 0, json: { revision: 2 } });
 }, TEST_LIMIT_MS);
 
 afterEach(async () => {
@@ -52,18 +49,18 @@
             line["event"] === EVENT_CONFIG_REFUSED &&
             line["reason"] === "older-revision",
         );
-        expect((await readConfig(daemon)).revision).toBe(2);
+        expect((await readConfig(daemon)).revision).toBe(3);
       }
       const late = await fleet.startDaemon({
         vm: "entry-zone-a-late",
         availabilityZone: "zone-a",
       });
-      await waitForRevision([late], 2);
+      await waitForRevision([late], 3);
       const refused = await publish(3);
       expect(refused.exitCode).toBe(EXIT_CODES["platform-restored"]);
-      const run = await publish(3, "--after-restore", "--base", "1", "--wait");
-      expect(run).toMatchObject({ exitCode: 0, json: { revision: 3 } });
-      await waitForRevision(fleet.daemons, 3);
+      const run = await publish(3, "--after-restore", "--base", "2", "--wait");
+      expect(run).toMatchObject({ exitCode: 0, json: { revision: 4 } });
+      await waitForRevision(fleet.daemons, 4);
     },
     TEST_LIMIT_MS,
   );
@@ -71,24 +68,24 @@
   it("is taken from peers by a daemon that starts cut off", async () => {
     await fleet.links?.cutZone("zone-b", { platform: true });
     expect((await publish(2)).exitCode).toBe(0);
-    await waitForRevision(inZone("zone-a"), 2);
+    await waitForRevision(inZone("zone-a"), 3);
     const late = await fleet.startDaemon({
       vm: "entry-zone-b-late",
       availabilityZone: "zone-b",
     });
-    await waitForRevision([late], 1);
+    await waitForRevision([late], 2);
     expect((await readConfig(late)).isPlatformReachable).toBe(false);
     for (const daemon of inZone("zone-b")) {
-      expect((await readConfig(daemon)).revision).toBe(1);
+      expect((await readConfig(daemon)).revision).toBe(2);
     }
     await fleet.links?.healZone("zone-b");
-    await waitForRevision(fleet.daemons, 2);
+    await waitForRevision(fleet.daemons, 3);
   }, TEST_LIMIT_MS);
 
   it("is followed by the next though the watches deliver nothing", async () => {
     await fleet.platform.setFaults("platform", { stallWatches: true });
     expect((await publish(2)).exitCode).toBe(0);
-    await waitForRevision(fleet.daemons, 2);
+    await waitForRevision(fleet.daemons, 3);
   }, TEST_LIMIT_MS);
 
   it("stays in force through an outage, and the next one follows", async () => {
@@ -97,10 +94,10 @@
     await first?.process.kill();
     await waitUntil("the other daemons", async () => {
       const dumps = await Promise.all(fleet.daemons.slice(1).map(readConfig));
-      return dumps.every((dump) => dump.revision === 1);
+      return dumps.every((dump) => dump.revision === 2);
     });
     await fleet.platform.setFaults("platform", { down: false });
     expect((await publish(2)).exitCode).toBe(0);
-    await waitForRevision(fleet.daemons.slice(1), 2);
+    await waitForRevision(fleet.daemons.slice(1), 3);
   }, TEST_LIMIT_MS);
 });
--- a/packages/bench/src/config/operator.ts
+++ b/packages/bench/src/config/operator.ts
@@ -1,89 +1,72 @@
-import { spawn } from "node:child_process";
 import { cpSync, mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import { EXIT_CODES } from "@coltsfootford/cli";
-import type { ObjectInput } from "../harness/index.ts";
+import type { CliErrorKind } from "@coltsfootford/cli";
+import type { Fleet, ObjectInput } from "../harness/index.ts";
 
-const CLI_SCRIPT = fileURLToPath(
-  new URL("../../../cli/dist/main.js", import.meta.url),
-);
 const DIRECTORY_PREFIX = "coltsfoot-operator-";
 
 /** What one run of the tool gave. */
-export interface CliRun {
-  readonly exitCode: number;
+export interface OperatorRun {
+  readonly exitCode: number | null;
   /** What `--json` printed. */
-  readonly json: CliJson;
-  readonly errorText: string;
+  readonly json: PrintedJson;
 }
 
 /** The printed fields that tests look at. */
-export interface CliJson {
+export interface PrintedJson {
   readonly revision?: number;
   readonly nonce?: string;
   readonly wasReadBack?: boolean;
-  readonly inForceAfterMs?: number;
   readonly error?: {
-    readonly kind: keyof typeof EXIT_CODES;
+    readonly kind: CliErrorKind;
     readonly details: readonly string[];
   };
 }
 
-/** Where an operator's tool finds the fleet. */
-export interface OperatorSettings {
-  readonly operator: string;
-  readonly platform: readonly string[];
-  readonly daemons: readonly string[];
-}
-
 /** An operator with a directory of object files, who runs the tool. */
 export class Operator {
+  readonly #fleet: Fleet;
   readonly #directory = mkdtempSync(join(tmpdir(), DIRECTORY_PREFIX));
 
-  constructor(settings: OperatorSettings) {
-    mkdirSync(join(this.#directory, "objects"));
-    this.configure(settings);
-  }
-
-  /** Replaces the settings of the tool. */
-  configure(settings: OperatorSettings): void {
-    const file = join(this.#directory, "coltsfoot.json");
-    writeFileSync(file, JSON.stringify(settings));
+  constructor(fleet: Fleet, operator: string) {
+    this.#fleet = fleet;
+    mkdirSync(this.#objects);
+    const settings = { operator, objects: this.#objects };
+    writeFileSync(this.#settings, JSON.stringify(settings));
   }
 
   /** Replaces a file of objects. */
   writeObjects(name: string, objects: readonly ObjectInput[]): void {
-    const file = join(this.#directory, "objects", `${name}.json`);
+    const file = join(this.#objects, `${name}.json`);
     writeFileSync(file, JSON.stringify(objects));
   }
 
   /** Takes over the objects of another, with what they are based on. */
   copyObjectsFrom(other: Operator): void {
-    const source = join(other.#directory, "objects");
-    cpSync(source, join(this.#directory, "objects"), { recursive: true });
+    cpSync(other.#objects, this.#objects, { recursive: true });
   }
 
   /** Runs the tool with `--json` as a process of its own. */
-  run(...args: string[]): Promise<CliRun> {
-    const child = spawn(process.execPath, [CLI_SCRIPT, ...args, "--json"], {
-      cwd: this.#directory,
-      stdio: ["ignore", "pipe", "pipe"],
-    });
-    let output = "";
-    let errorText = "";
-    child.stdout.on("data", (chunk) => output += String(chunk));
-    child.stderr.on("data", (chunk) => errorText += String(chunk));
-    return new Promise((resolve) => {
-      child.once("close", (code) => {
-        const json = output === "" ? {} : JSON.parse(output) as CliJson;
-        resolve({ exitCode: code ?? -1, json, errorText });
-      });
-    });
+  async run(...args: string[]): Promise<OperatorRun> {
+    const { exitCode, output } = await this.#fleet.runCli([
+      ...args,
+      "--settings",
+      this.#settings,
+      "--json",
+    ]);
+    return { exitCode, json: JSON.parse(output) as PrintedJson };
   }
 
   remove(): void {
     rmSync(this.#directory, { recursive: true, force: true });
   }
+
+  get #objects(): string {
+    return join(this.#directory, "objects");
+  }
+
+  get #settings(): string {
+    return join(this.#directory, "coltsfoot.json");
+  }
 }
--- a/packages/bench/src/harness/publish.ts
+++ b/packages/bench/src/config/publish_objects.ts
@@ -3,7 +3,7 @@
 import { createObjectSet, objectSchema } from "@coltsfootford/core";
 import { EtcdGatewayClient, SystemTimerService } from "@coltsfootford/platform";
 import { ResultAsync } from "neverthrow";
-import type { ObjectInput } from "./fleet_plan.ts";
+import type { ObjectInput } from "../harness/index.ts";
 
 /** Publishes objects as the operators' tool does, over what is published. */
 export async function publishObjects(
--- a/packages/bench/src/config/publishing_test.ts
+++ b/packages/bench/src/config/publishing_test.ts
@@ -1,8 +1,8 @@
 import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
 import { EXIT_CODES } from "@coltsfootford/cli";
 import { Fleet } from "../harness/index.ts";
-import { CONFIG_PLAN, createOperator, readConfig } from "./config_fleet.ts";
-import type { Operator } from "./operator.ts";
+import { CONFIG_PLAN, readConfig } from "./config_fleet.ts";
+import { Operator } from "./operator.ts";
 
 const HEAD_KEY = "coltsfoot/config/head";
 const TEST_LIMIT_MS = 120_000;
@@ -25,11 +25,12 @@
 
 beforeAll(async () => {
   fleet = await Fleet.start(CONFIG_PLAN);
-  ana = createOperator(fleet, "ana");
-  ben = createOperator(fleet, "ben");
+  ana = new Operator(fleet, "ana");
+  ben = new Operator(fleet, "ben");
   ana.writeObjects("teams", [team("joiners"), team("masons")]);
-  const first = await ana.run("publish", "--wait");
-  expect(first).toMatchObject({ exitCode: 0, json: { revision: 1 } });
+  // The harness has published revision 1.
+  const first = await ana.run("publish", "--base", "1", "--wait");
+  expect(first).toMatchObject({ exitCode: 0, json: { revision: 2 } });
 }, TEST_LIMIT_MS);
 
 afterAll(async () => {
@@ -56,7 +57,7 @@
       expect([won.length, lost.length]).toEqual([1, 1]);
       const details = lost[0]?.json.error?.details.join("\n");
       const isAnaWinner = runs[0]?.exitCode === 0;
-      expect(details).toContain(`revision 2 by ${isAnaWinner ? "ana" : "ben"}`);
+      expect(details).toContain(`revision 3 by ${isAnaWinner ? "ana" : "ben"}`);
       expect(details).toContain(
         `~ team/${isAnaWinner ? "joiners" : "masons"} (shareWeight)`,
       );
@@ -78,7 +79,7 @@
     const run = await ana.run("publish", "--wait");
     expect(run).toMatchObject({
       exitCode: 0,
-      json: { revision: 3, wasReadBack: true },
+      json: { revision: 4, wasReadBack: true },
     });
     expect(new Set(await readNonces())).toEqual(new Set([run.json.nonce]));
   }, TEST_LIMIT_MS);
@@ -87,7 +88,7 @@
     await fleet.platform.setFaults("platform", { dropWrites: 2 });
     ana.writeObjects("more", [team("carpenters", 2)]);
     const run = await ana.run("publish", "--wait");
-    expect(run).toMatchObject({ exitCode: 0, json: { revision: 4 } });
+    expect(run).toMatchObject({ exitCode: 0, json: { revision: 5 } });
   }, TEST_LIMIT_MS);
 
   it("publishes nothing where the platform is down", async () => {
@@ -97,6 +98,6 @@
     expect(run.exitCode).toBe(EXIT_CODES["platform-unreachable"]);
     await fleet.platform.setFaults("platform", { down: false });
     const again = await ana.run("publish", "--wait");
-    expect(again).toMatchObject({ exitCode: 0, json: { revision: 5 } });
+    expect(again).toMatchObject({ exitCode: 0, json: { revision: 6 } });
   }, TEST_LIMIT_MS);
 });
