--- a/packages/cli/src/commands/quarantine_clear.ts
+++ b/packages/cli/src/commands/quarantine_clear.ts
@@ -37,7 +37,8 @@
       }
       const deleted = await client.delete(key);
       if (deleted.isErr()) return err(createPlatformError(deleted.error));
-      return ok({ lines: [`${digest} may run again`], json: { digest } });
+      const line = `${digest} may run again once the daemons have read this`;
+      return ok({ lines: [line], json: { digest } });
     });
   }
 }
--- a/packages/cli/src/commands/quarantine_list.ts
+++ b/packages/cli/src/commands/quarantine_list.ts
@@ -1,5 +1,10 @@
 import { err, ok } from "neverthrow";
-import { parseJson } from "@coltsfootford/core";
+import {
+  parseJson,
+  type QuarantineNotice,
+  quarantineNoticeSchema,
+} from "@coltsfootford/core";
+import type { KeyValueEntry } from "@coltsfootford/platform";
 import { createPlatformError } from "../cli_error.ts";
 import {
   Command,
@@ -7,8 +12,11 @@
   type CommandResult,
 } from "../command.ts";
 import { QUARANTINE_PREFIX } from "../quarantine_keys.ts";
+import { formatTable } from "../table.ts";
 import { withPlatform } from "../connections.ts";
 
+const HEADER = ["DIGEST", "CRASHES", "ZONE", "SINCE"];
+
 /** Lists requests that are refused because they crashed targets. */
 export class QuarantineListCommand extends Command {
   override readonly name = "quarantine list";
@@ -21,16 +29,35 @@
     return await withPlatform(context, async (client) => {
       const answer = await client.range({ prefix: QUARANTINE_PREFIX });
       if (answer.isErr()) return err(createPlatformError(answer.error));
-      const requests = answer.value.entries.map((entry) => ({
-        digest: entry.key.slice(QUARANTINE_PREFIX.length),
-        entry: parseJson(entry.value) ?? entry.value,
-      }));
+      const requests = answer.value.entries.map(readEntry);
       const lines = requests.length > 0
-        ? requests.map(({ digest, entry }) =>
-          `${digest}  ${JSON.stringify(entry)}`
-        )
+        ? formatTable(HEADER, requests.map(describeRequest))
         : ["no request is quarantined"];
       return ok({ lines, json: { requests } });
     });
   }
 }
+
+/** A quarantined request; the notice is null where it can't be read. */
+interface QuarantinedRequest {
+  readonly digest: string;
+  readonly notice: QuarantineNotice | null;
+}
+
+function readEntry({ key, value }: KeyValueEntry): QuarantinedRequest {
+  const parsed = quarantineNoticeSchema.safeParse(parseJson(value));
+  return {
+    digest: key.slice(QUARANTINE_PREFIX.length),
+    notice: parsed.data ?? null,
+  };
+}
+
+function describeRequest({ digest, notice }: QuarantinedRequest): string[] {
+  if (!notice) return [digest, "?", "?", "?"];
+  return [
+    digest,
+    String(notice.crashes),
+    notice.availabilityZone,
+    new Date(notice.quarantinedAtMs).toISOString(),
+  ];
+}
