--- a/packages/daemon/src/config/config_controller_test.ts
+++ b/packages/daemon/src/config/config_controller_test.ts
@@ -1,30 +1,9 @@
 import { describe, expect, it } from "@jest/globals";
-import {
-  CONFIG_HEAD_KEY,
-  CONFIG_PART_PREFIX,
-  createPublication,
-  type FleetObject,
-  hash32,
-  type Layout,
-  objectSchema,
-  type Publication,
-  VirtualTimerService,
-} from "@coltsfootford/core";
-import {
-  FakeKeyValue,
-  FakeKeyValueStore,
-} from "@coltsfootford/platform/testing";
-import { createHash } from "node:crypto";
-import { createBlackboard } from "../blackboard/index.ts";
-import { ConfigController } from "./config_controller.ts";
-import { FakeConfigNetwork } from "./testing/fake_config_network.ts";
+import { type FleetObject, objectSchema } from "@coltsfootford/core";
+import { FakeConfigFleet } from "./testing/index.ts";
 
 /** Time in which an accepted set must be in force everywhere. */
 const IN_FORCE_MS = 9_000;
-const STEP_MS = 50;
-
-const sha256Hex = (text: string) =>
-  createHash("sha256").update(text).digest("hex");
 
 function createTeams(count: number, shareWeight = 1): FleetObject[] {
   return Array.from({ length: count }, (_item, index) =>
@@ -35,85 +14,8 @@
     }));
 }
 
-interface Node {
-  readonly vm: string;
-  readonly keyValue: FakeKeyValue;
-  readonly controller: ConfigController;
-  readonly events: string[];
-  revision(): number;
-}
-
-/** Daemons of several zones over one fake platform and one fake network. */
-class Fleet {
-  readonly timer = new VirtualTimerService();
-  readonly store = new FakeKeyValueStore();
-  readonly network = new FakeConfigNetwork(this.timer);
-  readonly nodes: Node[] = [];
-  readonly #operator = new FakeKeyValue(this.timer, this.store);
-  #layout: Layout | undefined;
-
-  create(vm: string, zone: string): Node {
-    const keyValue = new FakeKeyValue(this.timer, this.store);
-    const blackboard = createBlackboard();
-    const events: string[] = [];
-    let drawCount = 0;
-    const controller = new ConfigController({
-      vm,
-      blackboard,
-      keyValue,
-      peers: this.network.join(vm, zone),
-      timer: this.timer,
-      logger: {
-        event: (name, fields) =>
-          events.push(`${name} ${fields?.["reason"] ?? ""}`),
-      },
-      random: () => hash32(`${vm}/${drawCount++}`) / 2 ** 32,
-    });
-    const revision = () => blackboard.config.read().revision;
-    const node = { vm, keyValue, controller, events, revision };
-    this.nodes.push(node);
-    return node;
-  }
-
-  async startAll(): Promise<void> {
-    const started = this.nodes.map((node) => node.controller.start());
-    await this.pass(2_000);
-    await Promise.all(started);
-  }
-
-  async publish(
-    revision: number,
-    objects: FleetObject[],
-  ): Promise<Publication> {
-    const publication = createPublication(
-      objects,
-      { revision, nonce: `n${revision}`, publishedBy: "t", publishedAtMs: 0 },
-      this.#layout,
-      sha256Hex,
-    );
-    this.#layout = publication.head.layout;
-    for (const [digest, text] of publication.texts) {
-      await this.#operator.put(CONFIG_PART_PREFIX + digest, text);
-    }
-    await this.#operator.put(CONFIG_HEAD_KEY, JSON.stringify(publication.head));
-    return publication;
-  }
-
-  async pass(durationMs: number): Promise<void> {
-    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
-      this.timer.advance(STEP_MS);
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-  }
-
-  behind(revision: number): string[] {
-    return this.nodes.filter((node) => node.revision() !== revision)
-      .map((node) => node.vm);
-  }
-}
-
-function createFleet(zones: number, daemonsPerZone: number): Fleet {
-  const fleet = new Fleet();
+function createFleet(zones: number, daemonsPerZone: number): FakeConfigFleet {
+  const fleet = new FakeConfigFleet();
   for (let zone = 0; zone < zones; zone++) {
     for (let index = 0; index < daemonsPerZone; index++) {
       fleet.create(`entry-${zone}-${index}`, `zone-${zone}`);
