Let a service route fall back to another pool of its service

Cause: the field fallback was checked, documented and had no effect.

Ruled out: fallbacks of chat routes; a request names its model, and another model's engine would be sent the wrong name.

Change: while a route's pool has no live target, its calls go to the pool of the first fallback that has one; the route's own rules, claims included, stay. The check asks for the same service and refuses the field on chat routes. Two tests of the old rule became two as strict: 'has the protocol service' is now 'a chat route has no fallback', and the check of body sizes uses service routes.

--- a/packages/core/src/config/check_limits.ts
+++ b/packages/core/src/config/check_limits.ts
@@ -39,20 +39,31 @@
     faults.push(faultAt(placed, ["retryBudgetRatio"], message));
   }
   const fallback = route.fallback && set.routes.get(route.fallback);
-  if (fallback) faults.push(...checkFallback(placed, route, fallback));
+  if (fallback) faults.push(...checkFallback(set, placed, route, fallback));
   return faults;
 }
 
-/** A request that a route takes must be one that its fallback takes. */
+/**
+ * A request that a route takes must be one that its fallback takes, and means
+ * the same there. A chat request names its model, so it has no fallback.
+ */
 function checkFallback(
+  set: ObjectSet,
   placed: PlacedObject,
   route: Route,
   fallback: Route,
 ): ConfigFault[] {
+  if (route.protocol === "chat") {
+    const message = "a chat route has no fallback, since a request names its " +
+      "model; remove this";
+    return [faultAt(placed, ["fallback"], message)];
+  }
   const faults: ConfigFault[] = [];
-  if (fallback.protocol !== route.protocol) {
-    const message = `the fallback ${fallback.name} has the protocol ` +
-      `${fallback.protocol}; use one with ${route.protocol}`;
+  const service = set.pools.get(route.pool)?.service;
+  const fallbackService = set.pools.get(fallback.pool)?.service;
+  if (fallbackService !== service) {
+    const message = `the fallback ${fallback.name} leads to another service; ` +
+      `use a route whose pool runs ${service}`;
     faults.push(faultAt(placed, ["fallback"], message));
   }
   if (fallback.maxBodyBytes < route.maxBodyBytes) {
--- a/packages/core/src/config/check_objects_test.ts
+++ b/packages/core/src/config/check_objects_test.ts
@@ -29,6 +29,8 @@
   );
 }
 
+const SPARE = { kind: "route", protocol: "service", pool: "desks" };
+
 const route = (fields: Record<string, unknown>) => ({
   kind: "route",
   protocol: "chat",
@@ -76,15 +78,18 @@
       "9.json: pool: the chat route lots serves the model writer already",
     ],
     [route({ name: "r", fallback: "gone" }), "fallback: there is no route"],
-    [route({ name: "r", fallback: "r" }), "cycle (r -> r)"],
-    [route({ name: "r", fallback: "bids" }), "has the protocol service"],
     [
-      route({ name: "r", retryBudgetRatio: 0 }),
-      "9.json: retryBudgetRatio: 3 attempts need a retry budget above 0",
+      { ...SPARE, name: "r", fallback: "r" },
+      "cycle (r -> r)",
     ],
     [
-      route({ name: "r", fallback: "lots", maxBodyBytes: 2_000_000 }),
-      "9.json: maxBodyBytes: the fallback lots takes bodies up to 1048576",
+      { ...SPARE, name: "r", fallback: "bids", maxBodyBytes: 2_000_000 },
+      "9.json: maxBodyBytes: the fallback bids takes bodies up to 1048576",
+    ],
+    [route({ name: "r", fallback: "bids" }), "a chat route has no fallback"],
+    [
+      route({ name: "r", retryBudgetRatio: 0 }),
+      "9.json: retryBudgetRatio: 3 attempts need a retry budget above 0",
     ],
     [
       { kind: "team", name: "t", apiKeySha256: [KEY_A] },
@@ -100,6 +105,18 @@
     expect(faults[0]).toContain(expected);
   });
 
+  it("refuses a fallback to another service", () => {
+    const faults = check(
+      { kind: "service", name: "other" },
+      { kind: "pool", name: "others", service: "other" },
+      { ...SPARE, name: "far", pool: "others" },
+      { ...SPARE, name: "near", fallback: "far" },
+    );
+    expect(faults).toEqual([
+      expect.stringContaining("12.json: fallback: the fallback far leads to"),
+    ]);
+  });
+
   it("finds a fallback that admits fewer teams", () => {
     const bids = { protocol: "service", pool: "desks" };
     const faults = check(
--- a/packages/core/src/objects/schemas.ts
+++ b/packages/core/src/objects/schemas.ts
@@ -87,7 +87,7 @@
   ),
   pool: objectNameSchema.describe("Name of the pool that serves the route."),
   fallback: objectNameSchema.optional().describe(
-    "Route whose pool is used while this route's pool serves no request.",
+    "Service route whose pool is used while this one's pool has no live target.",
   ),
   teams: z.array(objectNameSchema).default([]).describe(
     "Teams that may use the route; empty means every team.",
--- a/packages/daemon/src/entry/find_route.ts
+++ b/packages/daemon/src/entry/find_route.ts
@@ -1,5 +1,12 @@
-import type { ObjectSet, Pool, Route, Team } from "@coltsfootford/core";
+import {
+  listFallbackRoutes,
+  type ObjectSet,
+  type Pool,
+  type Route,
+  type Team,
+} from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
+import type { TargetView } from "../blackboard/index.ts";
 import { createRefusal, type Refusal } from "./refusal.ts";
 
 /** A route together with the pool it leads to. */
@@ -41,6 +48,25 @@
   return ok({ route, pool });
 }
 
+/**
+ * The pool that serves a route now: its own, or while that has no live target,
+ * the first of its fallbacks that has one. The route's own rules stay in force.
+ */
+export function choosePool(
+  objects: ObjectSet,
+  { route, pool }: RoutePair,
+  targets: Iterable<TargetView>,
+): Pool {
+  if (route.fallback === undefined) return pool;
+  const livePools = new Set<string>();
+  for (const target of targets) {
+    if (target.state === "live") livePools.add(target.pool);
+  }
+  const serving = listFallbackRoutes(objects, route)
+    .find((candidate) => livePools.has(candidate.pool));
+  return serving ? objects.pools.get(serving.pool) ?? pool : pool;
+}
+
 /** Refuses a team that the route does not list. */
 export function checkRouteTeam(
   route: Route,
--- a/packages/daemon/src/entry/service_handler.ts
+++ b/packages/daemon/src/entry/service_handler.ts
@@ -3,7 +3,7 @@
 import { needsClaim } from "../claims/index.ts";
 import { createCallerSignal } from "./caller_signal.ts";
 import type { EntryServices } from "./entry_server.ts";
-import { checkRouteTeam, findServiceRoute } from "./find_route.ts";
+import { checkRouteTeam, choosePool, findServiceRoute } from "./find_route.ts";
 import { readBody } from "./read_body.ts";
 import { type CallerHeaders, readCallerHeaders } from "./read_headers.ts";
 import type { Refusal } from "./refusal.ts";
@@ -24,9 +24,10 @@
   const team = services.teams().identify(headers.value);
   if (team.isErr()) return err(team.error);
   const [, name = "", rest = ""] = SERVICE_PATH.exec(incoming.url ?? "") ?? [];
-  const found = findServiceRoute(services.config().objects, name);
+  const { objects } = services.config();
+  const found = findServiceRoute(objects, name);
   if (found.isErr()) return err(found.error);
-  const { route, pool } = found.value;
+  const { route } = found.value;
   const allowed = checkRouteTeam(route, team.value);
   if (allowed.isErr()) return err(allowed.error);
   const body = await readBody(incoming, route.maxBodyBytes);
@@ -41,6 +42,8 @@
     // answer is recorded for the resend.
     !needsClaim({ route, idempotencyKey: headers.value["idempotency-key"] }),
   );
+  const targets = services.blackboard.targets.read().values();
+  const pool = choosePool(objects, found.value, targets);
   const requestId = services.nextRequestId();
   const context: RequestContext = {
     requestId,
