--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { randomUUID } from "node:crypto";
 import { SystemTimerService } from "@coltsfootford/platform";
 import { EXIT_CODES } from "./cli_error.ts";
