--- a/packages/cli/src/publishing/publish_checks.ts
+++ b/packages/cli/src/publishing/publish_checks.ts
@@ -13,7 +13,7 @@
 import type { AdminClient } from "../daemons/index.ts";
 import type { BaseFile } from "../objects/index.ts";
 import type { PublishedSet } from "./published_set.ts";
-import { createConflictError } from "./publisher.ts";
+import { createConflictError } from "./publish_errors.ts";
 
 /**
  * Takes a begun publication of an earlier run as the base where it turns out
--- a/packages/cli/src/publishing/publisher.ts
+++ b/packages/cli/src/publishing/publisher.ts
@@ -16,24 +16,15 @@
   type TimerService,
 } from "@coltsfootford/core";
 import {
-  type Compare,
   isCertainlyNotApplied,
   type KeyValueClient,
   type KeyValueEntry,
   type TxnOperation,
   type TxnRequest,
 } from "@coltsfootford/platform";
-import {
-  type CliError,
-  createCliError,
-  createPlatformError,
-} from "../cli_error.ts";
-import {
-  createPublicationRecord,
-  formatRecord,
-  KEPT_RECORDS,
-  readRecordsAfter,
-} from "./publication_records.ts";
+import { type CliError, createPlatformError } from "../cli_error.ts";
+import { createConflictError, createUnknownError } from "./publish_errors.ts";
+import { createCleanUp, createSwap } from "./publish_transactions.ts";
 import type { PublishedSet } from "./published_set.ts";
 import { sha256Hex } from "./sha256.ts";
 
@@ -100,7 +91,7 @@
     const changes = diffObjects(current?.set, set);
     const written = await this.#writeParts(publication, current);
     if (written.isErr()) return err(written.error);
-    const swap = createSwap(request, publication, changes);
+    const swap = createSwap(facts, current, publication, changes);
     const settled = await this.#settle(swap, request);
     if (settled.isErr()) return err(settled.error);
     await this.#deleteUnused(publication, current);
@@ -172,7 +163,9 @@
         mayBeApplied ||= !isCertainlyNotApplied(answer.error);
         if (!mayBeApplied) return err(createPlatformError(answer.error));
       }
-      if (this.#timer.nowMs() > limitMs) return err(createUnknown(request));
+      if (this.#timer.nowMs() > limitMs) {
+        return err(createUnknownError(request.facts));
+      }
       await this.#wait();
     }
   }
@@ -237,88 +230,3 @@
     });
   }
 }
-
-/** The error of a publication that is not based on the one in force. */
-export async function createConflictError(
-  client: KeyValueClient,
-  baseRevision: number,
-): Promise<CliError> {
-  const records = await readRecordsAfter(client, baseRevision);
-  const lines = records.isOk() ? records.value.flatMap(formatRecord) : [];
-  const latest = records.isOk() ? records.value.at(-1) : undefined;
-  const wayOut = latest
-    ? `Take these changes into your files, then publish with --base ${latest.revision}.`
-    : "See coltsfoot diff, then publish with --base and the revision it names.";
-  return createCliError(
-    "conflict",
-    "publish.swap",
-    "another operator has published since; nothing of yours was published",
-    { details: [...lines, wayOut] },
-  );
-}
-
-function createSwap(
-  { facts, current }: PublishRequest,
-  publication: Publication,
-  changes: readonly ObjectChange[],
-): TxnRequest {
-  const compare: Compare = current
-    ? {
-      target: "mod",
-      key: CONFIG_HEAD_KEY,
-      comparison: "equal",
-      operand: current.modRevision,
-    }
-    : {
-      target: "create",
-      key: CONFIG_HEAD_KEY,
-      comparison: "equal",
-      operand: 0,
-    };
-  const success: TxnOperation[] = [
-    {
-      kind: "put",
-      key: CONFIG_HEAD_KEY,
-      value: JSON.stringify(publication.head),
-    },
-    {
-      kind: "put",
-      key: publicationRecordKey(facts.revision),
-      value: JSON.stringify(createPublicationRecord(facts, changes)),
-    },
-  ];
-  const oldRevision = facts.revision - KEPT_RECORDS;
-  if (oldRevision > 0) {
-    const key = publicationRecordKey(oldRevision);
-    success.push({ kind: "delete", selection: { key } });
-  }
-  const failure: TxnOperation[] = [
-    { kind: "range", selection: { key: CONFIG_HEAD_KEY } },
-  ];
-  return { compares: [compare], success, failure };
-}
-
-function createCleanUp(
-  keys: readonly string[],
-  headModRevision: number,
-): TxnRequest {
-  return {
-    compares: keys.map((key) => ({
-      target: "mod",
-      key,
-      comparison: "less",
-      operand: headModRevision,
-    })),
-    success: keys.map((key) => ({ kind: "delete", selection: { key } })),
-    failure: [],
-  };
-}
-
-function createUnknown({ facts }: PublishRequest): CliError {
-  return createCliError(
-    "outcome-unknown",
-    "publish.swap",
-    `the platform's answers were lost; revision ${facts.revision} may or may not have been published`,
-    { details: ["Run the same publish again: it recognises its own write."] },
-  );
-}
