Add coltsfoot pull, which writes what is published into files

Cause: an operator who lost a race and shares no version control had no way to see the other's values.

Change: pull writes one file a kind into a new directory, with its base.

--- a/packages/bench/src/config/operator.ts
+++ b/packages/bench/src/config/operator.ts
@@ -58,6 +58,11 @@
     return { exitCode, json: JSON.parse(output) as PrintedJson };
   }
 
+  /** The path of a file or directory of this operator. */
+  pathOf(name: string): string {
+    return join(this.#directory, name);
+  }
+
   remove(): void {
     rmSync(this.#directory, { recursive: true, force: true });
   }
--- a/packages/bench/src/config/publishing_test.ts
+++ b/packages/bench/src/config/publishing_test.ts
@@ -100,4 +100,11 @@
     const again = await ana.run("publish", "--wait");
     expect(again).toMatchObject({ exitCode: 0, json: { revision: 6 } });
   }, TEST_LIMIT_MS);
+
+  it("writes what is published, ready to be published upon", async () => {
+    const pulled = await ana.run("pull", ana.pathOf("pulled"));
+    expect(pulled).toMatchObject({ exitCode: 0, json: { revision: 6 } });
+    const again = await ana.run("publish", ana.pathOf("pulled"));
+    expect(again).toMatchObject({ exitCode: 0, json: { revision: 6 } });
+  }, TEST_LIMIT_MS);
 });
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -6,6 +6,7 @@
 import { HistoryCommand } from "./history.ts";
 import { InitCommand } from "./init.ts";
 import { PublishCommand } from "./publish.ts";
+import { PullCommand } from "./pull.ts";
 import { QuarantineClearCommand } from "./quarantine_clear.ts";
 import { QuarantineListCommand } from "./quarantine_list.ts";
 import { SchemaCommand } from "./schema.ts";
@@ -17,6 +18,7 @@
   new CheckCommand(),
   new DiffCommand(),
   new PublishCommand(),
+  new PullCommand(),
   new HistoryCommand(),
   new StatusCommand(),
   new DumpCommand(),
--- a/packages/cli/src/run_cli_test.ts
+++ b/packages/cli/src/run_cli_test.ts
@@ -88,6 +88,8 @@
     [["check", "a", "b"], "b is one argument too many"],
     [["diff", "--platform", "nowhere"], "platform.0: Invalid URL"],
     [["status"], "no daemon is named"],
+    [["pull"], "name the new directory"],
+    [["pull", "."], ". is there already"],
     [["drain"], "name the target"],
     [["quarantine", "clear"], "name the digest"],
     [["publish", "--base", "x"], "baseRevision must be a whole number"],
