--- a/packages/bench/src/replay/fault_injector.ts
+++ b/packages/bench/src/replay/fault_injector.ts
@@ -4,6 +4,8 @@
 import type { ViewSpreader } from "./view_spreader.ts";
 import type { World } from "./world.ts";
 
+/** Time after which every keeper knows that a target leaves, in ms. */
+const LEAVE_KNOWN_MS = 3_000;
 /** Time after which a target that leaves is gone at the latest, in ms. */
 const DRAIN_MS = 30_000;
 
@@ -12,6 +14,8 @@
   daemonAdded(daemon: FakeDaemon): void;
   /** The process is gone; its connections to targets close if `isKill`. */
   daemonGone(daemon: FakeDaemon, isKill: boolean): void;
+  /** The daemon stopped: nobody gives work to the targets that it keeps. */
+  daemonStopped(daemon: FakeDaemon): void;
   /** A zone was cut off: streams across the cut stall. */
   zoneCut(): void;
 }
@@ -86,6 +90,9 @@
   #leave(engine: FakeEngine): void {
     engine.isLeaving = true;
     this.#views.targetLeaving(engine);
+    this.#world.heap.after(LEAVE_KNOWN_MS, () => {
+      engine.isServing = false;
+    });
     this.#world.heap.after(DRAIN_MS, () => engine.goDown());
   }
 
@@ -93,6 +100,7 @@
     fault: Extract<Fault, { daemon: string }>,
     daemon: FakeDaemon,
   ): void {
+    this.#listener.daemonStopped(daemon);
     if (fault.kind === "daemon-pause") {
       daemon.pause();
       this.#views.daemonSilent(daemon);
--- a/packages/bench/src/replay/replay.ts
+++ b/packages/bench/src/replay/replay.ts
@@ -92,6 +92,7 @@
   new FaultInjector(world, views, {
     daemonAdded: (daemon) => permits?.addDaemon(daemon),
     daemonGone: (daemon, isKill) => entry.daemonGone(daemon, isKill),
+    daemonStopped: (daemon) => permits?.node(daemon.name)?.stopServing(),
     zoneCut: () => entry.zoneCut(),
   }).plan(options.faults);
   spreadLoadHints(world);
@@ -165,7 +166,7 @@
 /** Without keepers, targets serve as soon as they are up. */
 function serveWithoutKeepers(world: World): void {
   for (const engine of world.engines()) {
-    if (engine.isUp) engine.isServing = true;
+    if (engine.isUp && !engine.isLeaving) engine.isServing = true;
   }
   world.heap.after(1_000, () => serveWithoutKeepers(world));
 }
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -1,12 +1,18 @@
 import type { TimerService } from "../timer/index.ts";
+import type { LateAnswer } from "./ask_queue.ts";
 import {
   DEFAULT_KEEPER_BOOK_OPTIONS,
+  type FormerKeeper,
   KeeperBook,
   type KeeperBookOptions,
   type KeptPool,
-  type LateAnswer,
 } from "./keeper_book.ts";
-import type { CollectRequest, PermitAnswer, RefusalReason } from "./permit.ts";
+import {
+  type CollectRequest,
+  longestWaitMs,
+  type PermitAnswer,
+  type RefusalReason,
+} from "./permit.ts";
 import type { PermitExtras } from "./permit_codec.ts";
 import { PermitHolder } from "./permit_holder.ts";
 import type { PermitMessage } from "./permit_message.ts";
@@ -39,6 +45,9 @@
   retakeMs: 400,
 };
 
+/** Time for which a keeper that gave no answer is passed over, in ms. */
+const SILENT_MS = 500;
+
 /** What a `PermitNode` needs to know of the fleet. */
 export interface PermitView {
   /** The daemon that keeps a target, if any is known. */
@@ -75,10 +84,14 @@
 export interface AskParts {
   /** Time that the ask may wait at the keeper while the target is full. */
   readonly waitMs?: number;
+  /** Further targets of the same keeper, in order. */
+  readonly alternatives?: readonly string[];
 }
 
 /** A usable permit. */
 export interface UsablePermit {
+  /** The target that was asked for, or one of the alternatives. */
+  readonly target: string;
   /** Call it right before the request is sent; false means it must not be. */
   readonly start: () => boolean;
   /** Hands the permit back, used or not. */
@@ -90,7 +103,6 @@
 
 interface PendingAsk {
   readonly keeper: string;
-  readonly target: string;
   readonly onOutcome: (outcome: AskOutcome) => void;
 }
 
@@ -107,6 +119,9 @@
   readonly #pending = new Map<number, PendingAsk>();
   readonly #plannedFlushes = new Set<string>();
   readonly #retakesAtMs = new Map<string, number>();
+  /** When each peer was heard last, and until when it is taken to be silent. */
+  readonly #heardAtMs = new Map<string, number>();
+  readonly #silentUntilMs = new Map<string, number>();
   #kept = new Map<string, KeptTargetView>();
   #poolNames: readonly string[] = [];
   #couldKeep = false;
@@ -145,6 +160,30 @@
     }
   }
 
+  /**
+   * Asks for the first of `targets`, best first, that has a place. One ask
+   * names every target that has the same keeper. `waitMs` is how long the first
+   * target is worth a wait.
+   */
+  askAny(
+    targets: readonly string[],
+    waitMs: number,
+    onOutcome: (outcome: AskOutcome) => void,
+  ): void {
+    const [first, ...others] = targets;
+    if (first === undefined) return onOutcome("no-keeper");
+    const { keeperOf } = this.#parts.view;
+    const keeper = keeperOf(first);
+    const alternatives = others.filter((name) => keeperOf(name) === keeper);
+    const rest = others.filter((name) => keeperOf(name) !== keeper);
+    const parts = waitMs > 0 ? { waitMs, alternatives } : { alternatives };
+    this.ask(first, parts, (outcome) => {
+      const isLast = typeof outcome !== "string" || rest.length === 0;
+      if (isLast) return onOutcome(outcome);
+      this.askAny(rest, 0, onOutcome);
+    });
+  }
+
   /** Asks the keeper of a target for a place. */
   ask(
     target: string,
@@ -153,9 +192,10 @@
   ): void {
     const keeper = this.#parts.view.keeperOf(target);
     if (keeper === undefined) return onOutcome("no-keeper");
+    if (this.#isSilent(keeper)) return onOutcome("timeout");
     const askId = this.#holder.createAsk(target, keeper, this.#nowMs);
     const ask = { askId, target, ...parts };
-    this.#pending.set(askId, { keeper, target, onOutcome });
+    this.#pending.set(askId, { keeper, onOutcome });
     if (keeper === this.#parts.name) {
       const answer = this.#answer(keeper, ask);
       if (answer) this.#takeAnswer(answer);
@@ -163,8 +203,23 @@
     }
     const extras = this.#outbox.take(keeper, this.#nowMs);
     this.#parts.send(keeper, { kind: "ask", ask, extras });
-    const waitMs = this.#options.askTimeoutMs + (parts.waitMs ?? 0);
-    this.#parts.timer.after(waitMs, () => this.giveUp(askId));
+    const timeoutMs = this.#options.askTimeoutMs + longestWaitMs(ask);
+    this.#parts.timer.after(timeoutMs, () => this.#timeOut(askId));
+  }
+
+  /** A keeper that did not answer is not asked again for a while. */
+  #timeOut(askId: number): void {
+    const keeper = this.#pending.get(askId)?.keeper;
+    if (keeper !== undefined) this.#noteSilent(keeper);
+    this.giveUp(askId);
+  }
+
+  #noteSilent(peer: string): void {
+    this.#silentUntilMs.set(peer, this.#nowMs + SILENT_MS);
+  }
+
+  #isSilent(peer: string): boolean {
+    return this.#nowMs < (this.#silentUntilMs.get(peer) ?? 0);
   }
 
   /** Ends an ask that has no answer; the keeper may have granted it. */
@@ -179,6 +234,8 @@
   /** Takes a message of another daemon. */
   receive(from: string, message: PermitMessage): void {
     const nowMs = this.#nowMs;
+    this.#heardAtMs.set(from, nowMs);
+    this.#silentUntilMs.delete(from);
     if ("extras" in message) this.#takeExtras(from, message.extras);
     if (message.kind === "ask") {
       const answer = this.#answer(from, message.ask);
@@ -204,8 +261,12 @@
     this.#book.noteHolderGone(peer, this.#nowMs);
     this.#book.forgetKeeper(peer);
     this.#outbox.drop(peer);
+    this.#noteSilent(peer);
+    for (const [askId, pending] of [...this.#pending]) {
+      if (pending.keeper === peer) this.giveUp(askId);
+    }
     if (this.#options.loneReportMs === 0) return;
-    this.#book.forgetPoolReports();
+    this.#book.forgetPoolLoads();
     for (const keeper of this.#parts.view.otherKeepers()) {
       if (keeper !== peer) this.#sendReturns(keeper, true);
     }
@@ -215,6 +276,7 @@
   peerBack(peer: string, targets: Iterable<string>): void {
     for (const target of targets) {
       if (this.#parts.view.keeperOf(target) !== peer) continue;
+      this.#tellReplaced(peer, target);
       const askIds = this.#holder.startedAskIds(target);
       if (askIds.length === 0) continue;
       this.#parts.send(peer, { kind: "adopt", target, askIds });
@@ -272,7 +334,7 @@
       pool,
       holders,
       nowMs,
-      this.#holder.epochOf(name)?.number ?? 0,
+      this.#formerKeeper(name),
     );
     if (target.isNew) this.#book.noteStarted(name, nowMs);
     this.#book.keeperOf(name)?.noteLeaving(target.isLeaving);
@@ -284,6 +346,15 @@
     this.#book.noteCollectAnswer(this.#parts.name, own, nowMs);
   }
 
+  #formerKeeper(target: string): FormerKeeper {
+    const epoch = this.#holder.epochOf(target);
+    if (!epoch) return { epochNumber: 0, mayReport: false };
+    const { maxReportAgeMs } = this.#options.book.poolMean;
+    const heardAtMs = this.#heardAtMs.get(epoch.keeper) ?? -Infinity;
+    const mayReport = this.#nowMs - heardAtMs <= maxReportAgeMs;
+    return { epochNumber: epoch.number, mayReport };
+  }
+
   /** Two daemons that disagree must not take from each other at once. */
   #retake(nowMs: number): void {
     const dropped = new Set(this.#book.droppedTargets());
@@ -312,8 +383,7 @@
   #takeAnswer(answer: PermitAnswer): void {
     const { askId } = answer;
     const pending = this.#pending.get(askId);
-    // A late grant was handed back when its ask was given up.
-    if (!pending) return;
+    if (!pending) return this.#handBack(answer);
     this.#pending.delete(askId);
     if (answer.kind === "refused") {
       this.#holder.noteRefusal(askId);
@@ -322,16 +392,27 @@
     const verdict = this.#holder.noteGrant(answer, this.#nowMs);
     this.#sendAdoptions(answer.epoch.keeper);
     if (verdict !== "usable") {
-      if (verdict === "stale-epoch") this.#tellNewerEpoch(pending);
+      if (verdict === "stale-epoch") {
+        this.#tellNewerEpoch(pending.keeper, answer.target);
+      }
       this.#queueReturns();
       return pending.onOutcome("timeout");
     }
     pending.onOutcome({
+      target: answer.target,
       start: () => this.#start(askId),
       end: () => this.#end(askId),
     });
   }
 
+  /** A grant that comes after its ask was given up must not stay counted. */
+  #handBack(answer: PermitAnswer): void {
+    if (answer.kind === "refused") return;
+    const { keeper } = answer.epoch;
+    this.#outbox.addReturn(keeper, answer.askId);
+    this.#planFlush(keeper);
+  }
+
   #start(askId: number): boolean {
     const mayStart = this.#holder.start(askId, this.#nowMs);
     if (!mayStart) this.#queueReturns();
@@ -354,8 +435,16 @@
     }
   }
 
+  /** A keeper that others do not know yet may have been replaced unawares. */
+  #tellReplaced(peer: string, target: string): void {
+    const epoch = this.#holder.epochOf(target);
+    if (!epoch || epoch.keeper === peer) return;
+    const answer = { kind: "newer-epoch", target, epoch } as const;
+    this.#parts.send(peer, { kind: "collected", answer });
+  }
+
   /** Tells a keeper that it was replaced. */
-  #tellNewerEpoch({ keeper, target }: PendingAsk): void {
+  #tellNewerEpoch(keeper: string, target: string): void {
     const epoch = this.#holder.epochOf(target);
     if (!epoch) return;
     const answer = { kind: "newer-epoch", target, epoch } as const;
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -30,6 +30,11 @@
   readonly maxReportAgeMs: number;
   /** Standard deviations of random ends that the discount covers. */
   readonly safetyDeviations: number;
+  /**
+   * Part of the load that is taken off besides: ends that come in a burst are
+   * not in the rate yet.
+   */
+  readonly reserveRatio: number;
   /**
    * From this many reports on, targets without a report are taken to have the
    * mean of the others, less its standard error; with fewer they count for
@@ -43,7 +48,8 @@
   permitLagMs: 35,
   reportDelayMs: 4,
   maxReportAgeMs: 1_200,
-  safetyDeviations: 2,
+  safetyDeviations: 3,
+  reserveRatio: 0.04,
   sampleReports: 30,
 };
 
@@ -68,6 +74,7 @@
   /** Least difference seen between this daemon's clock and the sender's. */
   readonly #clockOffsetsMs = new Map<string, number>();
   #poolTargets = 0;
+  #firstUseMs: number | undefined;
 
   constructor(options: PoolMeanEstimateOptions = DEFAULT_POOL_MEAN_OPTIONS) {
     this.#options = options;
@@ -102,11 +109,13 @@
   }
 
   /**
-   * Drops the reports of all keepers: a daemon is gone, and its requests may
-   * have ended with it since they were measured.
+   * Drops the loads that all keepers reported: a daemon is gone, and its
+   * requests may have ended with it since. The targets still count.
    */
-  forgetReports(): void {
-    this.#reports.clear();
+  forgetLoads(): void {
+    for (const [keeper, report] of this.#reports) {
+      this.#reports.set(keeper, { ...report, loadRequests: 0 });
+    }
   }
 
   /** Drops what is known of a keeper that is gone, restarted or cut off. */
@@ -117,21 +126,34 @@
 
   /** The most load that a target may have at an admission at `nowMs`. */
   limitRequests(factor: number, nowMs: number): number {
-    let reportedTargets = 0;
-    for (const report of this.#reports.values()) {
-      reportedTargets += report.targets;
-    }
-    const poolTargets = Math.max(this.#poolTargets, reportedTargets, 1);
+    const poolTargets = this.#countTargets(nowMs);
     const loadRequests = this.lowerLoadRequests(poolTargets, nowMs);
     return maxLoadRequests(factor, loadRequests, poolTargets);
   }
 
+  /**
+   * A small pool is what can be heard: targets whose keeper is silent get no
+   * new work from anyone and are left out. A large pool is what the view shows.
+   */
+  #countTargets(nowMs: number): number {
+    this.#firstUseMs ??= nowMs;
+    const { reports, targets } = this.#sumReports(nowMs);
+    const hasHeardAll = nowMs - this.#firstUseMs > this.#options.maxReportAgeMs;
+    if (hasHeardAll && reports < this.#options.sampleReports) {
+      return Math.max(targets, 1);
+    }
+    return Math.max(this.#poolTargets, targets, 1);
+  }
+
   /** Lower bound of the load of `poolTargets` targets at `nowMs`. */
   lowerLoadRequests(poolTargets: number, nowMs: number): number {
     const sums = this.#sumReports(nowMs);
-    const spread = this.#options.safetyDeviations *
-      Math.sqrt(sums.expectedEnds);
-    const lowerRequests = sums.loadRequests - sums.expectedEnds - spread;
+    const mostEnds = upperEnds(
+      sums.expectedEnds,
+      this.#options.safetyDeviations,
+    );
+    const reserve = this.#options.reserveRatio * sums.loadRequests;
+    const lowerRequests = sums.loadRequests - mostEnds - reserve;
     if (sums.targets === 0) return 0;
     const missingTargets = poolTargets - sums.targets;
     if (sums.reports < this.#options.sampleReports || missingTargets <= 0) {
@@ -167,6 +189,15 @@
   }
 }
 
+/**
+ * Upper quantile of a Poisson count, by its square root, which is close to
+ * normal with a deviation of a half also where the mean is small.
+ */
+function upperEnds(expectedEnds: number, deviations: number): number {
+  if (expectedEnds === 0) return 0;
+  return (Math.sqrt(expectedEnds) + deviations / 2) ** 2;
+}
+
 function sum(numbers: readonly number[]): number {
   return numbers.reduce((total, number) => total + number, 0);
 }
