Open a watch again that a hung platform never accepted

Cause: a platform that takes connections and never answers left a watch waiting for ever; only the relays' read every 4 s would have followed the head.

Change: a watch that is not accepted within 5 s is opened again.

--- a/packages/platform/src/testing/fake_key_value.ts
+++ b/packages/platform/src/testing/fake_key_value.ts
@@ -25,6 +25,8 @@
   lostWriteRequests: number;
   /** Only writes to keys with this prefix are lost. */
   lossKeyPrefix: string;
+  /** New watches are taken and never answered. */
+  areWatchesHung: boolean;
   /** Wait before each answer. */
   answerDelayMs: number;
 }
@@ -40,6 +42,7 @@
     lostWriteAnswers: 0,
     lostWriteRequests: 0,
     lossKeyPrefix: "",
+    areWatchesHung: false,
     answerDelayMs: 0,
   };
   readonly #openSinks = new Set<WatchSink>();
@@ -124,6 +127,7 @@
       queueMicrotask(() => sink.onEnd("lost"));
       return () => {};
     }
+    if (this.faults.areWatchesHung) return () => {};
     if (startRevision <= this.store.compactRevision) {
       queueMicrotask(() => sink.onEnd("compacted"));
       return () => {};
--- a/packages/platform/src/testing/fake_key_value_test.ts
+++ b/packages/platform/src/testing/fake_key_value_test.ts
@@ -70,6 +70,27 @@
     expect(batches).toHaveLength(4);
   });
 
+  it("opens a watch again that the service never accepted", async () => {
+    const timer = new VirtualTimerService();
+    const client = new FakeKeyValue(timer);
+    const batches: WatchBatch[] = [];
+    client.faults.areWatchesHung = true;
+    client.watch({
+      selection: { prefix: "k" },
+      startRevision: 1,
+      onBatch: (batch) => void batches.push(batch),
+    });
+    await settle();
+    await client.put("k1", "1");
+    client.faults.areWatchesHung = false;
+    timer.advance(10_000);
+    await settle();
+    expect(describeBatches(batches)).toEqual(["k1"]);
+    timer.advance(60_000);
+    await settle();
+    expect(client.calls.watches).toBe(2);
+  });
+
   it("delivers a snapshot after a compaction and after a restore", async () => {
     const timer = new VirtualTimerService();
     const client = new FakeKeyValue(timer);
--- a/packages/platform/src/watch_loop.ts
+++ b/packages/platform/src/watch_loop.ts
@@ -13,6 +13,9 @@
 /** Longest wait before a reconnect. */
 const MAX_BACKOFF_MS = 5_000;
 
+/** Longest wait until the service accepts a watch; a hung one never does. */
+const OPEN_TIMEOUT_MS = 5_000;
+
 /** What to watch, and who is told. */
 export interface WatchOptions {
   readonly selection: KeySelection;
@@ -100,6 +103,10 @@
       if (!isRead) return this.#reconnectLater();
     }
     const startRevision = this.#nextRevision ?? 1;
+    this.#cancelTimer = this.#parts.timer.after(OPEN_TIMEOUT_MS, () => {
+      this.#closeConnection();
+      this.#onEnd("lost");
+    });
     this.#closeConnection = this.#parts.open(
       this.#parts.options.selection,
       startRevision,
@@ -132,12 +139,14 @@
   }
 
   #onOpen(revision: number): void {
+    this.#cancelTimer();
     if (this.#isRestoredStore(revision)) return this.#restartFromSnapshot();
     this.#backoffMs = INITIAL_BACKOFF_MS;
     this.#parts.options.onConnected?.(true);
   }
 
   #onEvents(events: readonly WatchEvent[], revision: number): void {
+    this.#cancelTimer();
     if (this.#isRestoredStore(revision)) return this.#restartFromSnapshot();
     this.#nextRevision = revision + 1;
     this.#deliver({ kind: "events", events, revision });
@@ -162,6 +171,7 @@
   /** Waits with exponential backoff, between half and the whole of it. */
   #reconnectLater(): void {
     this.#generation += 1;
+    this.#cancelTimer();
     if (this.#isClosed) return;
     const delayMs = this.#backoffMs * (0.5 + 0.5 * this.#parts.random());
     this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
