Stop resuming streams whose tokens have no index; decide a fault after writing

Two faults of the daemon, found by new tests that failed first:

A stream from an engine that numbers no events, with doubled chunks and then broken off, was resumed by the count of relayed tokens. A stream with a token that has no index is now not resumed once a part of it was passed on; it ends as cut. 2. Where a fault stood in the same packet as good tokens, the result was decided before these were written, so it said that nothing was passed on, and the next try repeated them ("oak" twice in the test).

--- a/packages/bench/src/answers/answer_fixture.ts
+++ b/packages/bench/src/answers/answer_fixture.ts
@@ -1,4 +1,4 @@
-import type { Message, Run } from "@coltsfootford/standins";
+import type { EngineSettings, Message, Run } from "@coltsfootford/standins";
 import {
   Caller,
   type CallResult,
@@ -23,8 +23,16 @@
     this.fleet = fleet;
   }
 
-  static async start(): Promise<AnswerFixture> {
-    return new AnswerFixture(await Fleet.start(SMALL_PLAN));
+  /** Starts the small plan; `settings` go to all of its engines. */
+  static async start(
+    settings: Partial<EngineSettings> = {},
+  ): Promise<AnswerFixture> {
+    const pools = SMALL_PLAN.pools.map((pool) =>
+      pool.kind === "engine"
+        ? { ...pool, settings: { ...pool.settings, ...settings } }
+        : pool
+    );
+    return new AnswerFixture(await Fleet.start({ ...SMALL_PLAN, pools }));
   }
 
   async stop(): Promise<void> {
--- a/packages/bench/src/answers/faulty_answers_test.ts
+++ b/packages/bench/src/answers/faulty_answers_test.ts
@@ -6,7 +6,7 @@
   expect,
   it,
 } from "@jest/globals";
-import { expectedAnswer } from "@coltsfootford/standins";
+import { expectedAnswer, FOREIGN_ANSWER_ID } from "@coltsfootford/standins";
 import type { CallResult, ChatCall } from "../harness/index.ts";
 import { AnswerFixture } from "./answer_fixture.ts";
 
@@ -29,9 +29,20 @@
   },
 };
 
+/** Faults that leave no trace in a stream whose events have no ids. */
+const TRACELESS_FAULTS: Record<string, object> = {
+  "with every chunk twice": { doubledChunks: true },
+  "with every chunk twice, then broken off": {
+    doubledChunks: true,
+    truncateAfterTokens: 5,
+  },
+  "with the whole answer twice": { doubledAnswers: true },
+};
+
 /** Whether the caller was given a part of its own answer and nothing else. */
 function isOwnPart(call: ChatCall, result: CallResult): boolean {
   if (result.status !== 200) return true;
+  if (result.answerId === FOREIGN_ANSWER_ID) return false;
   return expectedAnswer(call.messages, call.maxTokens).text.startsWith(
     result.text,
   );
@@ -61,8 +72,9 @@
         await fixture.fleet.targets.setFaults(home, faults);
         const result = await fixture.ask(call);
         const next = await fixture.ask(call);
-        for (const { isOwnAndWhole, outcome } of [result, next]) {
+        for (const { isOwnAndWhole, outcome, answerId } of [result, next]) {
           expect([isOwnAndWhole, outcome]).toEqual([true, "completed"]);
+          expect(answerId).not.toBe(FOREIGN_ANSWER_ID);
         }
       });
 
@@ -79,3 +91,31 @@
     }
   }
 });
+
+describe("streams whose events have no ids", () => {
+  let fixture: AnswerFixture;
+
+  beforeAll(async () => {
+    fixture = await AnswerFixture.start({ sendsEventIds: false });
+  });
+
+  afterAll(async () => {
+    await fixture.stop();
+  });
+
+  for (const [name, faults] of Object.entries(TRACELESS_FAULTS)) {
+    it(`never look whole ${name} at one engine`, async () => {
+      const call = fixture.createCall(true);
+      const home = await fixture.findHome(call);
+      await fixture.fleet.targets.setFaults(home, faults);
+      const result = await fixture.ask(call);
+      expect(result.isEnded).toBe(result.isOwnAndWhole);
+      await fixture.clearFaults();
+    });
+  }
+
+  it("are whole where no engine has a fault", async () => {
+    const result = await fixture.ask(fixture.createCall(true));
+    expect(result).toMatchObject({ isOwnAndWhole: true, outcome: "completed" });
+  });
+});
--- a/packages/bench/src/harness/callers.ts
+++ b/packages/bench/src/harness/callers.ts
@@ -38,6 +38,8 @@
   readonly isEnded: boolean;
   /** Whether the text is the whole answer to this very request. */
   readonly isOwnAndWhole: boolean;
+  /** The id inside a chat's answer. */
+  readonly answerId: string;
   readonly firstByteMs: number;
   readonly totalMs: number;
   readonly cachedTokens: number;
@@ -47,6 +49,7 @@
   text: string;
   isEnded: boolean;
   outcome: string;
+  answerId: string;
   cachedTokens: number;
   firstByteMs: number;
 }
@@ -133,6 +136,7 @@
     text: "",
     isEnded: false,
     outcome: "",
+    answerId: "",
     cachedTokens: 0,
     firstByteMs: 0,
   };
@@ -189,6 +193,7 @@
   }
   const chunk = JSON.parse(data);
   if (chunk.error) collected.outcome = chunk.error.outcome ?? "";
+  collected.answerId = chunk.id ?? collected.answerId;
   collected.text += chunk.choices?.[0]?.delta?.content ?? "";
   collected.cachedTokens = chunk.usage?.prompt_tokens_details?.cached_tokens ??
     collected.cachedTokens;
@@ -205,6 +210,7 @@
   collected.isEnded = true;
   if (response.statusCode !== STATUS_OK) return;
   const answer = JSON.parse(text);
+  collected.answerId = answer.id;
   collected.text = answer.choices[0].message.content;
   collected.cachedTokens = answer.usage?.prompt_tokens_details?.cached_tokens ??
     0;
--- a/packages/daemon/src/entry/chunk_sequence.ts
+++ b/packages/daemon/src/entry/chunk_sequence.ts
@@ -22,6 +22,7 @@
   readonly #answerId: string;
   #relayedTokens = 0;
   #hasFinished = false;
+  #hasUnplacedToken = false;
 
   constructor(requestId: string) {
     this.#answerId = `chatcmpl-${requestId}`;
@@ -31,6 +32,14 @@
     return this.#relayedTokens;
   }
 
+  /**
+   * Whether another target can go on after what was relayed. A token without
+   * an index may have been a repeat, so the count of tokens may be wrong.
+   */
+  get isResumable(): boolean {
+    return !this.#hasUnplacedToken;
+  }
+
   /** Checks one event and counts its token where it is the next one. */
   check(event: EventSourceMessage): ChunkCheck {
     const chunk = parseChunk(event.data);
@@ -38,8 +47,10 @@
     const choice = chunk.choices[0];
     const isToken = Boolean(choice?.delta?.content);
     if (isToken) {
-      const order = this.#compareIndex(event.id);
+      const index = readIndex(event.id);
+      const order = this.#compareIndex(index);
       if (order !== "next") return order;
+      if (index === undefined) this.#hasUnplacedToken = true;
       this.#relayedTokens += 1;
     }
     if (choice?.finish_reason) {
@@ -55,12 +66,9 @@
     return this.#hasFinished ? "whole" : "gap";
   }
 
-  #compareIndex(eventId: string | undefined): ChunkCheck {
-    if (eventId === undefined || eventId === "") return "next";
-    const index = Number(eventId);
-    if (!Number.isInteger(index)) return "next";
-    if (index < this.#relayedTokens) return "repeated";
-    return index === this.#relayedTokens ? "next" : "gap";
+  #compareIndex(index: number | undefined): ChunkCheck {
+    if (index === undefined || index === this.#relayedTokens) return "next";
+    return index < this.#relayedTokens ? "repeated" : "gap";
   }
 
   #matchesUsage(completionTokens: number | undefined): boolean {
@@ -76,3 +84,10 @@
     return undefined;
   }
 }
+
+/** The index of a token, where the engine numbers its events. */
+function readIndex(eventId: string | undefined): number | undefined {
+  if (eventId === undefined || eventId === "") return undefined;
+  const index = Number(eventId);
+  return Number.isInteger(index) ? index : undefined;
+}
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -39,7 +39,7 @@
   }
 
   override canResume(): boolean {
-    return true;
+    return this.#sequence.isResumable;
   }
 
   override resumeHeaders(): Readonly<Record<string, string>> {
@@ -119,24 +119,26 @@
     body: Readable,
   ): AttemptResult | undefined {
     let text = "";
-    let end: AttemptResult | undefined;
+    let fault: string | undefined;
+    let isWhole = false;
     for (const event of events) {
       const check: ChunkCheck = event.data === DONE
         ? this.#sequence.checkEnd()
         : this.#sequence.check(event);
       if (check === "repeated") continue;
-      if (check === "foreign") end = this.#failed("a chunk is not its own");
-      if (check === "gap") end = this.#failed("the stream has a gap");
-      if (check === "whole") {
-        text += WHOLE_END;
-        end = { kind: "answered" };
-      }
-      if (end) break;
+      if (check === "foreign") fault = "a chunk is not its own";
+      if (check === "gap") fault = "the stream has a gap";
+      isWhole = check === "whole";
+      if (fault !== undefined || isWhole) break;
       text += `data: ${event.data}\n\n`;
     }
+    if (isWhole) text += WHOLE_END;
+    // What was passed on decides what a fault means, so it is written first.
     if (text !== "") this.#write(text, body);
-    if (end?.kind === "answered") this.#outgoing.end();
-    return end;
+    if (fault !== undefined) return this.#failed(fault);
+    if (!isWhole) return undefined;
+    this.#outgoing.end();
+    return { kind: "answered" };
   }
 
   /** Writes to the caller and holds the target back where the caller is slow. */
--- a/packages/standins/src/engine/chat_handler.ts
+++ b/packages/standins/src/engine/chat_handler.ts
@@ -26,12 +26,11 @@
 import type { EngineFaults } from "./engine_faults.ts";
 import type { EngineOptions } from "./engine_options.ts";
 import type { PrefixCache } from "./prefix_cache.ts";
+import { ForeignChats } from "./foreign_chats.ts";
 import { listPrefixes, type Message, type Prefix } from "./prompt.ts";
 
-/** Text that stands for the prompt of a request nobody here sent. */
-const FOREIGN_MESSAGES: Message[] = [
-  { role: "user", content: "a request of somebody else" },
-];
+/** The id of an answer with the fault of a wrong id. */
+export const FOREIGN_ANSWER_ID = "chatcmpl-of-another-request";
 
 const cancelSchema = z.object({ request_id: z.string().min(1) });
 
@@ -60,7 +59,7 @@
 export class ChatHandler {
   readonly #parts: ChatHandlerParts;
   readonly #jobs = new Map<string, ChatJob>();
-  #lastMessages: readonly Message[] = FOREIGN_MESSAGES;
+  readonly #foreign = new ForeignChats();
 
   constructor(parts: ChatHandlerParts) {
     this.#parts = parts;
@@ -122,7 +121,6 @@
     response.on("close", () => {
       if (run.end === "running") this.#parts.batch.cancel(job);
     });
-    this.#lastMessages = request.messages;
     this.#parts.batch.add(job);
   }
 
@@ -181,7 +179,10 @@
       cachedTokens: prompt.cachedTokens,
       resumeAfterTokens: headers.resumeAfterTokens,
       answer,
-      crossedAnswer: expectedAnswer(this.#lastMessages, maxTokens),
+      crossedAnswer: expectedAnswer(
+        this.#foreign.exchange(headers.chat, request.messages),
+        maxTokens,
+      ),
       faults,
       createWriter: () =>
         this.#createWriter(headers, request, response, run, faults),
@@ -202,9 +203,7 @@
     const isForeign = faults.wrongId || faults.crossedAnswers;
     const head = {
       requestId: headers.requestId,
-      answerId: isForeign
-        ? "chatcmpl-of-another-request"
-        : `chatcmpl-${headers.requestId}`,
+      answerId: isForeign ? FOREIGN_ANSWER_ID : `chatcmpl-${headers.requestId}`,
       model: request.model,
     };
     const { sendsEventIds } = this.#parts.options;
