--- a/packages/bench/src/answers/answer_fixture.ts
+++ b/packages/bench/src/answers/answer_fixture.ts
@@ -11,6 +11,9 @@
 /** The engines of the small plan. */
 export const ENGINES = ["writer-1", "writer-2", "writer-3"] as const;
 
+/** The services of the small plan. */
+export const SERVICES = ["desk-1", "desk-2"] as const;
+
 const MAX_TOKENS = 40;
 
 /** A small fleet of processes with a caller before it. */
--- a/packages/bench/src/harness/callers.ts
+++ b/packages/bench/src/harness/callers.ts
@@ -15,6 +15,7 @@
   readonly maxTokens: number;
   readonly isStream: boolean;
   readonly priority?: number;
+  readonly deadlineMs?: number;
 }
 
 /** A call to a plain service. */
@@ -24,6 +25,7 @@
   readonly path: string;
   readonly body: string;
   readonly idempotencyKey?: string;
+  readonly deadlineMs?: number;
 }
 
 /** What a caller saw of its request. */
@@ -143,23 +145,31 @@
 }
 
 function chatHeaders(call: ChatCall): Record<string, string> {
-  return {
+  return createHeaders({
     "x-coltsfoot-team": call.team,
     "x-coltsfoot-chat": call.chat,
-    ...(call.priority === undefined
-      ? {}
-      : { "x-coltsfoot-priority": String(call.priority) }),
-  };
+    "x-coltsfoot-priority": call.priority,
+    "x-coltsfoot-deadline-ms": call.deadlineMs,
+  });
 }
 
 function serviceHeaders(call: ServiceCall): Record<string, string> {
-  const { team, idempotencyKey } = call;
-  return {
-    "x-coltsfoot-team": team,
-    ...(idempotencyKey === undefined
-      ? {}
-      : { "idempotency-key": idempotencyKey }),
-  };
+  return createHeaders({
+    "x-coltsfoot-team": call.team,
+    "idempotency-key": call.idempotencyKey,
+    "x-coltsfoot-deadline-ms": call.deadlineMs,
+  });
+}
+
+/** Leaves out the headers that have no value. */
+function createHeaders(
+  values: Record<string, string | number | undefined>,
+): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(values)) {
+    if (value !== undefined) headers[name] = String(value);
+  }
+  return headers;
 }
 
 function readOutcome(response: Dispatcher.ResponseData): string {
