--- /dev/null
+++ b/packages/bench/src/harness/tcp_link_test.ts
@@ -0,0 +1,66 @@
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+import { type PlainService, startPlainService } from "@coltsfootford/standins";
+import { Agent, request } from "undici";
+import { ZoneLinks } from "./zone_links.ts";
+
+const ONE_WAY_DELAY_MS = 50;
+
+describe("ZoneLinks", () => {
+  let service: PlainService;
+  let links: ZoneLinks;
+  let agent: Agent;
+
+  beforeEach(async () => {
+    service = await startPlainService({ name: "desk-1", runMs: 0 });
+    links = new ZoneLinks(ONE_WAY_DELAY_MS);
+    agent = new Agent();
+  });
+
+  afterEach(async () => {
+    await agent.destroy();
+    await links.close();
+    await service.close();
+  });
+
+  async function call(port: number): Promise<string> {
+    const url = `http://127.0.0.1:${port}/echo`;
+    const body = "x".repeat(1_000_000);
+    const response = await request(url, {
+      method: "POST",
+      headers: { "x-request-id": "r1" },
+      body,
+      dispatcher: agent,
+    });
+    return await response.body.text();
+  }
+
+  it("delays both ways and passes everything on", async () => {
+    const port = await links.reach("a", "b", service.port);
+    const startedMs = performance.now();
+    const delayed = await call(port);
+    const elapsedMs = performance.now() - startedMs;
+    expect(delayed).toBe(await call(service.port));
+    // Timers may fire up to a millisecond early.
+    expect(elapsedMs).toBeGreaterThan(2 * ONE_WAY_DELAY_MS - 2);
+  });
+
+  it("gives the port itself inside a zone, and one link to all who ask", async () => {
+    expect(await links.reach("a", "a", service.port)).toBe(service.port);
+    const ports = await Promise.all(
+      [1, 2].map(() => links.reach("a", "b", service.port)),
+    );
+    expect(ports[0]).toBe(ports[1]);
+  });
+
+  it("cuts a zone off in both directions and heals it", async () => {
+    const out = await links.reach("a", "b", service.port);
+    const back = await links.reach("b", "a", service.port);
+    const other = await links.reach("c", "b", service.port);
+    await links.cutZone("a", { platform: false });
+    await expect(call(out)).rejects.toThrow();
+    await expect(call(back)).rejects.toThrow();
+    expect(await call(other)).toContain("desk-1");
+    await links.healZone("a");
+    expect(await call(out)).toContain("desk-1");
+  });
+});
