--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -40,6 +40,7 @@
   readonly #createdAtMs: number;
   /** Requests of lost holders that the last report showed to be running. */
   #lostRequests = 0;
+  #holderLostAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: TargetLedgerOptions, createdAtMs: number) {
     this.#options = options;
@@ -65,7 +66,9 @@
       this.#lostRequests,
       this.#countOrphans(nowMs),
     );
-    return this.#heldRequests + lostRequests - this.#countOnTheWay(nowMs);
+    const permitRequests = this.#heldRequests + lostRequests -
+      this.#countOnTheWay(nowMs);
+    return Math.min(permitRequests, this.#reportBound());
   }
 
   /** Upper bound of the target's load at `nowMs`. */
@@ -73,9 +76,12 @@
     const orphanRequests = this.#countOrphans(nowMs);
     const permitBound = this.#heldRequests + orphanRequests;
     this.#forgetOldReport(nowMs);
-    if (!this.#report || orphanRequests === 0) return permitBound;
-    const reportBound = this.#report.loadRequests + this.#grantTimesMs.length;
-    return Math.min(permitBound, reportBound);
+    return Math.min(permitBound, this.#reportBound());
+  }
+
+  #reportBound(): number {
+    if (!this.#report) return Number.POSITIVE_INFINITY;
+    return this.#report.loadRequests + this.#grantTimesMs.length;
   }
 
   /**
@@ -120,6 +126,8 @@
     if (!held) return;
     this.#heldByHolder.delete(holder);
     this.#heldRequests -= held.size;
+    this.#holderLostAtMs = nowMs;
+    this.#lostRequests = 0;
     this.addOrphans(held.size, nowMs);
   }
 
@@ -149,13 +157,17 @@
     const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
       this.#releaseTimesMs.length;
     this.addOrphans(report.loadRequests - explainedRequests, nowMs);
-    this.#lostRequests = Math.max(
-      0,
-      report.loadRequests - this.#heldRequests - this.#releaseTimesMs.length,
-    );
+    this.#lostRequests = this.#countLost(report);
     this.#limitOrphans(report.loadRequests - this.#countRunning(measuredAtMs));
   }
 
+  /** A report from before a holder was lost may count what ended with it. */
+  #countLost({ loadRequests, measuredAtMs }: TargetReport): number {
+    if (measuredAtMs < this.#holderLostAtMs) return 0;
+    const explainedRequests = this.#heldRequests + this.#releaseTimesMs.length;
+    return Math.max(0, loadRequests - explainedRequests);
+  }
+
   /**
    * Permits that were in use at `measuredAtMs`: they had to be started before
    * and are held still. A permit that ended before it would be back by now; if
