--- a/packages/bench/src/capacity/measure_permits.ts
+++ b/packages/bench/src/capacity/measure_permits.ts
@@ -13,7 +13,7 @@
   permitReturnParamsSchema,
   type PoolLoadReport,
 } from "@coltsfootford/core";
-import { measureCpuUs } from "./slope.ts";
+import { measureCpuUs, measureHeapBytes } from "./slope.ts";
 
 const POOL: KeptPool = {
   name: "writers",
@@ -40,10 +40,13 @@
   return book;
 }
 
-function createReport(measuredAtMs: number): PoolLoadReport {
+function createReport(
+  measuredAtMs: number,
+  loadRequests = LOAD_PER_TARGET,
+): PoolLoadReport {
   const loadsRequests = Array.from(
     { length: TARGETS_PER_KEEPER },
-    () => LOAD_PER_TARGET,
+    () => loadRequests,
   );
   return { pool: "writers", loadsRequests, endedPerSecond: 8.6, measuredAtMs };
 }
@@ -124,3 +127,28 @@
   const message: { readonly params: unknown } = JSON.parse(text);
   return message.params;
 }
+
+/** Heap of one permit at its keeper and at its holder, together. */
+export function measurePermitBytes(permits: number): number {
+  return measureHeapBytes(permits, () => {
+    const book = new KeeperBook("keeper");
+    book.setPool({
+      ...POOL,
+      servingTargets: 4,
+      maxConcurrentPerTarget: permits,
+      loadFactor: 10,
+    });
+    book.notePoolReport("other", createReport(0, permits), 0);
+    const holder = new PermitHolder();
+    const request = book.beginKeeping("target-0", "writers", ["h"], 0);
+    book.noteCollectAnswer("h", holder.answerCollect(request), 0);
+    for (let index = 0; index < permits; index++) {
+      const askId = holder.createAsk("target-0", "keeper", 0);
+      const answer = book.answer("h", { askId, target: "target-0" }, 0);
+      if (answer?.kind !== "granted") throw new Error("a permit was refused");
+      holder.noteGrant(answer, 0);
+      holder.start(askId, 0);
+    }
+    return { book, holder };
+  });
+}
--- a/packages/bench/src/capacity/run_capacity.ts
+++ b/packages/bench/src/capacity/run_capacity.ts
@@ -4,7 +4,11 @@
 import { LOSSY_LINKS } from "../membership/fake_link.ts";
 import { measureBytes } from "../membership/measure.ts";
 import { formatTable } from "../report/index.ts";
-import { countExchangeBytes, measureExchangeUs } from "./measure_permits.ts";
+import {
+  countExchangeBytes,
+  measureExchangeUs,
+  measurePermitBytes,
+} from "./measure_permits.ts";
 import { measurePlacementUs, measureTargetBytes } from "./measure_placement.ts";
 import {
   fitSlope,
@@ -20,6 +24,8 @@
 }
 
 const POOL_SIZES = [13, 130, 507, 1_775];
+const VIEW_SIZES = [1_775, 7_100, 28_400];
+const PERMIT_COUNTS = [1_000, 4_000, 16_000];
 const KEEPER_COUNTS = [5, 50, 192, 500];
 const ZONE_SIZES = [12, 48, 96, 192];
 const TEAM_COUNTS = [570, 1_900, 5_700];
@@ -43,9 +49,16 @@
     ) => measureExchangeUs(size)),
     ...measureMembership(),
     ...measureConfig(),
-    measure("view of a target", "targets", "bytes each", POOL_SIZES.slice(1), (
+    measure(
+      "a target in a view",
+      "targets",
+      "bytes each",
+      VIEW_SIZES,
+      (size) => measureTargetBytes(size),
+    ),
+    measure("a permit, both ends", "permits", "bytes each", PERMIT_COUNTS, (
       size,
-    ) => measureTargetBytes(size)),
+    ) => measurePermitBytes(size)),
     measure(
       "a team in memory",
       "teams",
