Wait in line at a keeper instead of asking all targets again and again

Cause: while a pool was full, a waiting request asked every target each 10 ms; 6 daemons at 200 short calls/s before 3 targets of load factor 2 sent 3.2 MB of asks in 8 s each, and a pass over a pool of thousands would ask them all. Change: a search asks at most 8 targets, then waits 100 ms in line at one keeper after another, with the wait that asks have already.

--- a/packages/daemon/src/entry/permit_gate.ts
+++ b/packages/daemon/src/entry/permit_gate.ts
@@ -26,5 +26,7 @@
     context: RequestContext,
     /** Whether the target is the first in the request's order. */
     isHome: boolean,
+    /** How long to wait while the target is full, 0 for not at all. */
+    waitInLineMs: number,
   ): Promise<Result<Permit, PermitRefusal>>;
 }
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -11,6 +11,10 @@
 /** A suspect asks other daemons for a target, so it asks less often. */
 const SUSPECT_WAIT_MS = 100;
 const MAX_ISOLATION_ASKS = 3;
+/** Targets that are asked for a place before the request waits in line. */
+const MAX_ASKS = 8;
+/** How long a request waits in line at one keeper. */
+const WAIT_IN_LINE_MS = 100;
 
 /** A target that may take the request, with the permit for it. */
 export interface Place {
@@ -53,8 +57,8 @@
   /** Waits for a place; undefined once the request has been aborted. */
   async find(question: PlaceQuestion): Promise<Place | undefined> {
     const { context, ticket, isSuspect } = question;
-    while (!context.signal.aborted) {
-      const place = await this.#findNow(question);
+    for (let pass = 0; !context.signal.aborted; pass++) {
+      const place = await this.#findNow(question, pass);
       if (place) {
         ticket.setBlocked(false);
         return place;
@@ -67,6 +71,24 @@
     return undefined;
   }
 
+  /**
+   * Asks the first targets in order. Once they were full, the request waits
+   * in line at one keeper after another, which costs fewer messages than
+   * asking all of them again and again.
+   */
+  async #askInTurn(
+    candidates: readonly TargetView[],
+    context: RequestContext,
+    pass: number,
+  ): Promise<Place | undefined> {
+    if (pass === 0) {
+      return await this.#takeFirst(candidates.slice(0, MAX_ASKS), context, 0);
+    }
+    const target = candidates[(pass - 1) % Math.max(1, candidates.length)];
+    if (!target) return undefined;
+    return await this.#takeFirst([target], context, WAIT_IN_LINE_MS);
+  }
+
   /** Lets the searches look again, after a place was given back. */
   noteRelease(): void {
     for (const wake of [...this.#waiting]) wake();
@@ -77,13 +99,18 @@
     this.#unreachable.note(target.name);
   }
 
-  async #findNow(question: PlaceQuestion): Promise<Place | undefined> {
+  async #findNow(
+    question: PlaceQuestion,
+    pass: number,
+  ): Promise<Place | undefined> {
     const { context, tried } = question;
     const all = this.#parts.placement.orderTargets(context);
     const untried = all.filter((target) => !tried.has(target.name));
     const candidates = (untried.length > 0 ? untried : all)
       .filter((target) => !this.#unreachable.has(target.name));
-    if (!question.isSuspect) return await this.#takeFirst(candidates, context);
+    if (!question.isSuspect) {
+      return await this.#askInTurn(candidates, context, pass);
+    }
     for (const target of candidates.slice(0, MAX_ISOLATION_ASKS)) {
       const place = await this.#takeIsolated(target, context);
       if (place) return place;
@@ -102,7 +129,7 @@
       context.deadlineAtMs - timer.nowMs(),
     );
     if (!endIsolation) return undefined;
-    const place = await this.#takeFirst([target], context);
+    const place = await this.#takeFirst([target], context, 0);
     if (!place) {
       endIsolation();
       return undefined;
@@ -113,6 +140,7 @@
   async #takeFirst(
     candidates: readonly TargetView[],
     context: RequestContext,
+    waitInLineMs: number,
   ): Promise<Place | undefined> {
     for (const [index, target] of candidates.entries()) {
       const isHome = index === 0;
@@ -120,6 +148,7 @@
         target,
         context,
         isHome,
+        waitInLineMs,
       );
       if (permit.isOk()) return { target, permit: permit.value };
     }
--- a/packages/daemon/src/keepers/keeper_permit_gate.ts
+++ b/packages/daemon/src/keepers/keeper_permit_gate.ts
@@ -28,8 +28,10 @@
     target: TargetView,
     context: RequestContext,
     isHome: boolean,
+    waitInLineMs: number,
   ): Promise<Result<Permit, PermitRefusal>> {
-    const waitMs = isHome ? waitForHomeMs(context) : 0;
+    const homeMs = isHome ? waitForHomeMs(context) : 0;
+    const waitMs = Math.max(homeMs, waitInLineMs);
     return new Promise((resolve) => {
       const parts = waitMs > 0 ? { waitMs } : {};
       this.#node.ask(target.name, parts, (outcome) => {
