--- a/packages/bench/src/replay/entry.ts
+++ b/packages/bench/src/replay/entry.ts
@@ -1,8 +1,4 @@
-import {
-  homeWaitMs,
-  MAX_ASK_WAIT_MS,
-  type PlacementPolicy,
-} from "@coltsfootford/core";
+import { homeWaitMs, type PlacementPolicy } from "@coltsfootford/core";
 import type { Deployment, TraceRequest } from "../load/index.ts";
 import type { Admission, AdmissionGate, GateAnswer } from "./admission_gate.ts";
 import type { FakeDaemon } from "./fake_daemon.ts";
@@ -12,8 +8,9 @@
 
 /** Delay between callers and daemons, one way, in ms. */
 const CLIENT_DELAY_MS = 1;
-/** Pause before all targets of the order are asked again. */
+/** Pause before all targets of the order are asked again; it doubles. */
 const RETRY_MS = 25;
+const MAX_RETRY_DOUBLINGS = 4;
 const DEADLINE_MS = 60_000;
 const MAX_TARGETS = 6;
 /** Time after which a stalled stream across a cut is given up. */
@@ -23,8 +20,10 @@
   readonly daemon: FakeDaemon;
   readonly request: TraceRequest;
   readonly order: readonly string[];
-  index: number;
-  hasWaited: boolean;
+  /** The targets of the order that have not failed the request. */
+  left: readonly string[];
+  /** How often all targets of the order were full. */
+  readonly waits: number;
 }
 
 interface Flight {
@@ -69,7 +68,7 @@
     }
     this.#world.heap.after(
       CLIENT_DELAY_MS,
-      () => daemon.run(() => this.#place(daemon, request, false)),
+      () => daemon.run(() => this.#place(daemon, request, 0)),
     );
   }
 
@@ -102,7 +101,7 @@
   #place(
     daemon: FakeDaemon,
     request: TraceRequest,
-    hasWaited: boolean,
+    waits: number,
   ): void {
     const order = this.#policyOf(daemon).orderTargets(
       {
@@ -118,57 +117,60 @@
       daemon,
       request,
       order,
-      index: 0,
-      hasWaited,
+      left: order,
+      waits,
     };
     this.#askNext(attempt);
   }
 
   #askNext(attempt: Attempt): void {
-    const target = attempt.order[attempt.index];
-    if (target === undefined) return this.#wait(attempt);
+    if (attempt.left.length === 0) return this.#wait(attempt);
     this.#gate.ask({
       daemon: attempt.daemon,
-      target,
+      order: attempt.left,
       request: attempt.request,
       waitMs: this.#waitMs(attempt),
-      onAnswer: (answer) => this.#takeAnswer(attempt, target, answer),
+      onAnswer: (answer) => this.#takeAnswer(attempt, answer),
     });
   }
 
   /** The first target is worth a wait; so is any once all were full. */
   #waitMs(attempt: Attempt): number {
-    if (attempt.index > 0) return 0;
-    if (attempt.hasWaited) return MAX_ASK_WAIT_MS;
+    if (attempt.left.length < attempt.order.length) return 0;
+    if (attempt.waits > 0) return 0;
     const { prefixTokens } = attempt.request;
     return homeWaitMs(this.#deployment.reuseWeight, prefixTokens);
   }
 
-  #takeAnswer(attempt: Attempt, target: string, answer: GateAnswer): void {
-    if (typeof answer !== "string") return this.#send(attempt, target, answer);
-    attempt.index += 1;
+  #takeAnswer(attempt: Attempt, answer: GateAnswer): void {
+    if (typeof answer !== "string") return this.#send(attempt, answer);
+    this.#wait(attempt);
+  }
+
+  /** Goes on without a target that did not take the request. */
+  #leaveOut(attempt: Attempt, target: string): void {
+    attempt.left = attempt.left.filter((name) => name !== target);
     this.#askNext(attempt);
   }
 
   #wait(attempt: Attempt): void {
     const { daemon, request } = attempt;
-    if (!attempt.hasWaited) this.#metrics.waited += 1;
+    if (attempt.waits === 0) this.#metrics.waited += 1;
     if (this.#world.heap.nowMs - request.atMs > DEADLINE_MS) {
       this.#metrics.refused += 1;
       return;
     }
+    const doublings = Math.min(attempt.waits, MAX_RETRY_DOUBLINGS);
     this.#world.heap.after(
-      RETRY_MS,
-      () => daemon.run(() => this.#place(daemon, request, true)),
+      RETRY_MS * 2 ** doublings,
+      () => daemon.run(() => this.#place(daemon, request, attempt.waits + 1)),
     );
   }
 
-  #send(attempt: Attempt, target: string, admission: Admission): void {
+  #send(attempt: Attempt, admission: Admission): void {
     const { daemon } = attempt;
-    if (!admission.start()) {
-      attempt.index += 1;
-      return this.#askNext(attempt);
-    }
+    const { target } = admission;
+    if (!admission.start()) return this.#leaveOut(attempt, target);
     const engine = this.#world.engine(target)!;
     const flight: Flight = {
       daemon,
@@ -191,14 +193,14 @@
       return this.#afterDelay(flight, () =>
         daemon.run(() => {
           this.#finish(flight);
-          attempt.index += 1;
-          this.#askNext(attempt);
+          this.#leaveOut(attempt, engine.name);
         }));
     }
     const { request } = attempt;
     const allowedRequests = this.#world.allowedLoadRequests(engine);
     this.#metrics.noteAdmission(engine.loadRequests + 1, allowedRequests);
-    if (attempt.index > 0) this.#metrics.spilled += 1;
+    const isSpilled = engine.name !== attempt.order[0];
+    if (isSpilled) this.#metrics.spilled += 1;
     flight.running = engine.start({
       chat: request.chat,
       prefixTokens: request.prefixTokens,
--- a/packages/bench/src/replay/replay_node.ts
+++ b/packages/bench/src/replay/replay_node.ts
@@ -1,11 +1,11 @@
 import {
   type AskOutcome,
+  KeeperTable,
   type KeptTargetView,
   type PermitMessage,
   PermitNode,
   type PermitNodeOptions,
   type PermitView,
-  pickByRendezvous,
 } from "@coltsfootford/core";
 import { DaemonTimer } from "./daemon_timer.ts";
 import type { FakeDaemon } from "./fake_daemon.ts";
@@ -28,7 +28,7 @@
   readonly permits: PermitNode;
   readonly #world: World;
   readonly #timer: DaemonTimer;
-  readonly #keepers = new Map<string, string | undefined>();
+  readonly #keepers = new KeeperTable();
   #keepersVersion = -1;
   #keptVersion = -1;
 
@@ -57,16 +57,16 @@
     this.#timer.every(POLL_MS, () => this.#pollTargets());
   }
 
-  /** Asks the target's keeper for a place. */
+  /** Asks the keepers of the targets for a place. */
   ask(
-    target: string,
+    order: readonly string[],
     waitMs: number,
     onOutcome: (outcome: AskOutcome) => void,
   ): void {
-    this.permits.ask(target, waitMs > 0 ? { waitMs } : {}, (outcome) => {
+    this.permits.askAny(order, waitMs, (outcome) => {
       if (typeof outcome === "string") return onOutcome(outcome);
       const end = () => this.daemon.run(outcome.end);
-      onOutcome({ start: outcome.start, end });
+      onOutcome({ ...outcome, end });
     });
   }
 
@@ -77,6 +77,14 @@
     }
   }
 
+  /** Without their keeper, its targets are out of the pool. */
+  stopServing(): void {
+    for (const target of this.permits.book.keptTargets()) {
+      const engine = this.#world.engine(target);
+      if (engine) engine.isServing = false;
+    }
+  }
+
   peerBack(peer: string): void {
     const targets = this.daemon.view.targets().map((target) => target.name);
     this.permits.peerBack(peer, targets);
@@ -92,19 +100,23 @@
     };
   }
 
-  /** The daemon of the target's zone that keeps it by this daemon's view. */
+  /** The daemon that keeps a target by this daemon's view. */
   #keeperOf(target: string): string | undefined {
-    this.#forgetOldKeepers();
-    if (this.#keepers.has(target)) return this.#keepers.get(target);
-    const zone = this.daemon.view.target(target)?.availabilityZone;
-    const daemons = this.daemon.view.daemons();
-    const inZone = [...daemons.keys()].filter((name) =>
-      daemons.get(name) === zone
-    );
-    const candidates = inZone.length > 0 ? inZone : [...daemons.keys()];
-    const keeper = pickByRendezvous(target, candidates);
-    this.#keepers.set(target, keeper);
-    return keeper;
+    this.#assignKeepers();
+    const view = this.daemon.view.target(target);
+    return view && this.#keepers.keeperOf({ ...view, pool: POOL })?.vm;
+  }
+
+  #assignKeepers(): void {
+    const { view } = this.daemon;
+    if (this.#keepersVersion === view.version) return;
+    this.#keepersVersion = view.version;
+    const targets = view.targets().map((it) => ({ ...it, pool: POOL }));
+    const daemons = [...view.daemons()].map(([vm, availabilityZone]) => ({
+      vm,
+      availabilityZone,
+    }));
+    this.#keepers.update(targets, daemons);
   }
 
   #otherKeepers(): readonly string[] {
@@ -116,12 +128,6 @@
     return [...names];
   }
 
-  #forgetOldKeepers(): void {
-    if (this.#keepersVersion === this.daemon.view.version) return;
-    this.#keepersVersion = this.daemon.view.version;
-    this.#keepers.clear();
-  }
-
   #tick(): void {
     this.#assign();
     this.permits.tick();
@@ -155,15 +161,14 @@
       .map(({ name, startedAtMs }) => {
         const isYoung = startedAtMs !== undefined &&
           nowMs - startedAtMs < STARTED_AGE_MS;
-        const isNew = isYoung || !this.#world.engine(name)?.isServing;
-        return { name, pool: POOL, isNew, isLeaving: false };
+        return { name, pool: POOL, isNew: isYoung, isLeaving: false };
       });
   }
 
   /** A target is in the pool once its keeper grants. */
   #noteServing(target: string): void {
     const engine = this.#world.engine(target);
-    if (!engine?.isUp || engine.isServing) return;
+    if (!engine?.isUp || engine.isServing || engine.isLeaving) return;
     const nowMs = this.#world.heap.nowMs;
     if (this.permits.book.isGranting(target, nowMs)) engine.isServing = true;
   }
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -7,14 +7,14 @@
 import { UnreachableTargets } from "./unreachable_targets.ts";
 import type { TargetOrder } from "./target_order.ts";
 
-const FULL_POOL_WAIT_MS = 10;
+/** First and longest pause after all targets that were asked were full. */
+const MIN_PAUSE_MS = 10;
+const MAX_PAUSE_MS = 80;
+/** Most targets that are asked before a pause. */
+const MAX_ASKED_TARGETS = 16;
 /** A suspect asks other daemons for a target, so it asks less often. */
 const SUSPECT_WAIT_MS = 100;
 const MAX_ISOLATION_ASKS = 3;
-/** Targets that are asked for a place before the request waits in line. */
-const MAX_ASKS = 8;
-/** How long a request waits in line at one keeper. */
-const WAIT_IN_LINE_MS = 100;
 
 /** A target that may take the request, with the permit for it. */
 export interface Place {
@@ -66,29 +66,11 @@
       // A suspect waits for a target of its own, which says nothing about
       // room for others.
       if (!isSuspect) ticket.setBlocked(true);
-      await this.#wait(isSuspect ? SUSPECT_WAIT_MS : FULL_POOL_WAIT_MS);
+      await this.#wait(isSuspect ? SUSPECT_WAIT_MS : pauseMs(pass));
     }
     return undefined;
   }
 
-  /**
-   * Asks the first targets in order. Once they were full, the request waits
-   * in line at one keeper after another, which costs fewer messages than
-   * asking all of them again and again.
-   */
-  async #askInTurn(
-    candidates: readonly TargetView[],
-    context: RequestContext,
-    pass: number,
-  ): Promise<Place | undefined> {
-    if (pass === 0) {
-      return await this.#takeFirst(candidates.slice(0, MAX_ASKS), context, 0);
-    }
-    const target = candidates[(pass - 1) % Math.max(1, candidates.length)];
-    if (!target) return undefined;
-    return await this.#takeFirst([target], context, WAIT_IN_LINE_MS);
-  }
-
   /** Lets the searches look again, after a place was given back. */
   noteRelease(): void {
     for (const wake of [...this.#waiting]) wake();
@@ -109,7 +91,7 @@
     const candidates = (untried.length > 0 ? untried : all)
       .filter((target) => !this.#unreachable.has(target.name));
     if (!question.isSuspect) {
-      return await this.#askInTurn(candidates, context, pass);
+      return await this.#takeFirst(chooseAsked(candidates, pass), context);
     }
     for (const target of candidates.slice(0, MAX_ISOLATION_ASKS)) {
       const place = await this.#takeIsolated(target, context);
@@ -129,7 +111,7 @@
       context.deadlineAtMs - timer.nowMs(),
     );
     if (!endIsolation) return undefined;
-    const place = await this.#takeFirst([target], context, 0);
+    const place = await this.#takeFirst([target], context);
     if (!place) {
       endIsolation();
       return undefined;
@@ -140,18 +122,13 @@
   async #takeFirst(
     candidates: readonly TargetView[],
     context: RequestContext,
-    waitInLineMs: number,
   ): Promise<Place | undefined> {
-    for (const [index, target] of candidates.entries()) {
-      const isHome = index === 0;
-      const permit = await this.#parts.permitGate.acquire(
-        target,
-        context,
-        isHome,
-        waitInLineMs,
-      );
-      if (permit.isOk()) return { target, permit: permit.value };
-    }
+    const result = await this.#parts.permitGate.acquire(candidates, context);
+    if (result.isErr()) return undefined;
+    const permit = result.value;
+    const target = candidates.find((it) => it.name === permit.target);
+    if (target) return { target, permit };
+    permit.release();
     return undefined;
   }
 
@@ -168,3 +145,18 @@
     });
   }
 }
+
+/** The pause doubles, so that a full pool is not asked all the time. */
+function pauseMs(pass: number): number {
+  return Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** Math.min(pass, 10));
+}
+
+/** The targets to ask in this pass: the best first, then the next ones. */
+function chooseAsked(
+  candidates: readonly TargetView[],
+  pass: number,
+): readonly TargetView[] {
+  if (candidates.length <= MAX_ASKED_TARGETS) return candidates;
+  const first = (pass * MAX_ASKED_TARGETS) % candidates.length;
+  return candidates.slice(first, first + MAX_ASKED_TARGETS);
+}
