--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -7,7 +7,11 @@
 import { UnreachableTargets } from "./unreachable_targets.ts";
 import type { TargetOrder } from "./target_order.ts";
 
-const FULL_POOL_WAIT_MS = 10;
+/** First and longest pause after all targets that were asked were full. */
+const MIN_PAUSE_MS = 10;
+const MAX_PAUSE_MS = 80;
+/** Most targets that are asked before a pause. */
+const MAX_ASKED_TARGETS = 16;
 /** A suspect asks other daemons for a target, so it asks less often. */
 const SUSPECT_WAIT_MS = 100;
 const MAX_ISOLATION_ASKS = 3;
@@ -53,8 +57,8 @@
   /** Waits for a place; undefined once the request has been aborted. */
   async find(question: PlaceQuestion): Promise<Place | undefined> {
     const { context, ticket, isSuspect } = question;
-    while (!context.signal.aborted) {
-      const place = await this.#findNow(question);
+    for (let pass = 0; !context.signal.aborted; pass++) {
+      const place = await this.#findNow(question, pass);
       if (place) {
         ticket.setBlocked(false);
         return place;
@@ -62,7 +66,7 @@
       // A suspect waits for a target of its own, which says nothing about
       // room for others.
       if (!isSuspect) ticket.setBlocked(true);
-      await this.#wait(isSuspect ? SUSPECT_WAIT_MS : FULL_POOL_WAIT_MS);
+      await this.#wait(isSuspect ? SUSPECT_WAIT_MS : pauseMs(pass));
     }
     return undefined;
   }
@@ -77,13 +81,18 @@
     this.#unreachable.note(target.name);
   }
 
-  async #findNow(question: PlaceQuestion): Promise<Place | undefined> {
+  async #findNow(
+    question: PlaceQuestion,
+    pass: number,
+  ): Promise<Place | undefined> {
     const { context, tried } = question;
     const all = this.#parts.placement.orderTargets(context);
     const untried = all.filter((target) => !tried.has(target.name));
     const candidates = (untried.length > 0 ? untried : all)
       .filter((target) => !this.#unreachable.has(target.name));
-    if (!question.isSuspect) return await this.#takeFirst(candidates, context);
+    if (!question.isSuspect) {
+      return await this.#takeFirst(chooseAsked(candidates, pass), context);
+    }
     for (const target of candidates.slice(0, MAX_ISOLATION_ASKS)) {
       const place = await this.#takeIsolated(target, context);
       if (place) return place;
@@ -136,3 +145,18 @@
     });
   }
 }
+
+/** The pause doubles, so that a full pool is not asked all the time. */
+function pauseMs(pass: number): number {
+  return Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** Math.min(pass, 10));
+}
+
+/** The targets to ask in this pass: the best first, then the next ones. */
+function chooseAsked(
+  candidates: readonly TargetView[],
+  pass: number,
+): readonly TargetView[] {
+  if (candidates.length <= MAX_ASKED_TARGETS) return candidates;
+  const first = (pass * MAX_ASKED_TARGETS) % candidates.length;
+  return candidates.slice(first, first + MAX_ASKED_TARGETS);
+}
