--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./candidates.ts";
 export * from "./membership.ts";
+export * from "./membership_reader.ts";
 export * from "./options.ts";
 export * from "./pause_guard.ts";
 export * from "./wire.ts";
--- a/packages/core/src/membership/options.ts
+++ b/packages/core/src/membership/options.ts
@@ -1,3 +1,5 @@
+import type { DaemonCandidate } from "./candidates.ts";
+
 /** Times and counts of the membership protocol. */
 export interface MembershipOptions {
   /** Time between two calls of `tick`. */
@@ -53,3 +55,13 @@
   attachBudgetBytesPerSecond: 2000,
   attachRefreshMs: 10_000,
 };
+
+/** What a `Membership` is built from. */
+export interface MembershipParts {
+  readonly vm: string;
+  readonly availabilityZone: string;
+  /** Higher than that of any earlier run of this VM. */
+  readonly incarnation: number;
+  readonly seeds: readonly DaemonCandidate[];
+  readonly options?: Partial<MembershipOptions>;
+}
