--- a/packages/bench/src/claims/at_most_once_test.ts
+++ b/packages/bench/src/claims/at_most_once_test.ts
@@ -158,6 +158,18 @@
     expect(await bookings.countRuns(key)).toBe(1);
   });
 
+  it("is recorded before its daemon ends gracefully", async () => {
+    const key = createKey();
+    const first = await bookings.book("entry-1", key);
+    expect(seen(first)).toBe("200 completed");
+    const { code } = await bookings.fleet.daemon("entry-1").process.terminate();
+    expect(code).toBe(0);
+    const again = await bookings.book("entry-2", key);
+    expect(seen(again)).toBe("200 completed");
+    expect(again.text).toBe(first.text);
+    expect(await bookings.countRuns(key)).toBe(1);
+  });
+
   it("is freed for a resend when no target took it", async () => {
     const key = createKey();
     await bookings.setServiceFaults({ refuseBusy: true });
--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -210,6 +210,8 @@
   }
 
   #mayStart(team: TeamQueue, weights: ActiveWeights): boolean {
+    const maxRunning = team.first()?.maxTeamRunning ?? 0;
+    if (team.running >= maxRunning) return false;
     if (!team.demand.isSurging) return true;
     const reserveRatio = this.#settings.reserveRatio * weights.calm /
       weights.all;
--- a/packages/core/src/admission/fair_queue_test.ts
+++ b/packages/core/src/admission/fair_queue_test.ts
@@ -19,6 +19,7 @@
     weight: 1,
     priority: 5,
     deadlineMs: 10_000,
+    maxTeamRunning: Infinity,
     ...parts,
   };
 }
@@ -97,6 +98,21 @@
     expect(queue.queued).toBe(0);
   });
 
+  it("runs no more requests of a team than it is allowed", () => {
+    const queue = createQueue(10);
+    const limited = { maxTeamRunning: 1 };
+    const first = request("a1", limited);
+    queue.offer(first, 0);
+    queue.offer(request("a2", limited), 0);
+    queue.offer(request("b1", { team: "b" }), 0);
+    queue.start(queue.peek(0)!, 0);
+    expect(queue.peek(0)?.requestId).toBe("b1");
+    queue.start(queue.peek(0)!, 0);
+    expect(queue.peek(0)).toBeUndefined();
+    queue.finish(first, 100);
+    expect(queue.peek(100)?.requestId).toBe("a2");
+  });
+
   it("holds nothing in reserve when every team surges", () => {
     const places = 50;
     const queue = createQueue(places, 10_000);
--- a/packages/core/src/admission/fairness_test.ts
+++ b/packages/core/src/admission/fairness_test.ts
@@ -113,6 +113,7 @@
         team: load.isFair ? `team-${team}` : "all",
         weight: 1,
         priority: 5,
+        maxTeamRunning: Infinity,
         deadlineMs: atMs + DEADLINE_MS,
         atMs,
         serviceMs: exponential(MEAN_SERVICE_MS),
--- a/packages/core/src/admission/team_queue.ts
+++ b/packages/core/src/admission/team_queue.ts
@@ -8,6 +8,8 @@
   readonly weight: number;
   /** 0 is the lowest priority, 9 the highest. */
   readonly priority: number;
+  /** Most requests of the team that may run at a time in this daemon. */
+  readonly maxTeamRunning: number;
   /** Monotonic time after which the request is of no use. */
   readonly deadlineMs: number;
 }
--- a/packages/daemon/src/admission/admission_controller.ts
+++ b/packages/daemon/src/admission/admission_controller.ts
@@ -18,6 +18,7 @@
 
 /** Parts of the daemon that the controller uses. */
 export interface AdmissionControllerParts {
+  readonly availabilityZone: string;
   readonly blackboard: Blackboard;
   readonly timer: TimerService;
   readonly metrics: Metrics;
@@ -91,6 +92,7 @@
       team: context.team.name,
       weight: context.team.shareWeight,
       priority: context.priority,
+      maxTeamRunning: this.#teamLimit(context),
       deadlineMs: context.deadlineAtMs,
     };
     return new Promise((resolve) => {
@@ -143,6 +145,18 @@
     return { all, evenPart: all / Math.max(1, daemons) };
   }
 
+  /** This daemon's even part of what the team may run in the zone. */
+  #teamLimit(context: RequestContext): number {
+    const { blackboard, availabilityZone } = this.#parts;
+    let daemons = 0;
+    for (const daemon of blackboard.daemons.read().values()) {
+      const isOfZone = daemon.availabilityZone === availabilityZone;
+      if (isOfZone && daemon.state === "live") daemons += 1;
+    }
+    const { maxConcurrentRequests } = context.team;
+    return Math.ceil(maxConcurrentRequests / Math.max(1, daemons));
+  }
+
   #startWaiting(pool: PoolAdmission): void {
     const nowMs = this.#parts.timer.nowMs();
     while (pool.blocked.size === 0) {
