--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -19,6 +19,7 @@
   type MembershipParts,
 } from "./options.ts";
 import { Outbox } from "./outbox.ts";
+import { attachPeriodMs, refreshPeriodMs } from "./own_attachments.ts";
 import { PauseGuard } from "./pause_guard.ts";
 import {
   type AttachedValue,
@@ -39,10 +40,6 @@
   SILENT_ZONES_KEY,
   DOWN_TARGETS_KEY,
 ]);
-/** Encoded size of an attachment, for the share of the byte budget. */
-const ATTACHMENT_BYTES = 60;
-/** Daemons for which one refresh period of the attachments is meant. */
-const REFRESH_SLICE_DAEMONS = 16;
 /** Time between the tries of a daemon that has not reached anyone yet. */
 const JOIN_RETRY_MS = 500;
 /** Daemons that a joining daemon asks at a time. */
@@ -207,11 +204,10 @@
 
   /** Sends changed attachments where they are due. */
   sendAttachments(nowMs: number): void {
-    const slices = this.zoneMap().memberCount / REFRESH_SLICE_DAEMONS;
     const due = this.attachments.takeDue(
       this.#incarnation,
       this.#attachPeriodMs(),
-      this.#options.attachRefreshMs * Math.max(1, slices),
+      refreshPeriodMs(this.#options, this.zoneMap().memberCount),
       nowMs,
     );
     for (const delta of due) {
@@ -363,11 +359,8 @@
     if (this.attachments.get(SILENT_ZONES_KEY) !== before) this.#changed();
   }
 
-  /** The fleet's attachments share a byte budget, so more daemons wait longer. */
   #attachPeriodMs(): number {
-    const { attachMs, attachBudgetBytesPerSecond } = this.#options;
-    const fleetBytes = this.zoneMap().memberCount * ATTACHMENT_BYTES;
-    return Math.max(attachMs, fleetBytes * 1000 / attachBudgetBytesPerSecond);
+    return attachPeriodMs(this.#options, this.zoneMap().memberCount);
   }
 
   /** Asks daemons that are listed but not live, so that parted ones meet. */
--- a/packages/core/src/membership/own_attachments.ts
+++ b/packages/core/src/membership/own_attachments.ts
@@ -1,5 +1,32 @@
+import type { MembershipOptions } from "./options.ts";
 import type { AttachedValue, AttachmentDelta } from "./wire.ts";
 
+/** Encoded size of an attachment, for the share of the byte budget. */
+const ATTACHMENT_BYTES = 60;
+/** Daemons for which one refresh period of the attachments is meant. */
+const REFRESH_SLICE_DAEMONS = 16;
+const MS_PER_SECOND = 1000;
+
+/** The fleet's attachments share a byte budget, so more daemons wait longer. */
+export function attachPeriodMs(
+  options: MembershipOptions,
+  memberCount: number,
+): number {
+  const fleetBytes = memberCount * ATTACHMENT_BYTES;
+  const { attachMs, attachBudgetBytesPerSecond } = options;
+  const shareMs = fleetBytes * MS_PER_SECOND / attachBudgetBytesPerSecond;
+  return Math.max(attachMs, shareMs);
+}
+
+/** Time between repeats of unchanged attachments, in ms. */
+export function refreshPeriodMs(
+  options: MembershipOptions,
+  memberCount: number,
+): number {
+  const slices = memberCount / REFRESH_SLICE_DAEMONS;
+  return options.attachRefreshMs * Math.max(1, slices);
+}
+
 interface OwnValue {
   readonly text: string;
   readonly value: AttachedValue;
