Take a target's whole count as the floor after a take-over with silent holders

Cause: property tests over random faults found two breaches of a fixed limit: a keeper that did not collect from a rival outside its view, and a take-over that explained a silent holder's request by a permit returned since. Change: a keeper collects from all it heard in the last minute; the floor ignores returns; permits of holders not heard since do not shrink orphans.

--- a/packages/bench/src/replay/fault_injector.ts
+++ b/packages/bench/src/replay/fault_injector.ts
@@ -63,6 +63,7 @@
   }
 
   #joinDaemon(name: string, availabilityZone: string): void {
+    if (this.#world.daemon(name)) return;
     const daemon = this.#world.addDaemon(name, availabilityZone);
     this.#views.daemonJoined(daemon);
     this.#listener.daemonAdded(daemon);
--- a/packages/bench/src/replay/permit_admission.ts
+++ b/packages/bench/src/replay/permit_admission.ts
@@ -9,10 +9,19 @@
 import { ReplayNode } from "./replay_node.ts";
 import type { World } from "./world.ts";
 
+const SAMPLE_REPORTS = 30;
+
 /** Settings for hundreds of daemons: reports only ride on other messages. */
 export const LARGE_ZONE_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
   ...DEFAULT_PERMIT_NODE_OPTIONS,
   loneReportMs: 0,
+  book: {
+    ...DEFAULT_PERMIT_NODE_OPTIONS.book,
+    poolMean: {
+      ...DEFAULT_PERMIT_NODE_OPTIONS.book.poolMean,
+      sampleReports: SAMPLE_REPORTS,
+    },
+  },
 };
 
 /** Daemons start within this time of one another, in ms. */
--- a/packages/bench/src/replay/replay_metrics.ts
+++ b/packages/bench/src/replay/replay_metrics.ts
@@ -37,6 +37,8 @@
   readonly refused: number;
   readonly admissions: number;
   readonly breaches: number;
+  /** Admissions above the fixed limit of a target. */
+  readonly overLimit: number;
   /** Most requests over the bound at one admission. */
   readonly worstExcessRequests: number;
   readonly spilledRatio: number;
@@ -73,6 +75,7 @@
   refused = 0;
   admissions = 0;
   breaches = 0;
+  overLimit = 0;
   worstExcessRequests = 0;
   spilled = 0;
   waited = 0;
@@ -113,6 +116,9 @@
   /** Notes an admission: the load with it, against the stated bound. */
   noteAdmission(loadRequests: number, allowedRequests: number): void {
     this.admissions += 1;
+    if (loadRequests > this.#world.options.maxConcurrentPerTarget) {
+      this.overLimit += 1;
+    }
     const excessRequests = loadRequests - allowedRequests;
     if (excessRequests <= 0) return;
     this.breaches += 1;
@@ -132,6 +138,7 @@
       refused: this.refused,
       admissions: this.admissions,
       breaches: this.breaches,
+      overLimit: this.overLimit,
       worstExcessRequests: this.worstExcessRequests,
       spilledRatio: this.spilled / Math.max(1, this.admissions),
       waitedRatio: this.waited / Math.max(1, this.requests),
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -317,8 +317,13 @@
   }
 
   /** Takes a target's own count. */
-  noteTargetReport(target: string, report: TargetReport, nowMs: number): void {
-    this.keeperOf(target)?.noteReport(report, nowMs);
+  noteTargetReport(
+    target: string,
+    report: TargetReport,
+    nowMs: number,
+    isHeard?: (holder: string) => boolean,
+  ): void {
+    this.keeperOf(target)?.noteReport(report, nowMs, isHeard);
   }
 
   /** Takes the report of another keeper of a pool. */
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -40,6 +40,8 @@
   retakeMs: 400,
 };
 
+/** Time for which a daemon that was heard may hold permits, in ms. */
+const HEARD_HOLDER_MS = 60_000;
 /** Time for which a keeper that gave no answer is passed over, in ms. */
 const SILENT_MS = 500;
 
@@ -253,7 +255,10 @@
 
   /** Takes a target's own count. */
   noteTargetReport(target: string, report: TargetReport): void {
-    this.#book.noteTargetReport(target, report, this.#nowMs);
+    const isHeard = (holder: string) =>
+      holder === this.#parts.name ||
+      (this.#heardAtMs.get(holder) ?? -Infinity) >= report.measuredAtMs;
+    this.#book.noteTargetReport(target, report, this.#nowMs, isHeard);
   }
 
   /** Loads of the targets kept here, by pool. */
@@ -296,7 +301,7 @@
   #begin(target: KeptTargetView): void {
     const { name, pool } = target;
     const nowMs = this.#nowMs;
-    const holders = this.#parts.view.holders();
+    const holders = this.#possibleHolders();
     const request = this.#book.beginKeeping(
       name,
       pool,
@@ -314,6 +319,17 @@
     this.#book.noteCollectAnswer(this.#parts.name, own, nowMs);
   }
 
+  /** Daemons of the view, and those heard of late that it does not show. */
+  #possibleHolders(): ReadonlySet<string> {
+    const holders = new Set(this.#parts.view.holders());
+    for (const [peer, heardAtMs] of this.#heardAtMs) {
+      const isRecent = this.#nowMs - heardAtMs <= HEARD_HOLDER_MS;
+      if (isRecent) holders.add(peer);
+      else this.#heardAtMs.delete(peer);
+    }
+    return holders;
+  }
+
   #formerKeeper(target: string): FormerKeeper {
     const epoch = this.#holder.epochOf(target);
     if (!epoch) return { epochNumber: 0, mayReport: false };
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -31,11 +31,12 @@
   /** Standard deviations of random ends that the discount covers. */
   readonly safetyDeviations: number;
   /**
-   * From this many reports on, targets without a report are taken to have the
-   * mean of the others, less its standard error; with fewer they count for
-   * nothing.
+   * For pools whose keepers are too many to hear them all. From this many
+   * reports on, targets without a report are taken to have the mean of the
+   * others, less its standard error; with fewer they count for nothing. Without
+   * it, the pool is the targets that are reported.
    */
-  readonly sampleReports: number;
+  readonly sampleReports?: number;
 }
 
 /** Settings for zones a few milliseconds apart. */
@@ -44,7 +45,6 @@
   reportDelayMs: 4,
   maxReportAgeMs: 1_200,
   safetyDeviations: 3,
-  sampleReports: 30,
 };
 
 interface StoredReport {
@@ -131,11 +131,10 @@
    */
   #countTargets(nowMs: number): number {
     this.#firstUseMs ??= nowMs;
-    const { reports, targets } = this.#sumReports(nowMs);
+    const { targets } = this.#sumReports(nowMs);
     const hasHeardAll = nowMs - this.#firstUseMs > this.#options.maxReportAgeMs;
-    if (hasHeardAll && reports < this.#options.sampleReports) {
-      return Math.max(targets, 1);
-    }
+    const isSampled = this.#options.sampleReports !== undefined;
+    if (hasHeardAll && !isSampled) return Math.max(targets, 1);
     return Math.max(this.#poolTargets, targets, 1);
   }
 
@@ -149,7 +148,8 @@
     const lowerRequests = sums.loadRequests - mostEnds;
     if (sums.targets === 0) return 0;
     const missingTargets = poolTargets - sums.targets;
-    if (sums.reports < this.#options.sampleReports || missingTargets <= 0) {
+    const { sampleReports = Number.POSITIVE_INFINITY } = this.#options;
+    if (sums.reports < sampleReports || missingTargets <= 0) {
       return Math.max(0, lowerRequests);
     }
     const meanRequests = lowerRequests / sums.targets -
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -143,9 +143,14 @@
   }
 
   /** Takes the target's own count, the floor of a take-over with silence. */
-  noteReport(report: TargetReport, nowMs: number): void {
+  noteReport(
+    report: TargetReport,
+    nowMs: number,
+    isHeard: (holder: string) => boolean = () => true,
+  ): void {
     const lostBefore = this.#ledger.lostRequests;
-    this.#ledger.noteReport(report, nowMs);
+    const isFloor = this.#collection?.hasSilentHolder === true;
+    this.#ledger.noteReport(report, nowMs, { isFloor, isHeard });
     for (let lost = this.#ledger.lostRequests; lost < lostBefore; lost++) {
       this.#endRate.note(nowMs);
     }
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -11,6 +11,19 @@
 /** Reports measured longer ago are ignored. */
 const MAX_REPORT_AGE_MS = 5_000;
 
+/** What the keeper knows when it takes a report. */
+export interface ReportContext {
+  /**
+   * True at the end of a take-over with silent holders: permits that came back
+   * since the measurement then explain nothing.
+   */
+  readonly isFloor: boolean;
+  /** Whether a holder was heard since the measurement. */
+  readonly isHeard: (holder: string) => boolean;
+}
+
+const NORMAL_REPORT: ReportContext = { isFloor: false, isHeard: () => true };
+
 /** Settings of a `TargetLedger`. */
 export interface TargetLedgerOptions {
   /** Time within which a permit must be used. */
@@ -147,18 +160,24 @@
    * Load that no permit explains belongs to a holder that was not known. Load
    * of holders that are gone is at most what the permits of the others leave.
    */
-  noteReport(report: TargetReport, nowMs: number): void {
+  noteReport(
+    report: TargetReport,
+    nowMs: number,
+    context: ReportContext = NORMAL_REPORT,
+  ): void {
     const { measuredAtMs } = report;
     if (measuredAtMs < nowMs - MAX_REPORT_AGE_MS) return;
     if (this.#report && measuredAtMs < this.#report.measuredAtMs) return;
     if (measuredAtMs < this.#createdAtMs + this.#options.startWithinMs) return;
     this.#report = report;
     this.#forgetBefore(measuredAtMs);
+    const returned = context.isFloor ? 0 : this.#releaseTimesMs.length;
     const explainedRequests = this.#heldRequests + this.#countOrphans(nowMs) +
-      this.#releaseTimesMs.length;
+      returned;
     this.addOrphans(report.loadRequests - explainedRequests, nowMs);
     this.#lostRequests = this.#countLost(report);
-    this.#limitOrphans(report.loadRequests - this.#countRunning(measuredAtMs));
+    const running = this.#countRunning(measuredAtMs, context.isHeard);
+    this.#limitOrphans(report.loadRequests - running);
   }
 
   /** A report from before a holder was lost may count what ended with it. */
@@ -173,10 +192,15 @@
    * and are held still. A permit that ended before it would be back by now; if
    * its return was held up, the next report shows load that is not explained.
    */
-  #countRunning(measuredAtMs: number): number {
+  #countRunning(
+    measuredAtMs: number,
+    isHeard: (holder: string) => boolean,
+  ): number {
     const startedByMs = measuredAtMs - this.#options.startWithinMs;
     let running = 0;
-    for (const held of this.#heldByHolder.values()) {
+    for (const [holder, held] of this.#heldByHolder) {
+      // A holder that is paused may keep permits of requests that have ended.
+      if (!isHeard(holder)) continue;
       for (const grantedAtMs of held.values()) {
         if (grantedAtMs <= startedByMs) running += 1;
       }
