--- a/packages/bench/src/capacity/measure_permits.ts
+++ b/packages/bench/src/capacity/measure_permits.ts
@@ -69,9 +69,9 @@
     for (const report of ask.reports) book.notePoolReport("h", report, 100);
     const answer = book.answer("h", ask, 100);
     if (!answer) throw new Error("the ask waits, although there is room");
-    const answerText = writeCall("", encodeAnswer(answer, extras));
+    const answerText = writeCall("", encodeAnswer(ask, answer, extras));
     const result = permitAskResultSchema.parse(readParams(answerText));
-    const decoded = decodeAnswer(result, askId, "keeper", 1_000);
+    const decoded = decodeAnswer(result, ask, "keeper", 1_000);
     if (decoded.answer.kind === "granted") {
       holder.noteGrant(decoded.answer, 101);
     }
@@ -91,16 +91,20 @@
   const askId = 123_456;
   const none = { returns: [], reports: [] };
   const report = { returns: [], reports: [createReport(86_400_000)] };
-  const ask = { askId, target: "target-1775" };
+  const alternatives = [1774, 1773, 1772, 1771, 1770].map((it) =>
+    `target-${it}`
+  );
+  const ask = { askId, target: "target-1775", alternatives };
   const epoch = { number: 12, keeper: "k" };
   const grant = {
     kind: "granted",
     askId,
+    target: ask.target,
     epoch,
     startWithinMs: 1_000,
   } as const;
   const plainAsk = writeCall("p", encodeAsk(ask, none)).length;
-  const plainAnswer = writeResult(askId, encodeAnswer(grant, none)).length;
+  const plainAnswer = writeResult(askId, encodeAnswer(ask, grant, none)).length;
   const reportAsk = writeCall("p", encodeAsk(ask, report)).length;
   return {
     ask: plainAsk,
--- a/packages/bench/src/harness/callers.ts
+++ b/packages/bench/src/harness/callers.ts
@@ -15,6 +15,7 @@
   readonly maxTokens: number;
   readonly isStream: boolean;
   readonly priority?: number;
+  readonly deadlineMs?: number;
 }
 
 /** A call to a plain service. */
@@ -24,6 +25,7 @@
   readonly path: string;
   readonly body: string;
   readonly idempotencyKey?: string;
+  readonly deadlineMs?: number;
 }
 
 /** What a caller saw of its request. */
@@ -38,6 +40,8 @@
   readonly isEnded: boolean;
   /** Whether the text is the whole answer to this very request. */
   readonly isOwnAndWhole: boolean;
+  /** The id inside a chat's answer. */
+  readonly answerId: string;
   readonly firstByteMs: number;
   readonly totalMs: number;
   readonly cachedTokens: number;
@@ -47,6 +51,7 @@
   text: string;
   isEnded: boolean;
   outcome: string;
+  answerId: string;
   cachedTokens: number;
   firstByteMs: number;
 }
@@ -133,29 +138,38 @@
     text: "",
     isEnded: false,
     outcome: "",
+    answerId: "",
     cachedTokens: 0,
     firstByteMs: 0,
   };
 }
 
 function chatHeaders(call: ChatCall): Record<string, string> {
-  return {
+  return createHeaders({
     "x-coltsfoot-team": call.team,
     "x-coltsfoot-chat": call.chat,
-    ...(call.priority === undefined
-      ? {}
-      : { "x-coltsfoot-priority": String(call.priority) }),
-  };
+    "x-coltsfoot-priority": call.priority,
+    "x-coltsfoot-deadline-ms": call.deadlineMs,
+  });
 }
 
 function serviceHeaders(call: ServiceCall): Record<string, string> {
-  const { team, idempotencyKey } = call;
-  return {
-    "x-coltsfoot-team": team,
-    ...(idempotencyKey === undefined
-      ? {}
-      : { "idempotency-key": idempotencyKey }),
-  };
+  return createHeaders({
+    "x-coltsfoot-team": call.team,
+    "idempotency-key": call.idempotencyKey,
+    "x-coltsfoot-deadline-ms": call.deadlineMs,
+  });
+}
+
+/** Leaves out the headers that have no value. */
+function createHeaders(
+  values: Record<string, string | number | undefined>,
+): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(values)) {
+    if (value !== undefined) headers[name] = String(value);
+  }
+  return headers;
 }
 
 function readOutcome(response: Dispatcher.ResponseData): string {
@@ -189,6 +203,7 @@
   }
   const chunk = JSON.parse(data);
   if (chunk.error) collected.outcome = chunk.error.outcome ?? "";
+  collected.answerId = chunk.id ?? collected.answerId;
   collected.text += chunk.choices?.[0]?.delta?.content ?? "";
   collected.cachedTokens = chunk.usage?.prompt_tokens_details?.cached_tokens ??
     collected.cachedTokens;
@@ -205,6 +220,7 @@
   collected.isEnded = true;
   if (response.statusCode !== STATUS_OK) return;
   const answer = JSON.parse(text);
+  collected.answerId = answer.id;
   collected.text = answer.choices[0].message.content;
   collected.cachedTokens = answer.usage?.prompt_tokens_details?.cached_tokens ??
     0;
--- a/packages/bench/src/replay/entry.ts
+++ b/packages/bench/src/replay/entry.ts
@@ -1,8 +1,4 @@
-import {
-  homeWaitMs,
-  MAX_ASK_WAIT_MS,
-  type PlacementPolicy,
-} from "@coltsfootford/core";
+import { homeWaitMs, type PlacementPolicy } from "@coltsfootford/core";
 import type { Deployment, TraceRequest } from "../load/index.ts";
 import type { Admission, AdmissionGate, GateAnswer } from "./admission_gate.ts";
 import type { FakeDaemon } from "./fake_daemon.ts";
@@ -24,7 +20,8 @@
   readonly daemon: FakeDaemon;
   readonly request: TraceRequest;
   readonly order: readonly string[];
-  index: number;
+  /** The targets of the order that have not failed the request. */
+  left: readonly string[];
   /** How often all targets of the order were full. */
   readonly waits: number;
 }
@@ -120,35 +117,39 @@
       daemon,
       request,
       order,
-      index: 0,
+      left: order,
       waits,
     };
     this.#askNext(attempt);
   }
 
   #askNext(attempt: Attempt): void {
-    const target = attempt.order[attempt.index];
-    if (target === undefined) return this.#wait(attempt);
+    if (attempt.left.length === 0) return this.#wait(attempt);
     this.#gate.ask({
       daemon: attempt.daemon,
-      target,
+      order: attempt.left,
       request: attempt.request,
       waitMs: this.#waitMs(attempt),
-      onAnswer: (answer) => this.#takeAnswer(attempt, target, answer),
+      onAnswer: (answer) => this.#takeAnswer(attempt, answer),
     });
   }
 
   /** The first target is worth a wait; so is any once all were full. */
   #waitMs(attempt: Attempt): number {
-    if (attempt.index > 0) return 0;
-    if (attempt.waits > 0) return MAX_ASK_WAIT_MS;
+    if (attempt.left.length < attempt.order.length) return 0;
+    if (attempt.waits > 0) return 0;
     const { prefixTokens } = attempt.request;
     return homeWaitMs(this.#deployment.reuseWeight, prefixTokens);
   }
 
-  #takeAnswer(attempt: Attempt, target: string, answer: GateAnswer): void {
-    if (typeof answer !== "string") return this.#send(attempt, target, answer);
-    attempt.index += 1;
+  #takeAnswer(attempt: Attempt, answer: GateAnswer): void {
+    if (typeof answer !== "string") return this.#send(attempt, answer);
+    this.#wait(attempt);
+  }
+
+  /** Goes on without a target that did not take the request. */
+  #leaveOut(attempt: Attempt, target: string): void {
+    attempt.left = attempt.left.filter((name) => name !== target);
     this.#askNext(attempt);
   }
 
@@ -166,12 +167,10 @@
     );
   }
 
-  #send(attempt: Attempt, target: string, admission: Admission): void {
+  #send(attempt: Attempt, admission: Admission): void {
     const { daemon } = attempt;
-    if (!admission.start()) {
-      attempt.index += 1;
-      return this.#askNext(attempt);
-    }
+    const { target } = admission;
+    if (!admission.start()) return this.#leaveOut(attempt, target);
     const engine = this.#world.engine(target)!;
     const flight: Flight = {
       daemon,
@@ -194,14 +193,14 @@
       return this.#afterDelay(flight, () =>
         daemon.run(() => {
           this.#finish(flight);
-          attempt.index += 1;
-          this.#askNext(attempt);
+          this.#leaveOut(attempt, engine.name);
         }));
     }
     const { request } = attempt;
     const allowedRequests = this.#world.allowedLoadRequests(engine);
     this.#metrics.noteAdmission(engine.loadRequests + 1, allowedRequests);
-    if (attempt.index > 0) this.#metrics.spilled += 1;
+    const isSpilled = engine.name !== attempt.order[0];
+    if (isSpilled) this.#metrics.spilled += 1;
     flight.running = engine.start({
       chat: request.chat,
       prefixTokens: request.prefixTokens,
--- a/packages/core/src/bound/pool_mean_estimate.ts
+++ b/packages/core/src/bound/pool_mean_estimate.ts
@@ -30,6 +30,11 @@
   readonly maxReportAgeMs: number;
   /** Standard deviations of random ends that the discount covers. */
   readonly safetyDeviations: number;
+  /**
+   * Part of the load that is taken off besides: ends that come in a burst are
+   * not in the rate yet.
+   */
+  readonly reserveRatio: number;
   /**
    * For pools whose keepers are too many to hear them all. From this many
    * reports on, targets without a report are taken to have the mean of the
@@ -45,6 +50,7 @@
   reportDelayMs: 4,
   maxReportAgeMs: 1_200,
   safetyDeviations: 3,
+  reserveRatio: 0.04,
 };
 
 interface StoredReport {
@@ -145,7 +151,8 @@
       sums.expectedEnds,
       this.#options.safetyDeviations,
     );
-    const lowerRequests = sums.loadRequests - mostEnds;
+    const reserve = this.#options.reserveRatio * sums.loadRequests;
+    const lowerRequests = sums.loadRequests - mostEnds - reserve;
     if (sums.targets === 0) return 0;
     const missingTargets = poolTargets - sums.targets;
     const { sampleReports = Number.POSITIVE_INFINITY } = this.#options;
--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -7,7 +7,7 @@
 }
 
 /** Time after a grant within which the request may still be on its way. */
-const ARRIVAL_LAG_MS = 20;
+const ARRIVAL_LAG_MS = 60;
 /** Reports measured longer ago are ignored. */
 const MAX_REPORT_AGE_MS = 5_000;
 
@@ -144,6 +144,11 @@
     this.addOrphans(held.size, nowMs);
   }
 
+  /** Requests of lost holders that may still run. */
+  orphanRequests(nowMs: number): number {
+    return this.#countOrphans(nowMs);
+  }
+
   /** Adds load whose holder is not known. */
   addOrphans(count: number, nowMs: number): void {
     if (count <= 0) return;
