Let a former keeper tell its successor what runs without a holder

Cause: a keeper that stopped after a cut healed forgot requests of lost holders, and its successor granted two places too many (property test; also with a daemon that joined after a loss).

--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -62,6 +62,14 @@
   readonly mayReport: boolean;
 }
 
+interface FormerOrphans {
+  readonly orphanRequests: number;
+  readonly stoppedAtMs: number;
+}
+
+/** Time for which a successor may ask what a former keeper knew, in ms. */
+const FORMER_ORPHANS_MS = 60_000;
+
 interface KeptTarget {
   readonly pool: string;
   readonly keeper: TargetKeeper;
@@ -79,6 +87,8 @@
   readonly #pools = new Map<string, PoolState>();
   readonly #targets = new Map<string, KeptTarget>();
   readonly #queue = new AskQueue();
+  /** What targets that are no longer kept had without a holder. */
+  readonly #formerOrphans = new Map<string, FormerOrphans>();
   #aliveAtMs: number | undefined;
 
   constructor(
@@ -139,7 +149,13 @@
    * result answers the asks that wait.
    */
   stopKeeping(target: string): readonly LateAnswer[] {
+    const kept = this.#targets.get(target);
     this.#targets.delete(target);
+    if (kept) {
+      const nowMs = this.#aliveAtMs ?? 0;
+      const orphanRequests = kept.keeper.orphanRequests(nowMs);
+      this.#formerOrphans.set(target, { orphanRequests, stoppedAtMs: nowMs });
+    }
     return this.#queue.refuseTarget(target);
   }
 
@@ -161,6 +177,19 @@
     if (kept) kept.grantsFromMs = nowMs + this.#options.announceMs;
   }
 
+  /** What a successor is told of the target's load without a holder. */
+  orphanRequests(target: string, nowMs: number): number {
+    const keeper = this.keeperOf(target);
+    if (keeper) return keeper.orphanRequests(nowMs);
+    const former = this.#formerOrphans.get(target);
+    if (!former) return 0;
+    if (nowMs - former.stoppedAtMs <= FORMER_ORPHANS_MS) {
+      return former.orphanRequests;
+    }
+    this.#formerOrphans.delete(target);
+    return 0;
+  }
+
   /** Whether permits for the target may be granted now. */
   isGranting(target: string, nowMs: number): boolean {
     const kept = this.#targets.get(target);
--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -395,8 +395,10 @@
     if (answer.kind === "newer-epoch") {
       return this.#parts.send(from, { kind: "collected", answer });
     }
-    const orphanRequests = this.#book.keeperOf(request.target)
-      ?.orphanRequests(this.#nowMs) ?? 0;
+    const orphanRequests = this.#book.orphanRequests(
+      request.target,
+      this.#nowMs,
+    );
     this.#book.noteCollectRequest(request);
     const full = orphanRequests === 0 ? answer : { ...answer, orphanRequests };
     this.#parts.send(from, { kind: "collected", answer: full });
