--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -14,6 +14,7 @@
 Options of replay:
   --seed N           seed of the load and the faults (default 7)
   --quick            21 minutes of load in place of 70
+  --judged           only the contenders that the targets are judged by
   --deployment NAME  trust, barandas, large-zone or all (default all)
   --out DIR          where traces and reports go (default .tmp/bench)
   --help             this text
@@ -30,6 +31,7 @@
     allowPositionals: true,
     options: {
       seed: { type: "string", default: "7" },
+      judged: { type: "boolean", default: false },
       quick: { type: "boolean", default: false },
       deployment: { type: "string", default: "all" },
       out: { type: "string", default: ".tmp/bench" },
@@ -60,6 +62,7 @@
   runBench({
     seed,
     isQuick: values.quick,
+    isJudgedOnly: values.judged,
     deployments: DEPLOYMENTS.filter((entry) =>
       isAll || entry.name === values.deployment
     ),
--- a/packages/bench/src/replay/contenders.ts
+++ b/packages/bench/src/replay/contenders.ts
@@ -23,6 +23,13 @@
   { policy: "round-robin", gate: "no-bound" },
 ];
 
+/** What the stated targets are judged by. */
+export const JUDGED_CONTENDERS: readonly Contender[] = [
+  FULL_KNOWLEDGE,
+  CHOSEN,
+  { policy: "least-of-two", gate: "no-bound" },
+];
+
 /** Name of a contender in tables and plots. */
 export function contenderName(contender: Contender): string {
   return `${contender.policy} + ${contender.gate}`;
--- a/packages/bench/src/run_bench.ts
+++ b/packages/bench/src/run_bench.ts
@@ -15,6 +15,7 @@
   DEFAULT_LOSS_PROBABILITY,
   type Fault,
   FULL_KNOWLEDGE,
+  JUDGED_CONTENDERS,
   LARGE_ZONE,
   LARGE_ZONE_LOAD,
   LARGE_ZONE_PERMIT_NODE_OPTIONS,
@@ -38,6 +39,8 @@
   readonly seed: number;
   readonly isQuick: boolean;
   readonly deployments: readonly Deployment[];
+  /** Only the contenders that the stated targets are judged by. */
+  readonly isJudgedOnly: boolean;
   readonly hasLargeZone: boolean;
   readonly print: (line: string) => void;
   /** Writes a file of the run's results. */
@@ -71,7 +74,8 @@
   const trace = generateLoad(deployment, { seed, ...load });
   const faults = planFaults(trace, churnOptions(deployment, seed));
   writeInputs(deployment, trace, faults, options);
-  return runContenders(deployment, trace, faults, CONTENDERS, options, {});
+  const contenders = options.isJudgedOnly ? JUDGED_CONTENDERS : CONTENDERS;
+  return runContenders(deployment, trace, faults, contenders, options, {});
 }
 
 function runLargeZone(options: BenchOptions): DeploymentReport {
