--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -45,6 +45,8 @@
   retakeMs: 400,
 };
 
+/** Time for which a daemon that was heard may hold permits, in ms. */
+const HEARD_HOLDER_MS = 60_000;
 /** Time for which a keeper that gave no answer is passed over, in ms. */
 const SILENT_MS = 500;
 
@@ -285,7 +287,10 @@
 
   /** Takes a target's own count. */
   noteTargetReport(target: string, report: TargetReport): void {
-    this.#book.noteTargetReport(target, report, this.#nowMs);
+    const isHeard = (holder: string) =>
+      holder === this.#parts.name ||
+      (this.#heardAtMs.get(holder) ?? -Infinity) >= report.measuredAtMs;
+    this.#book.noteTargetReport(target, report, this.#nowMs, isHeard);
   }
 
   /** Loads of the targets kept here, by pool. */
@@ -328,7 +333,7 @@
   #begin(target: KeptTargetView): void {
     const { name, pool } = target;
     const nowMs = this.#nowMs;
-    const holders = this.#parts.view.holders();
+    const holders = this.#possibleHolders();
     const request = this.#book.beginKeeping(
       name,
       pool,
@@ -346,6 +351,17 @@
     this.#book.noteCollectAnswer(this.#parts.name, own, nowMs);
   }
 
+  /** Daemons of the view, and those heard of late that it does not show. */
+  #possibleHolders(): ReadonlySet<string> {
+    const holders = new Set(this.#parts.view.holders());
+    for (const [peer, heardAtMs] of this.#heardAtMs) {
+      const isRecent = this.#nowMs - heardAtMs <= HEARD_HOLDER_MS;
+      if (isRecent) holders.add(peer);
+      else this.#heardAtMs.delete(peer);
+    }
+    return holders;
+  }
+
   #formerKeeper(target: string): FormerKeeper {
     const epoch = this.#holder.epochOf(target);
     if (!epoch) return { epochNumber: 0, mayReport: false };
@@ -376,8 +392,16 @@
 
   #answerCollect(from: string, request: CollectRequest): void {
     const answer = this.#holder.answerCollect(request);
-    if (answer.kind === "collected") this.#book.noteCollectRequest(request);
-    this.#parts.send(from, { kind: "collected", answer });
+    if (answer.kind === "newer-epoch") {
+      return this.#parts.send(from, { kind: "collected", answer });
+    }
+    const orphanRequests = this.#book.orphanRequests(
+      request.target,
+      this.#nowMs,
+    );
+    this.#book.noteCollectRequest(request);
+    const full = orphanRequests === 0 ? answer : { ...answer, orphanRequests };
+    this.#parts.send(from, { kind: "collected", answer: full });
   }
 
   #takeAnswer(answer: PermitAnswer): void {
--- a/packages/daemon/src/keepers/wire.ts
+++ b/packages/daemon/src/keepers/wire.ts
@@ -29,9 +29,9 @@
   z.string(),
 ]);
 
-/** 1 and the running asks, or 0 and the newer epoch that was met. */
+/** 1, the running asks and the former keeper's orphans, or 0 and the newer epoch that was met. */
 export const collectAnswerSchema = z.union([
-  z.tuple([z.literal(1), askIdsSchema]),
+  z.tuple([z.literal(1), askIdsSchema, z.int().optional()]),
   z.tuple([z.literal(0), epochNumberSchema, z.string()]),
 ]);
 
@@ -40,7 +40,11 @@
 
 /** Writes a holder's answer to a collect request. */
 export function encodeCollectAnswer(answer: CollectAnswer): WireCollectAnswer {
-  if (answer.kind === "collected") return [1, [...answer.startedAskIds]];
+  if (answer.kind === "collected") {
+    const { startedAskIds, orphanRequests } = answer;
+    if (orphanRequests === undefined) return [1, [...startedAskIds]];
+    return [1, [...startedAskIds], orphanRequests];
+  }
   return [0, answer.epoch.number, answer.epoch.keeper];
 }
 
@@ -51,7 +55,11 @@
 ): CollectAnswer {
   const { target, epoch } = request;
   if (wire[0] === 1) {
-    return { kind: "collected", target, epoch, startedAskIds: wire[1] };
+    const [, startedAskIds, orphanRequests] = wire;
+    const answer = { kind: "collected", target, epoch, startedAskIds } as const;
+    return orphanRequests === undefined
+      ? answer
+      : { ...answer, orphanRequests };
   }
   const [, number, keeper] = wire;
   return { kind: "newer-epoch", target, epoch: { number, keeper } };
