Let a target that was not reached rest before the same request tries it again

A larger number of tries was ruled out, since each costs a connect.

A target now rests 100 ms for the request that did not reach it.

--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -88,11 +88,10 @@
         return err(createQuarantineRefusal(history.mayHaveRun));
       }
       const isSuspect = verdict === "suspect";
-      const tried = history.targets;
       const place = await this.#places.find({
         context,
         ticket,
-        tried,
+        history,
         isSuspect,
       });
       if (!place) break;
@@ -104,9 +103,9 @@
       );
       if (result.kind === "answered") return ok(undefined);
       message = result.message;
-      history.note(place.target.name, result);
-      if (context.signal.aborted) break;
       const nowMs = timer.nowMs();
+      history.note(place.target.name, result, nowMs);
+      if (context.signal.aborted) break;
       const next = history.decide({
         result,
         context,
--- a/packages/daemon/src/entry/next_try.ts
+++ b/packages/daemon/src/entry/next_try.ts
@@ -7,6 +7,13 @@
 import type { AnswerRelay, AttemptResult } from "./answer_relay.ts";
 import type { RequestContext } from "./request_context.ts";
 
+/**
+ * Pause before a target that was not reached is tried again. Without it, a
+ * request whose other targets are full spends all its tries at once on a
+ * target that is just restarting.
+ */
+const UNREACHED_REST_MS = 100;
+
 /** A try that did not lead to an answer. */
 export type FailedAttempt = Exclude<AttemptResult, { kind: "answered" }>;
 
@@ -24,6 +31,8 @@
 /** The tries of one request so far. */
 export class TryHistory {
   readonly targets = new Set<string>();
+  /** When a target that the request did not reach may be tried again. */
+  readonly #restUntilMs = new Map<string, number>();
   #sent = 0;
   #unsent = 0;
   #mayHaveRun = false;
@@ -33,11 +42,18 @@
     return this.#mayHaveRun;
   }
 
+  /** Whether the request failed to reach the target a moment ago. */
+  isResting(target: string, nowMs: number): boolean {
+    return nowMs < (this.#restUntilMs.get(target) ?? 0);
+  }
+
   /** Notes a failed try at a target. */
-  note(target: string, result: FailedAttempt): void {
+  note(target: string, result: FailedAttempt, nowMs: number): void {
     this.targets.add(target);
-    if (result.kind === "not-sent") this.#unsent += 1;
-    else this.#sent += 1;
+    if (result.kind === "not-sent") {
+      this.#unsent += 1;
+      this.#restUntilMs.set(target, nowMs + UNREACHED_REST_MS);
+    } else this.#sent += 1;
     if (result.kind === "unknown" || result.kind === "cut") {
       this.#mayHaveRun = true;
     }
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -3,6 +3,7 @@
 import type { Blackboard, TargetView } from "../blackboard/index.ts";
 import type { PoisonController } from "../poison/index.ts";
 import type { Permit, PermitGate } from "./permit_gate.ts";
+import type { TryHistory } from "./next_try.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { TargetOrder } from "./target_order.ts";
 
@@ -18,8 +19,8 @@
 export interface PlaceQuestion {
   readonly context: RequestContext;
   readonly ticket: AdmissionTicket;
-  /** Targets that failed the request; they come last. */
-  readonly tried: ReadonlySet<string>;
+  /** The tries so far; targets that failed the request come last. */
+  readonly history: TryHistory;
   /** Whether the request must run apart from other suspects. */
   readonly isSuspect: boolean;
 }
@@ -59,11 +60,16 @@
   }
 
   async #findNow(question: PlaceQuestion): Promise<Place | undefined> {
-    const { context, tried } = question;
-    const all = this.#parts.placement.orderTargets(context);
+    const { context, history } = question;
+    const nowMs = this.#parts.timer.nowMs();
+    const all = this.#parts.placement.orderTargets(context)
+      .filter((target) => !history.isResting(target.name, nowMs));
     const ordered = question.isSuspect ? this.#keepIsolated(all) : all;
-    const untried = ordered.filter((target) => !tried.has(target.name));
+    const untried = ordered.filter((target) =>
+      !history.targets.has(target.name)
+    );
     const candidates = untried.length > 0 ? untried : ordered;
+    if (candidates.length === 0) return undefined;
     const result = await this.#parts.permitGate.acquire(candidates, context);
     if (result.isErr()) return undefined;
     const permit = result.value;
