--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -88,10 +88,11 @@
         return err(createQuarantineRefusal(history.mayHaveRun));
       }
       const isSuspect = verdict === "suspect";
+      const tried = history.targets;
       const place = await this.#places.find({
         context,
         ticket,
-        history,
+        tried,
         isSuspect,
       });
       if (!place) break;
@@ -103,9 +104,9 @@
       );
       if (result.kind === "answered") return ok(undefined);
       message = result.message;
-      const nowMs = timer.nowMs();
-      history.note(place.target.name, result, nowMs);
+      history.note(place.target.name, result);
       if (context.signal.aborted) break;
+      const nowMs = timer.nowMs();
       const next = history.decide({
         result,
         context,
@@ -131,7 +132,7 @@
     const mark = poison.begin(target, context.requestId, digest);
     try {
       // Nothing may be awaited between these checks and the send.
-      const mayStart = mark !== undefined && !context.signal.aborted &&
+      const mayStart = !context.signal.aborted &&
         claims.mayStart(context) && permit.start();
       if (!mayStart) {
         const message = "the right to start ended before the request was sent";
@@ -143,8 +144,10 @@
       if (result.kind !== "answered") this.#logFailure(place, context, result);
       return { result, hasTargetCrashed };
     } finally {
-      mark?.end();
+      mark.end();
+      place.endIsolation?.();
       permit.release();
+      this.#places.noteRelease();
     }
   }
 
@@ -183,6 +186,7 @@
     });
     if (response.isOk()) return relay.relay(response.value, context);
     const { kind, message } = response.error;
+    if (kind === "not-sent") this.#places.noteUnreachable(target);
     return { kind: kind === "not-sent" ? "not-sent" : "unknown", message };
   }
 
