--- a/packages/bench/src/demo/demo_load.ts
+++ b/packages/bench/src/demo/demo_load.ts
@@ -17,6 +17,8 @@
   bookings: number;
   bookingsWhole: number;
   resends: number;
+  /** Time to the first byte of each streamed chat answer. */
+  readonly firstByteMs: number[];
   /** The first few failures, for the reader. */
   readonly failures: string[];
 }
@@ -34,6 +36,7 @@
     bookings: 0,
     bookingsWhole: 0,
     resends: 0,
+    firstByteMs: [],
     failures: [],
   };
   readonly #fleet: Fleet;
@@ -79,15 +82,17 @@
     for (let turn = 1; turn <= this.#options.turnsPerChat; turn += 1) {
       messages.push({ role: "user", content: `Question ${turn} on it?` });
       const maxTokens = this.#pick(MIN_ANSWER_TOKENS, MAX_ANSWER_TOKENS);
+      const isStream = this.#pick(0, 3) > 0;
       const result = await this.#caller.chat(this.#pickUrl(), {
         team: this.#pickTeam(),
         chat: `chat-${number}`,
         model: this.#deployment.model,
         messages: [...messages],
         maxTokens,
-        isStream: this.#pick(0, 3) > 0,
+        isStream,
       });
       this.counts.chats += 1;
+      if (isStream) this.counts.firstByteMs.push(result.firstByteMs);
       if (result.isOwnAndWhole) this.counts.chatsWhole += 1;
       this.#record(`chat ${number} turn ${turn}`, result);
       const { text } = expectedAnswer(messages, maxTokens);
--- a/packages/bench/src/demo/demo_options.ts
+++ b/packages/bench/src/demo/demo_options.ts
@@ -43,9 +43,10 @@
 
 export const USAGE = `usage: npm run demo [-- OPTIONS]
 
-  --smoke    a short run of one deployment, for CI
-  --seed N   seed of the load, ${DEFAULT_SEED} unless given
-  --help     print this help
+  --smoke          a short run of one deployment, for CI
+  --concurrency N  chats and bookings in progress at a time
+  --seed N         seed of the load, ${DEFAULT_SEED} unless given
+  --help           print this help
 `;
 
 /** Reads the command line; undefined where help was asked for. */
@@ -54,6 +55,7 @@
     args,
     options: {
       smoke: { type: "boolean", default: false },
+      concurrency: { type: "string" },
       seed: { type: "string", default: String(DEFAULT_SEED) },
       help: { type: "boolean", default: false },
     },
@@ -61,6 +63,11 @@
   if (values.help) return undefined;
   const seed = Number(values.seed);
   if (!Number.isInteger(seed)) throw new Error("--seed takes a whole number");
-  if (values.smoke) return { ...SMOKE, deployments: [BATINAH], seed };
-  return { ...FULL, deployments: [BATINAH, BARANDAS], seed };
+  const size = values.smoke ? SMOKE : FULL;
+  const concurrency = Number(values.concurrency ?? size.concurrency);
+  if (!Number.isInteger(concurrency) || concurrency < 1) {
+    throw new Error("--concurrency takes a whole number above 0");
+  }
+  const deployments = values.smoke ? [BATINAH] : [BATINAH, BARANDAS];
+  return { ...size, concurrency, deployments, seed };
 }
--- a/packages/bench/src/demo/demo_report.ts
+++ b/packages/bench/src/demo/demo_report.ts
@@ -13,6 +13,8 @@
   readonly admissions: number;
   /** Most requests that one target was given, over the mean. */
   readonly skew: number;
+  /** Mean over the admissions of the pool's mean load, each included. */
+  readonly meanLoad: number;
   /** Admissions above the load bound. */
   readonly breaches: number;
 }
@@ -94,11 +96,13 @@
       "prompt tokens reused of those that returned",
       `${(100 * report.reuse).toFixed(1)} %`,
     ],
+    ["first byte of a stream, p50 and p95", formatTimes(counts.firstByteMs)],
     ...pools.flatMap((pool): [string, string][] => [
       [
         `skew of ${pool.pool} (most over mean)`,
         `${pool.skew.toFixed(2)} over ${pool.targets} targets`,
       ],
+      [`mean load of ${pool.pool} at admissions`, pool.meanLoad.toFixed(2)],
       [
         `admissions of ${pool.pool} above the bound`,
         `${pool.breaches} of ${pool.admissions}, factor ${pool.loadFactor}`,
@@ -134,6 +138,10 @@
       loadFactor,
       admissions: own.length,
       skew: most * targets.length / Math.max(1, own.length),
+      meanLoad: own.reduce(
+        (sum, it) => sum + it.poolTotal / Math.max(1, it.poolTargets),
+        0,
+      ) / Math.max(1, own.length),
       breaches: findBoundBreaches(admissions, pool, loadFactor).length,
     };
   });
@@ -147,6 +155,14 @@
   return bytes;
 }
 
+function formatTimes(timesMs: readonly number[]): string {
+  const sorted = timesMs.toSorted((a, b) => a - b);
+  const [p50, p95] = [0.5, 0.95].map((part) =>
+    (sorted[Math.floor(part * sorted.length)] ?? 0).toFixed(0)
+  );
+  return `${p50} and ${p95} ms`;
+}
+
 function formatTraffic(bytesPerSecond: readonly number[]): string {
   const mean = bytesPerSecond.reduce((sum, it) => sum + it, 0) /
     Math.max(1, bytesPerSecond.length);
