--- a/packages/bench/src/harness/settings_files.ts
+++ b/packages/bench/src/harness/settings_files.ts
@@ -2,10 +2,21 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
+/** Directories in use, removed at the latest as this process ends. */
+const directories = new Set<string>();
+
+process.once("exit", () => {
+  for (const directory of directories) removeDirectory(directory);
+});
+
 /** A directory of settings files that goes away with the fleet. */
 export class SettingsFiles {
   readonly #directory = mkdtempSync(join(tmpdir(), "coltsfoot-"));
 
+  constructor() {
+    directories.add(this.#directory);
+  }
+
   /** Writes settings and returns the path of their file. */
   write(name: string, settings: unknown): string {
     const path = join(this.#directory, `${name}.json`);
@@ -26,6 +37,11 @@
   }
 
   remove(): void {
-    rmSync(this.#directory, { recursive: true, force: true });
+    directories.delete(this.#directory);
+    removeDirectory(this.#directory);
   }
 }
+
+function removeDirectory(directory: string): void {
+  rmSync(directory, { recursive: true, force: true });
+}
