--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -346,7 +346,7 @@
     let endedPerSecond = 0;
     for (const target of [...this.#targets.keys()].sort()) {
       const kept = this.#targets.get(target)!;
-      if (kept.pool !== pool) continue;
+      if (kept.pool !== pool || kept.keeper.isLeaving) continue;
       const isVouched = nowMs >= kept.vouchedFromMs;
       loadsRequests.push(isVouched ? kept.keeper.vouchedRequests(nowMs) : 0);
       endedPerSecond += kept.keeper.endedPerSecond(nowMs);
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -223,6 +223,11 @@
     }
   }
 
+  /** A leaving target does not count in the mean of its pool. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** A leaving target gets no further permits. */
   noteLeaving(isLeaving: boolean): void {
     this.#isLeaving = isLeaving;
--- a/packages/daemon/src/keepers/keeper_controller.ts
+++ b/packages/daemon/src/keepers/keeper_controller.ts
@@ -152,6 +152,8 @@
       const target = targets.get(name);
       if (keeper.vm !== vm || !target) continue;
       const { pool, state } = target;
+      // A target that cannot be reached is in no pool, so it is not counted.
+      if (state === "dead") continue;
       const isNew = this.#newTargets.isNew(name, nowMs);
       kept.push({ name, pool, isNew, isLeaving: state !== "live" });
     }
@@ -199,8 +201,9 @@
     const { targets, keepers } = this.#parts.blackboard;
     const names: string[] = [];
     for (const [name, keeper] of keepers.read()) {
-      const isOfPool = targets.read().get(name)?.pool === pool;
-      if (keeper.vm === vm && isOfPool) names.push(name);
+      const target = targets.read().get(name);
+      const isServing = target?.pool === pool && target.state === "live";
+      if (keeper.vm === vm && isServing) names.push(name);
     }
     return names.sort();
   }
