--- a/packages/core/src/bound/target_ledger.ts
+++ b/packages/core/src/bound/target_ledger.ts
@@ -81,7 +81,19 @@
     );
     const permitRequests = this.#heldRequests + lostRequests -
       this.#countOnTheWay(nowMs);
-    return Math.min(permitRequests, this.#reportBound());
+    return Math.min(permitRequests, this.#runningByReport());
+  }
+
+  /**
+   * The last report and what was granted since. Returns of holders that cannot
+   * be reached are missing from the permits, but not from the report.
+   */
+  #runningByReport(): number {
+    const report = this.#report;
+    if (!report) return Number.POSITIVE_INFINITY;
+    const sinceMs = report.measuredAtMs - ARRIVAL_LAG_MS;
+    const granted = this.#grantTimesMs.filter((atMs) => atMs > sinceMs);
+    return report.loadRequests + granted.length;
   }
 
   /** Upper bound of the target's load at `nowMs`. */
