--- a/packages/core/src/bound/permit.ts
+++ b/packages/core/src/bound/permit.ts
@@ -73,6 +73,9 @@
   readonly epoch: KeeperEpoch;
 }
 
+/** A former keeper does not know what runs without a holder. */
+export const UNKNOWN_ORPHANS = -1;
+
 /** A holder's answer to a `CollectRequest`. */
 export type CollectAnswer =
   | {
@@ -81,6 +84,11 @@
     readonly epoch: KeeperEpoch;
     /** Requests of the holder that run at the target. */
     readonly startedAskIds: readonly number[];
+    /**
+     * From the former keeper: requests of lost holders that may still run, or
+     * `UNKNOWN_ORPHANS` where it dropped its state. Absent from others.
+     */
+    readonly orphanRequests?: number;
   }
   | {
     readonly kind: "newer-epoch";
--- a/packages/core/src/bound/target_keeper.ts
+++ b/packages/core/src/bound/target_keeper.ts
@@ -6,7 +6,7 @@
   PermitAsk,
   RefusalReason,
 } from "./permit.ts";
-import { isSameEpoch } from "./permit.ts";
+import { isSameEpoch, UNKNOWN_ORPHANS } from "./permit.ts";
 import { TargetLedger, type TargetReport } from "./target_ledger.ts";
 import { RateMeter } from "./rate_meter.ts";
 
@@ -42,6 +42,8 @@
   #ledger: TargetLedger;
   #collection: Collection | undefined;
   #isLeaving = false;
+  /** Whether a ledger of this keeper was ever complete. */
+  #hasGranted = false;
   #endRate = new RateMeter();
 
   constructor(target: string, keeper: string, options: TargetKeeperOptions) {
@@ -115,10 +117,21 @@
     for (const askId of answer.startedAskIds) {
       this.#ledger.hold(holder, askId, nowMs);
     }
+    const orphanRequests = answer.orphanRequests ?? 0;
+    this.#ledger.addOrphans(orphanRequests, nowMs);
+    if (orphanRequests === UNKNOWN_ORPHANS && this.#collection) {
+      this.#collection.hasSilentHolder = true;
+    }
     this.#collection?.waitingFor.delete(holder);
     this.advance(nowMs);
   }
 
+  /** What this keeper tells its successor of load without a holder. */
+  orphanRequests(nowMs: number): number {
+    if (this.isGranting) return this.#ledger.orphanRequests(nowMs);
+    return this.#hasGranted ? UNKNOWN_ORPHANS : 0;
+  }
+
   /** Notes an epoch of another keeper; a newer one drops this one's state. */
   noteNewerEpoch(epoch: KeeperEpoch): void {
     if (epoch.number < this.#epoch.number) return;
@@ -140,12 +153,18 @@
     if (collection.waitingFor.size > 0) return;
     if (collection.hasSilentHolder) return;
     this.#collection = undefined;
+    this.#hasGranted = true;
   }
 
   /** Takes the target's own count, the floor of a take-over with silence. */
-  noteReport(report: TargetReport, nowMs: number): void {
+  noteReport(
+    report: TargetReport,
+    nowMs: number,
+    isHeard: (holder: string) => boolean = () => true,
+  ): void {
     const lostBefore = this.#ledger.lostRequests;
-    this.#ledger.noteReport(report, nowMs);
+    const isFloor = this.#collection?.hasSilentHolder === true;
+    this.#ledger.noteReport(report, nowMs, { isFloor, isHeard });
     for (let lost = this.#ledger.lostRequests; lost < lostBefore; lost++) {
       this.#endRate.note(nowMs);
     }
@@ -156,6 +175,7 @@
     const safeFromMs = collection.startedAtMs + this.#options.startWithinMs;
     if (report.measuredAtMs < safeFromMs) return;
     this.#collection = undefined;
+    this.#hasGranted = true;
   }
 
   /** Answers an ask; the limit is of the pool at this moment. */
