--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -16,5 +16,4 @@
   },
   testTimeout: 60_000,
   maxWorkers: 4,
-  reporters: ["default", "<rootDir>/scripts/summary-reporter.mjs"],
 };
--- a/packages/core/src/bound/ask_queue.ts
+++ b/packages/core/src/bound/ask_queue.ts
@@ -37,6 +37,10 @@
 export class AskQueue {
   #waiting: WaitingAsk[] = [];
 
+  get length(): number {
+    return this.#waiting.length;
+  }
+
   /** Answers an ask now; undefined means that it waits from now on. */
   answer(
     holder: string,
--- a/packages/core/src/bound/keeper_book.ts
+++ b/packages/core/src/bound/keeper_book.ts
@@ -99,6 +99,11 @@
     this.#options = options;
   }
 
+  /** Number of asks that wait for a place. */
+  get waitingAsks(): number {
+    return this.#queue.length;
+  }
+
   /** Names of the targets that this daemon keeps. */
   keptTargets(): readonly string[] {
     return [...this.#targets.keys()];
--- a/packages/daemon/src/entry/place_finder.ts
+++ b/packages/daemon/src/entry/place_finder.ts
@@ -1,6 +1,7 @@
 import type { TimerService } from "@coltsfootford/core";
 import type { AdmissionTicket } from "../admission/index.ts";
 import type { Blackboard, TargetView } from "../blackboard/index.ts";
+import type { Logger } from "../log/index.ts";
 import type { PoisonController, ReleaseIsolation } from "../poison/index.ts";
 import type { Permit, PermitGate } from "./permit_gate.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -15,6 +16,8 @@
 /** A suspect asks other daemons for a target, so it asks less often. */
 const SUSPECT_WAIT_MS = 100;
 const MAX_ISOLATION_ASKS = 3;
+/** A longer wait for a place is logged once for a request. */
+const LONG_WAIT_MS = 5_000;
 
 /** A target that may take the request, with the permit for it. */
 export interface Place {
@@ -41,6 +44,7 @@
   readonly permitGate: PermitGate;
   readonly poison: PoisonController;
   readonly placement: TargetOrder;
+  readonly logger: Logger;
 }
 
 /** Finds the first target in order that gives a permit. */
@@ -48,6 +52,8 @@
   readonly #parts: PlaceFinderParts;
   readonly #unreachable: UnreachableTargets;
   readonly #waiting = new Set<() => void>();
+  /** Why the last search in vain had no place, for the log. */
+  #lastRefusal = "";
 
   constructor(parts: PlaceFinderParts) {
     this.#parts = parts;
@@ -60,6 +66,8 @@
     // A suspect waits for a target of its own, which says nothing about room
     // for others, so these need not wait for it.
     if (isSuspect) ticket.setBlocked(false);
+    const startedAtMs = this.#parts.timer.nowMs();
+    let isReported = false;
     for (let pass = 0; !context.signal.aborted; pass++) {
       const place = await this.#findNow(question, pass);
       if (place) {
@@ -67,11 +75,30 @@
         return place;
       }
       if (!isSuspect) ticket.setBlocked(true);
+      const waitedMs = this.#parts.timer.nowMs() - startedAtMs;
+      if (waitedMs >= LONG_WAIT_MS && !isReported) {
+        isReported = true;
+        this.#reportLongWait(question, waitedMs);
+      }
       await this.#wait(isSuspect ? SUSPECT_WAIT_MS : pauseMs(pass));
     }
     return undefined;
   }
 
+  #reportLongWait(question: PlaceQuestion, waitedMs: number): void {
+    const { context, isSuspect, tried } = question;
+    const order = this.#parts.placement.orderTargets(context);
+    this.#parts.logger.event("placeWaitLong", {
+      requestId: context.requestId,
+      pool: context.pool.name,
+      waitedMs,
+      isSuspect,
+      lastRefusal: this.#lastRefusal,
+      order: order.map((target) => target.name),
+      tried: [...tried],
+    });
+  }
+
   /** Lets the searches look again, after a place was given back. */
   noteRelease(): void {
     for (const wake of [...this.#waiting]) wake();
@@ -125,7 +152,10 @@
     context: RequestContext,
   ): Promise<Place | undefined> {
     const result = await this.#parts.permitGate.acquire(candidates, context);
-    if (result.isErr()) return undefined;
+    if (result.isErr()) {
+      this.#lastRefusal = result.error.reason;
+      return undefined;
+    }
     const permit = result.value;
     const target = candidates.find((it) => it.name === permit.target);
     if (target) return { target, permit };
--- a/packages/daemon/src/keepers/keeper_controller.ts
+++ b/packages/daemon/src/keepers/keeper_controller.ts
@@ -106,6 +106,10 @@
         epoch: keeper.epoch.number,
         isGranting: book.isGranting(target, nowMs),
         loadRequests: keeper.loadRequests(nowMs),
+        vouchedRequests: keeper.vouchedRequests(nowMs),
+        endedPerSecond: keeper.endedPerSecond(nowMs),
+        limitRequests: book.limitRequests(this.#poolOf(target), nowMs),
+        waitingAsks: book.waitingAsks,
       };
     });
   }
@@ -115,6 +119,10 @@
     this.node.receive(from, message);
   };
 
+  #poolOf(target: string): string {
+    return this.#parts.blackboard.targets.read().get(target)?.pool ?? "";
+  }
+
   #createView(): PermitView {
     const { vm, blackboard, membership } = this.#parts;
     return {
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -87,6 +87,11 @@
     level: "warn",
     text: "target failed a request",
   },
+  placeWaitLong: {
+    number: 4010,
+    level: "warn",
+    text: "request has waited long for a place at a target",
+  },
   answerRefused: {
     number: 4003,
     level: "error",
