--- a/packages/core/src/bound/permit_node.ts
+++ b/packages/core/src/bound/permit_node.ts
@@ -1,108 +1,22 @@
-import type { TimerService } from "../timer/index.ts";
 import type { LateAnswer } from "./ask_queue.ts";
-import {
-  DEFAULT_KEEPER_BOOK_OPTIONS,
-  type FormerKeeper,
-  KeeperBook,
-  type KeeperBookOptions,
-  type KeptPool,
-} from "./keeper_book.ts";
-import {
-  type CollectRequest,
-  longestWaitMs,
-  type PermitAnswer,
-  type RefusalReason,
-} from "./permit.ts";
+import { HeardPeers } from "./heard_peers.ts";
+import { KeeperBook, type KeptPool } from "./keeper_book.ts";
+import { longestWaitMs, type PermitAnswer } from "./permit.ts";
 import type { PermitExtras } from "./permit_codec.ts";
 import { PermitHolder } from "./permit_holder.ts";
 import type { PermitMessage } from "./permit_message.ts";
+import {
+  type AskOutcome,
+  type AskParts,
+  DEFAULT_PERMIT_NODE_OPTIONS,
+  type PermitNodeOptions,
+  type PermitNodeParts,
+} from "./permit_node_parts.ts";
 import { PermitOutbox } from "./permit_outbox.ts";
 import type { PoolLoadReport } from "./pool_mean_estimate.ts";
+import { type KeptTargetView, TakeOvers } from "./take_overs.ts";
 import type { TargetReport } from "./target_ledger.ts";
 
-/** Times of the exchange of permits. */
-export interface PermitNodeOptions {
-  readonly book: KeeperBookOptions;
-  /** Returns are gathered for this time unless another message goes first. */
-  readonly returnBatchMs: number;
-  /** Time for an answer, on top of the time that the ask may wait. */
-  readonly askTimeoutMs: number;
-  /** A report rides on a message if the last one is older. */
-  readonly reportPeriodMs: number;
-  /** A report is sent alone after this time; 0 never sends one alone. */
-  readonly loneReportMs: number;
-  /** Wait before a target is taken back that another daemon collected. */
-  readonly retakeMs: number;
-}
-
-/** Times for zones a few milliseconds apart. */
-export const DEFAULT_PERMIT_NODE_OPTIONS: PermitNodeOptions = {
-  book: DEFAULT_KEEPER_BOOK_OPTIONS,
-  returnBatchMs: 2,
-  askTimeoutMs: 300,
-  reportPeriodMs: 250,
-  loneReportMs: 300,
-  retakeMs: 400,
-};
-
-/** Time for which a daemon that was heard may hold permits, in ms. */
-const HEARD_HOLDER_MS = 60_000;
-/** Time for which a keeper that gave no answer is passed over, in ms. */
-const SILENT_MS = 500;
-
-/** What a `PermitNode` needs to know of the fleet. */
-export interface PermitView {
-  /** The daemon that keeps a target, if any is known. */
-  keeperOf(target: string): string | undefined;
-  /** Daemons that may hold permits, this one included. */
-  holders(): readonly string[];
-  /** The other daemons that keep targets of the same pools. */
-  otherKeepers(): readonly string[];
-  /** Whether this daemon may act as a keeper now; false after a pause. */
-  mayKeep(): boolean;
-}
-
-/** What a `PermitNode` is built from. */
-export interface PermitNodeParts {
-  /** Name of this daemon. */
-  readonly name: string;
-  readonly timer: TimerService;
-  readonly view: PermitView;
-  /** Sends a message to another daemon; it may be lost. */
-  readonly send: (to: string, message: PermitMessage) => void;
-  readonly options?: PermitNodeOptions;
-}
-
-/** A target that falls to this daemon. */
-export interface KeptTargetView {
-  readonly name: string;
-  readonly pool: string;
-  /** Whether it has just started to serve, beside others. */
-  readonly isNew: boolean;
-  readonly isLeaving: boolean;
-}
-
-/** What an ask may say beside its target. */
-export interface AskParts {
-  /** Time that the ask may wait at the keeper while the target is full. */
-  readonly waitMs?: number;
-  /** Further targets of the same keeper, in order. */
-  readonly alternatives?: readonly string[];
-}
-
-/** A usable permit. */
-export interface UsablePermit {
-  /** The target that was asked for, or one of the alternatives. */
-  readonly target: string;
-  /** Call it right before the request is sent; false means it must not be. */
-  readonly start: () => boolean;
-  /** Hands the permit back, used or not. */
-  readonly end: () => void;
-}
-
-/** What an ask led to. */
-export type AskOutcome = UsablePermit | RefusalReason | "no-keeper" | "timeout";
-
 interface PendingAsk {
   readonly keeper: string;
   readonly onOutcome: (outcome: AskOutcome) => void;
@@ -120,11 +34,8 @@
   readonly #outbox: PermitOutbox;
   readonly #pending = new Map<number, PendingAsk>();
   readonly #plannedFlushes = new Set<string>();
-  readonly #retakesAtMs = new Map<string, number>();
-  /** When each peer was heard last, and until when it is taken to be silent. */
-  readonly #heardAtMs = new Map<string, number>();
-  readonly #silentUntilMs = new Map<string, number>();
-  #kept = new Map<string, KeptTargetView>();
+  readonly #heard = new HeardPeers();
+  readonly #takeOvers: TakeOvers;
   #poolNames: readonly string[] = [];
   #couldKeep = false;
 
@@ -136,6 +47,17 @@
       this.#options.reportPeriodMs,
       (nowMs) => this.ownReports(nowMs),
     );
+    this.#takeOvers = new TakeOvers({
+      name: parts.name,
+      book: this.#book,
+      holder: this.#holder,
+      heard: this.#heard,
+      viewedHolders: () => parts.view.holders(),
+      sendCollect: (to, request) =>
+        parts.send(to, { kind: "collect", request }),
+      maxReportAgeMs: this.#options.book.poolMean.maxReportAgeMs,
+      retakeMs: this.#options.retakeMs,
+    });
   }
 
   /** The targets kept here and their ledgers, for dumps. */
@@ -151,15 +73,7 @@
 
   /** Sets the targets that fall to this daemon; new ones are taken over. */
   setKept(targets: readonly KeptTargetView[]): void {
-    this.#kept = new Map(targets.map((target) => [target.name, target]));
-    for (const name of this.#book.keptTargets()) {
-      if (this.#kept.has(name)) continue;
-      this.#sendLateAnswers(this.#book.stopKeeping(name));
-    }
-    for (const target of targets) {
-      if (!this.#book.keeperOf(target.name)) this.#begin(target);
-      this.#book.keeperOf(target.name)?.noteLeaving(target.isLeaving);
-    }
+    this.#sendLateAnswers(this.#takeOvers.setKept(targets, this.#nowMs));
   }
 
   /**
@@ -194,7 +108,7 @@
   ): void {
     const keeper = this.#parts.view.keeperOf(target);
     if (keeper === undefined) return onOutcome("no-keeper");
-    if (this.#isSilent(keeper)) return onOutcome("timeout");
+    if (this.#heard.isSilent(keeper, this.#nowMs)) return onOutcome("timeout");
     const askId = this.#holder.createAsk(target, keeper, this.#nowMs);
     const ask = { askId, target, ...parts };
     this.#pending.set(askId, { keeper, onOutcome });
@@ -212,18 +126,10 @@
   /** A keeper that did not answer is not asked again for a while. */
   #timeOut(askId: number): void {
     const keeper = this.#pending.get(askId)?.keeper;
-    if (keeper !== undefined) this.#noteSilent(keeper);
+    if (keeper !== undefined) this.#heard.noteSilent(keeper, this.#nowMs);
     this.giveUp(askId);
   }
 
-  #noteSilent(peer: string): void {
-    this.#silentUntilMs.set(peer, this.#nowMs + SILENT_MS);
-  }
-
-  #isSilent(peer: string): boolean {
-    return this.#nowMs < (this.#silentUntilMs.get(peer) ?? 0);
-  }
-
   /** Ends an ask that has no answer; the keeper may have granted it. */
   giveUp(askId: number): void {
     const pending = this.#pending.get(askId);
@@ -236,8 +142,7 @@
   /** Takes a message of another daemon. */
   receive(from: string, message: PermitMessage): void {
     const nowMs = this.#nowMs;
-    this.#heardAtMs.set(from, nowMs);
-    this.#silentUntilMs.delete(from);
+    this.#heard.noteHeard(from, nowMs);
     if ("extras" in message) this.#takeExtras(from, message.extras);
     if (message.kind === "ask") {
       const answer = this.#answer(from, message.ask);
@@ -247,7 +152,8 @@
     if (message.kind === "answer") return this.#takeAnswer(message.answer);
     if (message.kind === "returns") return this.#answerLate();
     if (message.kind === "collect") {
-      return this.#answerCollect(from, message.request);
+      const answer = this.#takeOvers.answerCollect(message.request, nowMs);
+      return this.#parts.send(from, { kind: "collected", answer });
     }
     if (message.kind === "adopt") {
       return this.#book.adopt(from, message.target, message.askIds, nowMs);
@@ -263,7 +169,7 @@
     this.#book.noteHolderGone(peer, this.#nowMs);
     this.#book.forgetKeeper(peer);
     this.#outbox.drop(peer);
-    this.#noteSilent(peer);
+    this.#heard.noteSilent(peer, this.#nowMs);
     for (const [askId, pending] of [...this.#pending]) {
       if (pending.keeper === peer) this.giveUp(askId);
     }
@@ -289,7 +195,7 @@
   noteTargetReport(target: string, report: TargetReport): void {
     const isHeard = (holder: string) =>
       holder === this.#parts.name ||
-      (this.#heardAtMs.get(holder) ?? -Infinity) >= report.measuredAtMs;
+      this.#heard.heardAtMs(holder) >= report.measuredAtMs;
     this.#book.noteTargetReport(target, report, this.#nowMs, isHeard);
   }
 
@@ -304,9 +210,11 @@
     const nowMs = this.#nowMs;
     const wasAwake = this.#book.noteAlive(nowMs);
     const mayKeep = this.#parts.view.mayKeep();
-    if (mayKeep && (!wasAwake || !this.#couldKeep)) this.#beginAll();
+    if (mayKeep && (!wasAwake || !this.#couldKeep)) {
+      this.#takeOvers.beginAll(nowMs);
+    }
     this.#couldKeep = mayKeep;
-    if (mayKeep) this.#retake(nowMs);
+    if (mayKeep) this.#takeOvers.retake(nowMs);
     this.#book.advance(nowMs);
     this.#sendLoneReports(nowMs);
     this.#answerLate();
@@ -326,84 +234,6 @@
     return { kind: "refused", askId: ask.askId, reason: "not-ready" };
   }
 
-  #beginAll(): void {
-    for (const target of this.#kept.values()) this.#begin(target);
-  }
-
-  #begin(target: KeptTargetView): void {
-    const { name, pool } = target;
-    const nowMs = this.#nowMs;
-    const holders = this.#possibleHolders();
-    const request = this.#book.beginKeeping(
-      name,
-      pool,
-      holders,
-      nowMs,
-      this.#formerKeeper(name),
-    );
-    if (target.isNew) this.#book.noteStarted(name, nowMs);
-    this.#book.keeperOf(name)?.noteLeaving(target.isLeaving);
-    for (const holder of holders) {
-      if (holder === this.#parts.name) continue;
-      this.#parts.send(holder, { kind: "collect", request });
-    }
-    const own = this.#holder.answerCollect(request);
-    this.#book.noteCollectAnswer(this.#parts.name, own, nowMs);
-  }
-
-  /** Daemons of the view, and those heard of late that it does not show. */
-  #possibleHolders(): ReadonlySet<string> {
-    const holders = new Set(this.#parts.view.holders());
-    for (const [peer, heardAtMs] of this.#heardAtMs) {
-      const isRecent = this.#nowMs - heardAtMs <= HEARD_HOLDER_MS;
-      if (isRecent) holders.add(peer);
-      else this.#heardAtMs.delete(peer);
-    }
-    return holders;
-  }
-
-  #formerKeeper(target: string): FormerKeeper {
-    const epoch = this.#holder.epochOf(target);
-    if (!epoch) return { epochNumber: 0, mayReport: false };
-    const { maxReportAgeMs } = this.#options.book.poolMean;
-    const heardAtMs = this.#heardAtMs.get(epoch.keeper) ?? -Infinity;
-    const mayReport = this.#nowMs - heardAtMs <= maxReportAgeMs;
-    return { epochNumber: epoch.number, mayReport };
-  }
-
-  /** Two daemons that disagree must not take from each other at once. */
-  #retake(nowMs: number): void {
-    const dropped = new Set(this.#book.droppedTargets());
-    for (const name of dropped) {
-      const retakeAtMs = this.#retakesAtMs.get(name);
-      if (retakeAtMs === undefined) {
-        this.#retakesAtMs.set(name, nowMs + this.#options.retakeMs);
-        continue;
-      }
-      if (nowMs < retakeAtMs) continue;
-      this.#retakesAtMs.delete(name);
-      const target = this.#kept.get(name);
-      if (target) this.#begin(target);
-    }
-    for (const name of this.#retakesAtMs.keys()) {
-      if (!dropped.has(name)) this.#retakesAtMs.delete(name);
-    }
-  }
-
-  #answerCollect(from: string, request: CollectRequest): void {
-    const answer = this.#holder.answerCollect(request);
-    if (answer.kind === "newer-epoch") {
-      return this.#parts.send(from, { kind: "collected", answer });
-    }
-    const orphanRequests = this.#book.orphanRequests(
-      request.target,
-      this.#nowMs,
-    );
-    this.#book.noteCollectRequest(request);
-    const full = orphanRequests === 0 ? answer : { ...answer, orphanRequests };
-    this.#parts.send(from, { kind: "collected", answer: full });
-  }
-
   #takeAnswer(answer: PermitAnswer): void {
     const { askId } = answer;
     const pending = this.#pending.get(askId);
