Do not take a stall of the pool for its rate

Cause: after a zone was cut, the first gap between two starts was the 5 to 8 s of the take-over; the queue took it for the pool's rate and refused chats as unable to start within their 60 s. Dumps showed the keeper's limit above the load and no asks waiting, which ruled out the permits. Change: a gap counts for at most 1 s.

--- a/packages/core/src/admission/fair_queue.ts
+++ b/packages/core/src/admission/fair_queue.ts
@@ -46,6 +46,11 @@
 }
 
 const MIN_RETRY_AFTER_MS = 1_000;
+/**
+ * A longer time between two starts shows a stall of the pool, such as a
+ * take-over of its targets, and not its rate.
+ */
+const MAX_START_GAP_MS = 1_000;
 /** Weight of the newest gap in the mean time between two starts. */
 const START_GAP_WEIGHT = 0.1;
 
@@ -278,7 +283,7 @@
   #noteStart(nowMs: number): void {
     // Only gaps between starts out of a waiting queue show the pool's rate.
     if (this.#lastStartMs !== undefined && this.#queued > 0) {
-      const gapMs = nowMs - this.#lastStartMs;
+      const gapMs = Math.min(nowMs - this.#lastStartMs, MAX_START_GAP_MS);
       this.#meanStartGapMs = this.#meanStartGapMs === 0
         ? gapMs
         : this.#meanStartGapMs +
--- a/packages/core/src/admission/fair_queue_test.ts
+++ b/packages/core/src/admission/fair_queue_test.ts
@@ -85,6 +85,20 @@
     expect(refused?.retryAfterMs).toBeGreaterThanOrEqual(10_000);
   });
 
+  it("takes a stall of the pool for no rate of its own", () => {
+    const queue = createQueue(1);
+    for (let index = 0; index < 20; index++) {
+      queue.offer(request(`a${index}`, { deadlineMs: 1e9 }), 0);
+    }
+    for (const nowMs of [0, 8_000]) {
+      const next = queue.peek(nowMs)!;
+      queue.start(next, nowMs);
+      queue.finish(next, nowMs + 100);
+    }
+    const soon = request("soon", { deadlineMs: 68_000 });
+    expect(queue.offer(soon, 8_100)).toBeUndefined();
+  });
+
   it("takes out requests whose deadline or caller is gone", () => {
     const queue = createQueue(0);
     const gone = request("gone");
