Measure a daemon beside a bare pass-through; pass full targets over in the line

Cause: each returned permit decided anew on every target for every ask in line. Change: within one pass a target that is full is not asked again; up to 8 requests look for a place while a pool is full, since they wait in line at the keeper and cost one message each.

--- /dev/null
+++ b/packages/bench/src/pass_through/fast_target.ts
@@ -0,0 +1,62 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/**
+ * A target that answers at once, so that a measurement shows the cost of what
+ * stands before it. It prints its port as one JSON line.
+ */
+const STREAMED_TOKENS = 20;
+
+function describeChunk(id: string, choice: object, usage?: object): string {
+  const object = "chat.completion.chunk";
+  const choices = [{ index: 0, ...choice }];
+  return `data: ${JSON.stringify({ id, object, choices, usage })}\n\n`;
+}
+
+function writeStream(id: string): string {
+  const usage = {
+    prompt_tokens: 1,
+    completion_tokens: STREAMED_TOKENS,
+    total_tokens: STREAMED_TOKENS + 1,
+  };
+  let text = "";
+  for (let token = 0; token < STREAMED_TOKENS; token++) {
+    text += describeChunk(id, { delta: { content: `t${token} ` } });
+  }
+  text += describeChunk(id, { delta: {}, finish_reason: "stop" }, usage);
+  return `${text}data: [DONE]\n\n`;
+}
+
+const server = createServer((incoming, outgoing) => {
+  const parts: Buffer[] = [];
+  incoming.on("data", (part) => parts.push(part));
+  incoming.on("end", () => {
+    const body = Buffer.concat(parts).toString();
+    const id = `chatcmpl-${incoming.headers["x-request-id"] ?? "none"}`;
+    if (incoming.url === "/load") {
+      const load = {
+        incarnation: "1",
+        running_requests: 0,
+        waiting_requests: 0,
+        running_tokens: 0,
+        leaving: false,
+      };
+      return outgoing.end(JSON.stringify(load));
+    }
+    if (body.includes('"stream":true')) {
+      outgoing.setHeader("content-type", "text/event-stream");
+      return outgoing.end(writeStream(id));
+    }
+    const message = { role: "assistant", content: "hello" };
+    outgoing.setHeader("content-type", "application/json");
+    outgoing.end(JSON.stringify({
+      id,
+      object: "chat.completion",
+      choices: [{ index: 0, message, finish_reason: "stop" }],
+    }));
+  });
+});
+server.listen(0, "127.0.0.1", () => {
+  const { port } = server.address() as AddressInfo;
+  console.log(JSON.stringify({ event: "ready", port }));
+});
--- a/packages/core/src/bound/ask_queue.ts
+++ b/packages/core/src/bound/ask_queue.ts
@@ -64,8 +64,9 @@
   takeLateAnswers(nowMs: number, decide: DecideTarget): LateAnswer[] {
     const late: LateAnswer[] = [];
     const stillWaiting: WaitingAsk[] = [];
+    const decideOnce = rememberFull(decide);
     for (const entry of this.#waiting) {
-      const answer = decideEntry(entry, nowMs, decide);
+      const answer = decideEntry(entry, nowMs, decideOnce);
       const mayWait = isFull(answer) && nowMs < entry.untilMs;
       if (mayWait) stillWaiting.push(entry);
       else late.push({ holder: entry.holder, answer });
@@ -124,6 +125,19 @@
   return best;
 }
 
+/** Grants only fill targets, so one that is full needs no second decision. */
+function rememberFull(decide: DecideTarget): DecideTarget {
+  const full = new Set<string>();
+  return (holder, ask, target) => {
+    if (full.has(target)) {
+      return { kind: "refused", askId: ask.askId, reason: "at-limit" };
+    }
+    const answer = decide(holder, ask, target);
+    if (isFull(answer)) full.add(target);
+    return answer;
+  };
+}
+
 function isFull(answer: PermitAnswer): boolean {
   return answer.kind === "refused" && answer.reason === "at-limit";
 }
--- a/packages/daemon/src/admission/admission_controller.ts
+++ b/packages/daemon/src/admission/admission_controller.ts
@@ -18,8 +18,11 @@
 
 /** A pool counts as full for this long after a request found no room. */
 const FULL_MS = 1_000;
-/** Requests that look for a target at a time while the pool is full. */
-const MAX_SEARCHING_WHEN_FULL = 2;
+/**
+ * Requests that look for a target at a time while the pool is full. Each of
+ * them waits in line at a keeper, so a few keep up with the places given back.
+ */
+const MAX_SEARCHING_WHEN_FULL = 8;
 
 /** Parts of the daemon that the controller uses. */
 export interface AdmissionControllerParts {
@@ -240,8 +243,8 @@
  * do, so that the others keep their places in the fair queue.
  */
 function mayLetIn(pool: PoolAdmission, nowMs: number): boolean {
-  if (pool.blocked.size > 0) return false;
-  if (nowMs >= pool.fullUntilMs) return true;
+  const isFull = pool.blocked.size > 0 || nowMs < pool.fullUntilMs;
+  if (!isFull) return true;
   return pool.searching.size < MAX_SEARCHING_WHEN_FULL;
 }
 
