Check peer keys of the settings by the schema of the keyring

Cause: two schemas described a peer key. Change: the settings use the keyring's schema; it is the stricter of the two. An unused constant of the platform package goes.

--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { peerKeySchema } from "../peers/index.ts";
 
 /** Settings that a daemon falls back to where its file is silent. */
 export const DEFAULT_OPTIONS = {
@@ -31,15 +32,6 @@
   peerPort: portSchema,
 });
 
-/** A shared key that proves a peer; several may be valid during rotation. */
-export const peerKeySchema = z.strictObject({
-  id: z.string().min(1),
-  secretHex: z.string().regex(
-    /^([0-9a-f]{2}){16,}$/,
-    "give at least 16 bytes in lower case hex",
-  ),
-});
-
 /** The schema of the settings file of `coltsfootd`. */
 export const settingsSchema = z.strictObject({
   vm: z.string().min(1),
@@ -58,6 +50,7 @@
     pollMs: z.int().positive().default(DEFAULT_OPTIONS.vmListPollMs),
   }),
   peers: z.array(seedPeerSchema).default([]),
+  /** Several are valid at once during a rotation; the first is preferred. */
   peerKeys: z.array(peerKeySchema).default([]),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default(
     DEFAULT_OPTIONS.logLevel,
--- a/packages/platform/src/key_value_types.ts
+++ b/packages/platform/src/key_value_types.ts
@@ -1,8 +1,5 @@
 /** Types of the calls to the key-value service. Values are UTF-8 text. */
 
-/** The largest value that the service holds. */
-export const MAX_VALUE_BYTES = 1024 * 1024;
-
 /** The id of "no lease". */
 export const NO_LEASE = "0";
 
