--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,7 +1,7 @@
 /** Jest runs the TypeScript sources as ES modules, compiled by swc. */
 export default {
   testEnvironment: "node",
-  roots: ["<rootDir>/packages"],
+  roots: ["<rootDir>/packages", "<rootDir>/platform"],
   testMatch: ["**/src/**/*_test.ts"],
   extensionsToTreatAsEsm: [".ts"],
   transform: {
@@ -11,6 +11,7 @@
     }],
   },
   moduleNameMapper: {
+    "^@coltsfootford/platform$": "<rootDir>/platform/src/index.ts",
     "^@coltsfootford/([^/]+)$": "<rootDir>/packages/$1/src/index.ts",
     "^@coltsfootford/([^/]+)/(.+)$": "<rootDir>/packages/$1/src/$2/index.ts",
   },
--- a/packages/bench/src/claims/measure_claims.ts
+++ b/packages/bench/src/claims/measure_claims.ts
@@ -4,7 +4,10 @@
   findClaimPlace,
 } from "@coltsfootford/core";
 import { ClaimController, Metrics } from "@coltsfootford/daemon";
-import { EtcdGatewayClient, SystemTimerService } from "@coltsfootford/platform";
+import {
+  EtcdGatewayClient,
+  SystemTimerService,
+} from "@coltsfootford/key-value";
 import { type StandIns, startStandIns } from "../harness/index.ts";
 import { SettingsFiles } from "../harness/settings_files.ts";
 
--- a/packages/bench/src/config/fault_world.ts
+++ b/packages/bench/src/config/fault_world.ts
@@ -13,7 +13,7 @@
   FakeConfigFleet,
   type FakeConfigNode,
 } from "@coltsfootford/daemon/config/testing";
-import { FakeKeyValue } from "@coltsfootford/platform/testing";
+import { FakeKeyValue } from "@coltsfootford/key-value/testing";
 
 /** Time for an operator's tool until it gives up on lost answers. */
 const RESOLVE_LIMIT_MS = 1_500;
--- a/packages/bench/src/config/operator_commands_test.ts
+++ b/packages/bench/src/config/operator_commands_test.ts
@@ -1,6 +1,9 @@
 import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
 import { EXIT_CODES } from "@coltsfootford/cli";
-import { EtcdGatewayClient, SystemTimerService } from "@coltsfootford/platform";
+import {
+  EtcdGatewayClient,
+  SystemTimerService,
+} from "@coltsfootford/key-value";
 import { Fleet, SMALL_PLAN } from "../harness/index.ts";
 
 const TEST_LIMIT_MS = 120_000;
--- a/packages/bench/src/config/publish_objects.ts
+++ b/packages/bench/src/config/publish_objects.ts
@@ -1,7 +1,10 @@
 import { randomUUID } from "node:crypto";
 import { Publisher, readPublishedSet } from "@coltsfootford/cli";
 import { createObjectSet, objectSchema } from "@coltsfootford/core";
-import { EtcdGatewayClient, SystemTimerService } from "@coltsfootford/platform";
+import {
+  EtcdGatewayClient,
+  SystemTimerService,
+} from "@coltsfootford/key-value";
 import { ResultAsync } from "neverthrow";
 import type { ObjectInput } from "../harness/index.ts";
 
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -1,7 +1,7 @@
 import type { Result } from "neverthrow";
 import type { ParseArgsConfig } from "node:util";
 import type { TimerService } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import type { CliError } from "./cli_error.ts";
 import type { CliSettings } from "./settings.ts";
 
--- a/packages/cli/src/commands/quarantine_list.ts
+++ b/packages/cli/src/commands/quarantine_list.ts
@@ -4,7 +4,7 @@
   type QuarantineNotice,
   quarantineNoticeSchema,
 } from "@coltsfootford/core";
-import type { KeyValueEntry } from "@coltsfootford/platform";
+import type { KeyValueEntry } from "@coltsfootford/key-value";
 import { createPlatformError } from "../cli_error.ts";
 import {
   Command,
--- a/packages/cli/src/connections.ts
+++ b/packages/cli/src/connections.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import { type CliError, createCliError } from "./cli_error.ts";
 import type { CommandContext, CommandResult } from "./command.ts";
 import { AdminClient } from "./daemons/index.ts";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from "node:crypto";
-import { SystemTimerService } from "@coltsfootford/platform";
+import { SystemTimerService } from "@coltsfootford/key-value";
 import { EXIT_CODES } from "./cli_error.ts";
 import { runCli } from "./run_cli.ts";
 
--- a/packages/cli/src/publishing/publication_records.ts
+++ b/packages/cli/src/publishing/publication_records.ts
@@ -9,7 +9,7 @@
   publicationRecordKey,
   publicationRecordSchema,
 } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import { type CliError, createPlatformError } from "../cli_error.ts";
 
 /** Records that are kept; an older one is deleted by each publication. */
--- a/packages/cli/src/publishing/publish_checks.ts
+++ b/packages/cli/src/publishing/publish_checks.ts
@@ -4,7 +4,7 @@
   publicationRecordKey,
   publicationRecordSchema,
 } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import {
   type CliError,
   createCliError,
--- a/packages/cli/src/publishing/publish_errors.ts
+++ b/packages/cli/src/publishing/publish_errors.ts
@@ -1,5 +1,5 @@
 import type { PublicationFacts } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import { type CliError, createCliError } from "../cli_error.ts";
 import { formatRecord, readRecordsAfter } from "./publication_records.ts";
 
--- a/packages/cli/src/publishing/publish_run.ts
+++ b/packages/cli/src/publishing/publish_run.ts
@@ -5,7 +5,7 @@
   type ObjectSet,
   type PublicationFacts,
 } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import { type CliError, createCliError } from "../cli_error.ts";
 import type {
   CommandContext,
--- a/packages/cli/src/publishing/publish_transactions.ts
+++ b/packages/cli/src/publishing/publish_transactions.ts
@@ -9,7 +9,7 @@
   Compare,
   TxnOperation,
   TxnRequest,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import {
   createPublicationRecord,
   KEPT_RECORDS,
--- a/packages/cli/src/publishing/published_set.ts
+++ b/packages/cli/src/publishing/published_set.ts
@@ -11,7 +11,7 @@
   type KeyValueClient,
   MAX_PARTS_PER_READ,
   readConfigParts,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import {
   type CliError,
   createCliError,
--- a/packages/cli/src/publishing/publisher.ts
+++ b/packages/cli/src/publishing/publisher.ts
@@ -21,7 +21,7 @@
   type KeyValueEntry,
   type TxnOperation,
   type TxnRequest,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import { type CliError, createPlatformError } from "../cli_error.ts";
 import { createConflictError, createUnknownError } from "./publish_errors.ts";
 import { createCleanUp, createSwap } from "./publish_transactions.ts";
--- a/packages/cli/src/publishing/publisher_test.ts
+++ b/packages/cli/src/publishing/publisher_test.ts
@@ -10,7 +10,7 @@
 import {
   FakeKeyValue,
   FakeKeyValueStore,
-} from "@coltsfootford/platform/testing";
+} from "@coltsfootford/key-value/testing";
 import { type PublishedSet, readPublishedSet } from "./published_set.ts";
 import { Publisher } from "./publisher.ts";
 
--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -4,7 +4,7 @@
 import {
   EtcdGatewayClient,
   type KeyValueClient,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import { type CliError, createCliError, EXIT_CODES } from "./cli_error.ts";
 import type {
   Command,
--- /dev/null
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -0,0 +1,235 @@
+import { hash32, mixHash32 } from "../hash/index.ts";
+import type { CacheBeliefs } from "./cache_beliefs.ts";
+import { homePart, type PromptDescription, sharedParts } from "./prompt.ts";
+import type { TargetRecord } from "./target_record.ts";
+import type { RosterTarget } from "./target_roster.ts";
+
+/** What placement may assume of the fleet and the engines. */
+export interface PlacementSettings {
+  readonly availabilityZone: string;
+  /** A target holds at most this multiple of the mean load of its service. */
+  readonly maxLoadFactor: number;
+  /** Prompt tokens that an engine reads in a ms. */
+  readonly promptTokensPerMs: number;
+}
+
+/** A target that a request may go to. */
+export interface Candidate {
+  readonly target: RosterTarget;
+  readonly record: TargetRecord;
+}
+
+/** All that a choice depends on. */
+export interface PlacementQuestion {
+  readonly prompt: PromptDescription;
+  readonly targetLatencyMs: number;
+  /** Targets that had a try of this request already. */
+  readonly triedIncarnations: ReadonlySet<string>;
+  readonly candidates: readonly Candidate[];
+  readonly beliefs: CacheBeliefs;
+  readonly nowMs: number;
+}
+
+/** The chosen target and what decided for it. */
+export interface Placement {
+  readonly candidate: Candidate;
+  readonly costMs: number;
+  readonly missingTokens: number;
+  readonly estimatedLoad: number;
+  readonly reason: "home" | "cheapest" | "all-full" | "all-distrusted";
+}
+
+/**
+ * Part of the allowed load that is used: knowledge of other daemons' requests
+ * is some tens of ms old, and each of them may add a request meanwhile.
+ */
+const USED_SHARE_OF_LOAD_FACTOR = 0.9;
+/** Requests that a target may hold whatever the mean; the rule allows three. */
+const FREE_REQUESTS = 2;
+/** Cost of each request at a target, a part of a step of an engine's batch. */
+const COST_PER_REQUEST_MS = 1.5;
+/** Cost of another availability zone: two ways of some ms, and its price. */
+const OTHER_ZONE_COST_MS = 8;
+/** Silence after which a target gets no new work while another is there. */
+const SUSPICIOUS_SILENCE_MS = 700;
+/** Most of the failure share that counts, so that the cost stays finite. */
+const MAX_FAILURE_SHARE = 0.95;
+/** A cold target works up to this much slower for a while, by its sheet. */
+const COLD_COST_MS = 50;
+
+/**
+ * Chooses the target with the least expected time to the first byte: reading
+ * what is not cached, what is read before it, the load, and the tries that a
+ * failing target costs. Only targets within the bound on the load take part,
+ * while there are any.
+ */
+export function chooseTarget(
+  question: PlacementQuestion,
+  settings: PlacementSettings,
+): Placement | undefined {
+  const fresh = question.candidates.filter(({ target }) =>
+    !question.triedIncarnations.has(target.incarnation)
+  );
+  if (fresh.length === 0) return undefined;
+  const trusted = fresh.filter(({ record }) => isTrusted(record, question));
+  const pool = trusted.length > 0 ? trusted : fresh;
+  const bound = maxLoad(question, settings);
+  const open = pool.filter(({ record }) =>
+    record.estimateLoad(question.nowMs) + 1 <= bound
+  );
+  if (open.length === 0) return leastLoaded(pool, question);
+  const home = findHome(question.prompt, pool);
+  const believed = believedTokens(question, pool);
+  let best: Placement | undefined;
+  for (const candidate of open) {
+    const placement = weigh(
+      candidate,
+      believed.get(candidate) ?? 0,
+      candidate === home,
+      question,
+      settings,
+    );
+    if (!best || placement.costMs < best.costMs) best = placement;
+  }
+  if (best && trusted.length === 0) {
+    return { ...best, reason: "all-distrusted" };
+  }
+  return best;
+}
+
+/** The time to a first byte that a target without a queue would take. */
+export function expectedFirstByteMs(
+  missingTokens: number,
+  settings: PlacementSettings,
+): number {
+  return missingTokens / settings.promptTokensPerMs;
+}
+
+function isTrusted(record: TargetRecord, { nowMs }: PlacementQuestion) {
+  if (nowMs < record.suspendedUntilMs) return false;
+  return record.silentForMs(nowMs) < SUSPICIOUS_SILENCE_MS;
+}
+
+function maxLoad(
+  { candidates, nowMs }: PlacementQuestion,
+  { maxLoadFactor }: PlacementSettings,
+): number {
+  let total = 0;
+  for (const { record } of candidates) total += record.estimateLoad(nowMs);
+  const mean = total / Math.max(1, candidates.length);
+  const factor = Math.max(1, maxLoadFactor * USED_SHARE_OF_LOAD_FACTOR);
+  return mean * factor + FREE_REQUESTS;
+}
+
+/** The target at which, by rendezvous hashing, all daemons send a prompt. */
+function findHome(
+  prompt: PromptDescription,
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  const part = homePart(prompt);
+  if (!part) return undefined;
+  const keyHash = hash32(part.id);
+  let home: Candidate | undefined;
+  let highest = -1;
+  for (const candidate of candidates) {
+    const score = mixHash32(keyHash, hash32(candidate.target.incarnation));
+    if (score <= highest) continue;
+    highest = score;
+    home = candidate;
+  }
+  return home;
+}
+
+/**
+ * The shared tokens that each target is believed to have. The home has all of
+ * them, since every daemon sends there, unless this daemon knows of a better
+ * place: then the home is new, and has yet to read them.
+ */
+function believedTokens(
+  { prompt, beliefs, nowMs }: PlacementQuestion,
+  candidates: readonly Candidate[],
+): Map<Candidate, number> {
+  const shared = sharedParts(prompt);
+  const believed = new Map<Candidate, number>();
+  if (shared.length === 0) return believed;
+  for (const candidate of candidates) {
+    const { incarnation } = candidate.target;
+    const tokens = beliefs.cachedTokens(incarnation, shared, nowMs);
+    if (tokens > 0) believed.set(candidate, tokens);
+  }
+  const home = findHome(prompt, candidates);
+  if (!home) return believed;
+  const all = shared.reduce((sum, part) => sum + part.tokens, 0);
+  const isElsewhere = Math.max(0, ...believed.values()) >= all;
+  if (!isElsewhere) believed.set(home, all);
+  return believed;
+}
+
+function weigh(
+  candidate: Candidate,
+  cachedTokens: number,
+  isHome: boolean,
+  question: PlacementQuestion,
+  settings: PlacementSettings,
+): Placement {
+  const { prompt, nowMs } = question;
+  const { target, record } = candidate;
+  const missingTokens = prompt.promptTokens - cachedTokens;
+  const estimatedLoad = record.estimateLoad(nowMs);
+  const costMs =
+    (missingTokens + record.unreadTokens) / settings.promptTokensPerMs +
+    loadCostMs(target, estimatedLoad) +
+    (target.availabilityZone === settings.availabilityZone
+      ? 0
+      : OTHER_ZONE_COST_MS) +
+    (target.coldLeftMs > 0 ? COLD_COST_MS : 0) +
+    record.delayMs(nowMs) + distrustMs(record, question);
+  return {
+    candidate,
+    costMs,
+    missingTokens: Math.max(0, missingTokens),
+    estimatedLoad,
+    reason: isHome ? "home" : "cheapest",
+  };
+}
+
+/** Waiting for a slot costs as much as the slots that are in use before it. */
+function loadCostMs(target: RosterTarget, load: number): number {
+  const waiting = Math.max(0, load + 1 - target.slots);
+  const queueMs = (waiting / Math.max(1, target.slots)) * QUEUED_ROUND_MS;
+  return load * COST_PER_REQUEST_MS + queueMs;
+}
+
+/** Time in which all slots of a target are free again, in the order of a run. */
+const QUEUED_ROUND_MS = 1_000;
+
+/** Expected time lost by a failed try: its odds times the latency aimed at. */
+function distrustMs(record: TargetRecord, question: PlacementQuestion) {
+  const share = Math.min(
+    MAX_FAILURE_SHARE,
+    record.failureShare(question.nowMs),
+  );
+  return (share / (1 - share)) * question.targetLatencyMs;
+}
+
+function leastLoaded(
+  candidates: readonly Candidate[],
+  { nowMs, prompt }: PlacementQuestion,
+): Placement | undefined {
+  let best: Candidate | undefined;
+  let least = Infinity;
+  for (const candidate of candidates) {
+    const load = candidate.record.estimateLoad(nowMs);
+    if (load >= least) continue;
+    least = load;
+    best = candidate;
+  }
+  if (!best) return undefined;
+  return {
+    candidate: best,
+    costMs: least * COST_PER_REQUEST_MS,
+    missingTokens: prompt.promptTokens,
+    estimatedLoad: least,
+    reason: "all-full",
+  };
+}
--- /dev/null
+++ b/packages/core/src/forwarding/repeat_share.ts
@@ -0,0 +1,45 @@
+import { RetryBudget } from "../retry/index.ts";
+
+/** The bound on repeats that all daemons keep together. */
+export interface RepeatBound {
+  /** Repeats allowed for each first request of a service. */
+  readonly ratio: number;
+  /** Repeats allowed beside that in a window, over all daemons. */
+  readonly slack: number;
+}
+
+/**
+ * Part of the bound that is used: requests are counted over a window that
+ * slides, and the number of daemons is known only a few seconds late.
+ */
+const USED_SHARE = 0.6;
+
+/**
+ * The budgets of repeats for each service. A daemon takes its share of the
+ * slack, and the ratio of its own requests, so that the sum over all daemons
+ * keeps the bound without a message between them.
+ */
+export class RepeatShares {
+  readonly #bound: RepeatBound;
+  readonly #daemonCount: () => number;
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  constructor(bound: RepeatBound, daemonCount: () => number) {
+    this.#bound = bound;
+    this.#daemonCount = daemonCount;
+  }
+
+  budgetOf(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (!budget) {
+      const { ratio, slack } = this.#bound;
+      const daemons = Math.max(1, this.#daemonCount());
+      budget = new RetryBudget({
+        ratio: ratio * USED_SHARE,
+        maxSaved: Math.max(1, (slack * USED_SHARE) / daemons),
+      });
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./claims/index.ts";
 export * from "./config/index.ts";
 export * from "./errors/index.ts";
+export * from "./forwarding/index.ts";
 export * from "./hash/index.ts";
 export * from "./keepers/index.ts";
 export * from "./membership/index.ts";
--- a/packages/daemon/src/assemble_daemon.ts
+++ b/packages/daemon/src/assemble_daemon.ts
@@ -5,7 +5,7 @@
   type KeyValueClient,
   SystemTimerService,
   VmListClient,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import { type Blackboard, createBlackboard } from "./blackboard/index.ts";
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
--- a/packages/daemon/src/blackboard/blackboard.ts
+++ b/packages/daemon/src/blackboard/blackboard.ts
@@ -3,7 +3,7 @@
   type Keeper,
   type ObjectSet,
 } from "@coltsfootford/core";
-import type { Vm } from "@coltsfootford/platform";
+import type { Vm } from "@coltsfootford/key-value";
 import { Field } from "./field.ts";
 
 /** The configuration in force in this daemon. */
--- a/packages/daemon/src/claims/claim_controller.ts
+++ b/packages/daemon/src/claims/claim_controller.ts
@@ -10,7 +10,7 @@
   type ClaimVerdict,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
--- a/packages/daemon/src/claims/claim_leases.ts
+++ b/packages/daemon/src/claims/claim_leases.ts
@@ -3,7 +3,7 @@
   CLAIM_LEASE_USE_MS,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueError } from "@coltsfootford/platform";
+import type { KeyValueClient, KeyValueError } from "@coltsfootford/key-value";
 import { ok, type Result } from "neverthrow";
 
 /** A lease with the time at which it was asked for. */
--- a/packages/daemon/src/claims/claim_store.ts
+++ b/packages/daemon/src/claims/claim_store.ts
@@ -14,7 +14,7 @@
   type KeyValueEntry,
   type TxnAnswer,
   type TxnOperation,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import type { ClaimLeases } from "./claim_leases.ts";
 
 /** How a transaction of claims ended; the caller adds the time. */
--- a/packages/daemon/src/config/config_controller.ts
+++ b/packages/daemon/src/config/config_controller.ts
@@ -13,7 +13,7 @@
   KeyValueClient,
   Watch,
   WatchBatch,
-} from "@coltsfootford/platform";
+} from "@coltsfootford/key-value";
 import { createHash } from "node:crypto";
 import type {
   Blackboard,
--- a/packages/daemon/src/config/part_fetcher.ts
+++ b/packages/daemon/src/config/part_fetcher.ts
@@ -1,5 +1,5 @@
 import type { ConfigSource, WantedParts } from "@coltsfootford/core";
-import { type KeyValueClient, readConfigParts } from "@coltsfootford/platform";
+import { type KeyValueClient, readConfigParts } from "@coltsfootford/key-value";
 import { MAX_PARTS_PER_CALL } from "./config_messages.ts";
 import type { ConfigPeer, ConfigPeers } from "./config_peers.ts";
 
--- a/packages/daemon/src/config/rpc_config_peers_test.ts
+++ b/packages/daemon/src/config/rpc_config_peers_test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
-import { SystemTimerService } from "@coltsfootford/platform";
+import { SystemTimerService } from "@coltsfootford/key-value";
 import { z } from "zod";
 import { createBlackboard } from "../blackboard/index.ts";
 import { Peers } from "../peers/index.ts";
--- a/packages/daemon/src/config/testing/fake_config_fleet.ts
+++ b/packages/daemon/src/config/testing/fake_config_fleet.ts
@@ -11,7 +11,7 @@
 import {
   FakeKeyValue,
   FakeKeyValueStore,
-} from "@coltsfootford/platform/testing";
+} from "@coltsfootford/key-value/testing";
 import { createHash } from "node:crypto";
 import { createBlackboard } from "../../blackboard/index.ts";
 import { ConfigController } from "../config_controller.ts";
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -1,8 +1,8 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createObjectSet, objectSchema } from "@coltsfootford/core";
-import { SystemTimerService } from "@coltsfootford/platform";
-import { FakeKeyValue } from "@coltsfootford/platform/testing";
+import { SystemTimerService } from "@coltsfootford/key-value";
+import { FakeKeyValue } from "@coltsfootford/key-value/testing";
 import { createBlackboard, type TargetView } from "../../blackboard/index.ts";
 import { createGuards } from "../../guards.ts";
 import { listen, type OpenPort } from "../../http/index.ts";
--- /dev/null
+++ b/packages/daemon/src/forwarding/board.ts
@@ -0,0 +1,50 @@
+import type { RosterTarget, RouteTable } from "@coltsfootford/core";
+import { Field, type LifecyclePhase } from "../blackboard/index.ts";
+
+/** Another daemon of the fleet. */
+export interface PeerDaemon {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What this daemon knows of its contact with the store. */
+export interface StoreContact {
+  /** When the store last answered, on the monotonic clock. */
+  readonly heardAtMs: number;
+  readonly isReachable: boolean;
+}
+
+/** What the controllers of the forwarding path share. */
+export interface ForwardingBoard {
+  /** The routes in force; undefined until a first configuration is known. */
+  readonly routes: Field<RouteTable | undefined>;
+  /** The targets that may be sent work; undefined until they are known. */
+  readonly targets: Field<readonly RosterTarget[] | undefined>;
+  readonly peers: Field<readonly PeerDaemon[]>;
+  readonly storeContact: Field<StoreContact>;
+  readonly lifecycle: Field<LifecyclePhase>;
+}
+
+/** Creates an empty board. */
+export function createForwardingBoard(): ForwardingBoard {
+  return {
+    routes: new Field<RouteTable | undefined>("routes", undefined),
+    targets: new Field<readonly RosterTarget[] | undefined>(
+      "targets",
+      undefined,
+    ),
+    peers: new Field<readonly PeerDaemon[]>("peers", []),
+    storeContact: new Field<StoreContact>("storeContact", {
+      heardAtMs: 0,
+      isReachable: false,
+    }),
+    lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
+  };
+}
+
+/** Tells whether the daemon can serve: it knows routes and targets. */
+export function isReady(board: ForwardingBoard): boolean {
+  return board.lifecycle.read() === "serving" &&
+    board.routes.read() !== undefined && board.targets.read() !== undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -0,0 +1,192 @@
+import { createServer, type Server } from "node:http";
+import { getRequestListener } from "@hono/node-server";
+import { RepeatShares, type TimerService } from "@coltsfootford/core";
+import type { KeyValueClient } from "@coltsfootford/key-value";
+import type { Controller } from "../controllers/index.ts";
+import type { Logger } from "../log/index.ts";
+import { Metrics } from "../metrics/index.ts";
+import { ConnectionDrain } from "../shutdown/index.ts";
+import { createForwardingBoard, type PeerDaemon } from "./board.ts";
+import { Forwarder } from "./forwarder.ts";
+import { ForwardingServer } from "./forwarding_server.ts";
+import {
+  type KnowledgeCodec,
+  PeerKnowledgeController,
+  PeersController,
+  RosterController,
+  RoutesController,
+  StoreContactController,
+} from "./knowledge/index.ts";
+import type { RequestCodec } from "./request_codec.ts";
+import type { Address, ForwardingSettings } from "./settings.ts";
+import { shutDownGracefully } from "./shutdown.ts";
+import { createStatusApp } from "./status_app.ts";
+import { TargetPool } from "./target_pool.ts";
+
+/**
+ * Prompt tokens that an engine is assumed to read in a ms, in the order of
+ * today's engines of the users (see their sheets).
+ */
+const PROMPT_TOKENS_PER_MS = 50;
+
+/** What a platform gives a daemon. */
+export interface ForwardingPlatform {
+  readonly requestCodec: RequestCodec;
+  readonly knowledgeCodec: KnowledgeCodec;
+  readonly store: KeyValueClient;
+  readonly readinessPath: string;
+}
+
+/** What a daemon is built from. */
+export interface ForwardingDaemonParts {
+  readonly settings: ForwardingSettings;
+  readonly platform: ForwardingPlatform;
+  readonly timer: TimerService;
+  readonly log: Logger;
+  readonly random: () => number;
+}
+
+/** A daemon that forwards requests, from its start to its end. */
+export class ForwardingDaemon {
+  readonly #parts: ForwardingDaemonParts;
+  readonly #board = createForwardingBoard();
+  readonly #lifecycle = this.#board.lifecycle.claimWriter("daemon");
+  readonly #metrics = new Metrics();
+  readonly #controllers: readonly Controller[];
+  readonly #forwarder: Forwarder;
+  readonly #server: ForwardingServer;
+  readonly #drain: ConnectionDrain;
+  readonly #statusServers: Server[] = [];
+  #stopForwarder: () => void = () => {};
+
+  constructor(parts: ForwardingDaemonParts) {
+    this.#parts = parts;
+    const { settings, platform, timer, log, random } = parts;
+    const { requestCodec, knowledgeCodec, store } = platform;
+    const board = this.#board;
+    const self = describeSelf(settings);
+    const routes = new RoutesController(board, store, knowledgeCodec, log);
+    const roster = new RosterController(
+      board,
+      store,
+      knowledgeCodec,
+      timer,
+      log,
+    );
+    const peerKnowledge = new PeerKnowledgeController({
+      board,
+      followed: [routes.followed, roster.followed],
+      seeds: settings.seeds
+        .map(({ host, port }) => ({ name: `${host}:${port}`, host, port }))
+        .filter(({ host }) => host !== self.host),
+      timer,
+      log,
+      random,
+    });
+    const pool = new TargetPool(board);
+    this.#controllers = [
+      new StoreContactController(board, store, timer, log),
+      routes,
+      roster,
+      new PeersController(self, board, store, timer, log),
+      peerKnowledge,
+    ];
+    this.#forwarder = new Forwarder({
+      codec: requestCodec,
+      pool,
+      timer,
+      log,
+      metrics: this.#metrics,
+      placement: {
+        availabilityZone: settings.availabilityZone,
+        maxLoadFactor: settings.maxLoadFactor,
+        promptTokensPerMs: PROMPT_TOKENS_PER_MS,
+      },
+      repeats: new RepeatShares(
+        { ratio: settings.repeatRatio, slack: settings.repeatSlack },
+        () => board.peers.read().length + 1,
+      ),
+      random,
+    });
+    this.#server = new ForwardingServer({
+      board,
+      codec: requestCodec,
+      forwarder: this.#forwarder,
+      timer,
+      log,
+      metrics: this.#metrics,
+      random,
+    });
+    this.#drain = new ConnectionDrain(this.#server.server, timer);
+    this.#createStatusServers(peerKnowledge);
+  }
+
+  async start(): Promise<void> {
+    const { settings, log } = this.#parts;
+    log.event("daemonStarting", {
+      availabilityZone: settings.availabilityZone,
+    });
+    this.#lifecycle.write("serving");
+    for (const controller of this.#controllers) await controller.start();
+    this.#stopForwarder = this.#forwarder.start();
+    await listen(this.#server.server, settings.listen.clients);
+    const { readiness, peers, metrics } = settings.listen;
+    const addresses = [readiness, peers, metrics];
+    for (const [at, server] of this.#statusServers.entries()) {
+      const address = addresses.filter((one) => one !== undefined)[at];
+      if (address) await listen(server, address);
+    }
+    log.event("daemonReady", {});
+  }
+
+  /** Ends gracefully; returns the number of requests that were cut. */
+  async stop(): Promise<number> {
+    const { settings, timer, log, platform } = this.#parts;
+    this.#lifecycle.write("draining");
+    log.event("daemonStopping", { running: this.#forwarder.runningCount });
+    const cut = await shutDownGracefully({
+      drain: this.#drain,
+      timer,
+      shutdownLimitMs: settings.shutdownLimitMs,
+      runningCount: () => this.#forwarder.runningCount,
+    });
+    if (cut > 0) log.event("requestsCut", { requests: cut });
+    this.#stopForwarder();
+    this.#lifecycle.write("stopped");
+    for (const controller of this.#controllers) await controller.stop();
+    await platform.store.close();
+    log.event("daemonStopped", { cut });
+    return cut;
+  }
+
+  #createStatusServers(peerKnowledge: PeerKnowledgeController): void {
+    const app = createStatusApp({
+      board: this.#board,
+      metrics: this.#metrics,
+      controllers: this.#controllers,
+      rpc: peerKnowledge.server,
+      readinessPath: this.#parts.platform.readinessPath,
+    });
+    const { peers, metrics } = this.#parts.settings.listen;
+    const count = 1 + Number(peers !== undefined) +
+      Number(metrics !== undefined);
+    for (let at = 0; at < count; at++) {
+      this.#statusServers.push(createServer(getRequestListener(app.fetch)));
+    }
+  }
+}
+
+function describeSelf({ vm, listen }: ForwardingSettings): PeerDaemon {
+  const { host, port } = listen.peers ?? listen.readiness;
+  return { name: vm, host, port };
+}
+
+function listen(server: Server, { host, port }: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -0,0 +1,41 @@
+import type {
+  ForwardingRoute,
+  PlacementSettings,
+  RepeatShares,
+  TeamKeys,
+  TimerService,
+} from "@coltsfootford/core";
+import type { Logger } from "../log/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import type { ClientAnswer } from "./client_answer.ts";
+import type { RequestCodec, RequestFacts } from "./request_codec.ts";
+import type { TargetPool } from "./target_pool.ts";
+
+/** A request that may be forwarded. */
+export interface AcceptedRequest {
+  readonly facts: RequestFacts;
+  readonly method: string;
+  /** Path and query as the client sent them. */
+  readonly path: string;
+  readonly body: Buffer;
+  readonly route: ForwardingRoute;
+  readonly service: string;
+  readonly isEngine: boolean;
+  readonly team: TeamKeys | undefined;
+  readonly configVersion: number;
+  /** When its head came, on the monotonic clock. */
+  readonly receivedAtMs: number;
+  readonly answer: ClientAnswer;
+}
+
+/** What forwarding needs of the daemon. */
+export interface ForwarderParts {
+  readonly codec: RequestCodec;
+  readonly pool: TargetPool;
+  readonly timer: TimerService;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly placement: PlacementSettings;
+  readonly repeats: RepeatShares;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/index.ts
@@ -0,0 +1,9 @@
+/**
+ * The forwarding path: HTTP requests of any kind to the targets of services.
+ * A platform gives its codecs and its store; see `ForwardingPlatform`.
+ */
+export * from "./forwarding_daemon.ts";
+export * from "./http_headers.ts";
+export * from "./knowledge/knowledge_codec.ts";
+export * from "./request_codec.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
@@ -0,0 +1,145 @@
+import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
+import { request } from "undici";
+import type { TimerService } from "@coltsfootford/core";
+import { z } from "zod";
+import { Controller } from "../../controllers/index.ts";
+import type { Logger } from "../../log/index.ts";
+import type { ForwardingBoard, PeerDaemon } from "../board.ts";
+import type { FollowedPrefix, PrefixCopy } from "./followed_prefix.ts";
+
+/** The path at which a daemon answers the others. */
+export const PEER_RPC_PATH = "/rpc";
+
+/** How often a daemon that the store leaves without answers asks a peer. */
+const ASK_PERIOD_MS = 500;
+/** A peer in another zone answers within some ms; a dead one never does. */
+const ASK_TIMEOUT_MS = 400;
+
+const EntrySchema = z.object({
+  key: z.string(),
+  value: z.string(),
+  createRevision: z.number(),
+  modRevision: z.number(),
+  version: z.number(),
+  leaseId: z.string(),
+});
+const CopySchema = z.object({
+  revision: z.number(),
+  entries: z.array(EntrySchema),
+});
+const CopiesSchema = z.record(z.string(), CopySchema);
+const AskSchema = z.record(z.string(), z.number());
+
+/** The parts of the controller. */
+export interface PeerKnowledgeParts {
+  readonly board: ForwardingBoard;
+  /** Prefixes that daemons hand over to one another. */
+  readonly followed: readonly FollowedPrefix[];
+  /** Daemons to ask while no peer is known. */
+  readonly seeds: readonly PeerDaemon[];
+  readonly timer: TimerService;
+  readonly log: Logger;
+  readonly random: () => number;
+}
+
+/**
+ * Hands knowledge over between daemons. A daemon that the store turns away
+ * asks a peer for later copies of what it follows; while the store answers,
+ * nothing is sent.
+ */
+export class PeerKnowledgeController extends Controller {
+  override readonly name = "peer-knowledge";
+  readonly server = new JSONRPCServer();
+  readonly #parts: PeerKnowledgeParts;
+  #cancel: () => void = () => {};
+  #isAsking = false;
+  #taken = 0;
+
+  constructor(parts: PeerKnowledgeParts) {
+    super();
+    this.#parts = parts;
+    this.server.addMethod("knowledge.later", (params: unknown) => {
+      return this.#laterThan(AskSchema.parse(params));
+    });
+  }
+
+  override start(): Promise<void> {
+    this.#cancel = this.#parts.timer.every(
+      ASK_PERIOD_MS,
+      () => void this.#askIfCutOff(),
+    );
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#cancel();
+    return Promise.resolve();
+  }
+
+  override dumpState(): unknown {
+    return { copiesTaken: this.#taken };
+  }
+
+  #laterThan(known: Record<string, number>): Record<string, PrefixCopy> {
+    const copies: Record<string, PrefixCopy> = {};
+    for (const followed of this.#parts.followed) {
+      const knownRevision = known[followed.prefix] ?? 0;
+      if (followed.revision <= knownRevision) continue;
+      copies[followed.prefix] = followed.copy();
+    }
+    return copies;
+  }
+
+  async #askIfCutOff(): Promise<void> {
+    const { board, log } = this.#parts;
+    if (board.storeContact.read().isReachable || this.#isAsking) return;
+    const peer = this.#pickPeer();
+    if (!peer) return;
+    this.#isAsking = true;
+    try {
+      this.#take(peer, CopiesSchema.parse(await this.#ask(peer)));
+    } catch (cause) {
+      const error = (cause as Error).message;
+      log.event("peerUnreachable", { peer: peer.name, error });
+    } finally {
+      this.#isAsking = false;
+    }
+  }
+
+  #ask(peer: PeerDaemon): PromiseLike<unknown> {
+    const url = `http://${peer.host}:${peer.port}${PEER_RPC_PATH}`;
+    const client = new JSONRPCClient(async (call) => {
+      const response = await request(url, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(call),
+        signal: AbortSignal.timeout(ASK_TIMEOUT_MS),
+      });
+      client.receive(await response.body.json() as never);
+    });
+    const known = Object.fromEntries(
+      this.#parts.followed.map(({ prefix, revision }) => [prefix, revision]),
+    );
+    return client.request("knowledge.later", known);
+  }
+
+  #take(peer: PeerDaemon, copies: z.infer<typeof CopiesSchema>): void {
+    for (const followed of this.#parts.followed) {
+      const copy = copies[followed.prefix];
+      if (!copy || !followed.takeCopy(copy)) continue;
+      this.#taken += 1;
+      this.#parts.log.event("peerKnowledgeTaken", {
+        peer: peer.name,
+        prefix: followed.prefix,
+        revision: copy.revision,
+      });
+    }
+  }
+
+  #pickPeer(): PeerDaemon | undefined {
+    const { board, seeds, random } = this.#parts;
+    const known = board.peers.read();
+    const peers = known.length > 0 ? known : seeds;
+    return peers[Math.floor(random() * peers.length)];
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -0,0 +1,120 @@
+import { formatStepError, type TimerService } from "@coltsfootford/core";
+import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import { z } from "zod";
+import { Controller } from "../../controllers/index.ts";
+import type { Logger } from "../../log/index.ts";
+import type { ForwardingBoard, PeerDaemon } from "../board.ts";
+import { FollowedPrefix } from "./followed_prefix.ts";
+
+const PREFIX = "coltsfootford/daemons/";
+/** A daemon that is gone is forgotten after this time. */
+const LEASE_TTL_MS = 10_000;
+/** Three renewals fit into a lease, so that two may be lost. */
+const RENEW_PERIOD_MS = 3_000;
+/** The list of daemons may be some seconds late. */
+const LOOK_INTERVAL_MS = 1_500;
+
+const PeerSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  port: z.number().int(),
+});
+
+/** Writes `peers`, and registers this daemon for the others under a lease. */
+export class PeersController extends Controller {
+  override readonly name = "peers";
+  readonly #self: PeerDaemon;
+  readonly #store: KeyValueClient;
+  readonly #timer: TimerService;
+  readonly #log: Logger;
+  readonly #writer;
+  readonly #followed: FollowedPrefix;
+  #leaseId: string | undefined;
+  #cancel: () => void = () => {};
+
+  constructor(
+    self: PeerDaemon,
+    board: ForwardingBoard,
+    store: KeyValueClient,
+    timer: TimerService,
+    log: Logger,
+  ) {
+    super();
+    this.#self = self;
+    this.#store = store;
+    this.#timer = timer;
+    this.#log = log;
+    this.#writer = board.peers.claimWriter(this.name);
+    this.#followed = new FollowedPrefix({
+      prefix: PREFIX,
+      minIntervalMs: LOOK_INTERVAL_MS,
+      onChange: (entries) => this.#writer.write(this.#decode(entries)),
+    });
+  }
+
+  override start(): Promise<void> {
+    this.#followed.start(this.#store);
+    void this.#register();
+    this.#cancel = this.#timer.every(
+      RENEW_PERIOD_MS,
+      () => void this.#renew(),
+    );
+    return Promise.resolve();
+  }
+
+  override async stop(): Promise<void> {
+    this.#cancel();
+    this.#followed.stop();
+    if (this.#leaseId === undefined) return;
+    const ended = await this.#store.revokeLease(this.#leaseId);
+    if (ended.isErr()) this.#logFailure(formatStepError(ended.error));
+  }
+
+  override dumpState(): unknown {
+    return { leaseId: this.#leaseId ?? null };
+  }
+
+  async #renew(): Promise<void> {
+    if (this.#leaseId === undefined) return await this.#register();
+    const lease = await this.#store.keepLeaseAlive(this.#leaseId);
+    if (lease.isErr()) return this.#logFailure(formatStepError(lease.error));
+    if (lease.value.ttlMs > 0) return;
+    this.#leaseId = undefined;
+    await this.#register();
+  }
+
+  async #register(): Promise<void> {
+    const lease = await this.#store.grantLease(LEASE_TTL_MS);
+    if (lease.isErr()) return this.#logFailure(formatStepError(lease.error));
+    const { leaseId } = lease.value;
+    const key = PREFIX + this.#self.name;
+    const put = await this.#store.put(key, JSON.stringify(this.#self), leaseId);
+    if (put.isErr()) return this.#logFailure(formatStepError(put.error));
+    this.#leaseId = leaseId;
+  }
+
+  #decode(entries: readonly KeyValueEntry[]): PeerDaemon[] {
+    const peers: PeerDaemon[] = [];
+    for (const { key, value } of entries) {
+      const peer = PeerSchema.safeParse(parseJson(value));
+      if (!peer.success) {
+        const error = peer.error.message;
+        this.#log.event("knowledgeRefused", { key, error });
+      } else if (peer.data.name !== this.#self.name) peers.push(peer.data);
+    }
+    return peers;
+  }
+
+  #logFailure(error: string): void {
+    this.#log.event("registrationFailed", { error });
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // The schema refuses undefined, and the refusal is logged.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/knowledge/roster_controller.ts
@@ -0,0 +1,136 @@
+import {
+  formatStepError,
+  LAPSED_GRACE_MS,
+  type TargetRegistration,
+  TargetRoster,
+  type TimerService,
+} from "@coltsfootford/core";
+import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import { Controller } from "../../controllers/index.ts";
+import type { Logger } from "../../log/index.ts";
+import type { ForwardingBoard } from "../board.ts";
+import { FollowedPrefix } from "./followed_prefix.ts";
+import type { KnowledgeCodec } from "./knowledge_codec.ts";
+
+/**
+ * Least time between two looks at the registrations, which change with each
+ * heartbeat of a target. Well within the bound on leaving targets, seconds.
+ */
+const LOOK_INTERVAL_MS = 400;
+/** Writes `targets`: the targets that may be sent work. */
+export class RosterController extends Controller {
+  override readonly name = "roster";
+  readonly followed: FollowedPrefix;
+  readonly #roster = new TargetRoster();
+  readonly #store: KeyValueClient;
+  readonly #codec: KnowledgeCodec;
+  readonly #timer: TimerService;
+  readonly #log: Logger;
+  readonly #writer;
+  readonly #refusedKeys = new Set<string>();
+  #states: ReadonlyMap<string, string> = new Map();
+  #lastSilentAtMs = -Infinity;
+  #written = "";
+  #cancelLapse: () => void = () => {};
+
+  constructor(
+    board: ForwardingBoard,
+    store: KeyValueClient,
+    codec: KnowledgeCodec,
+    timer: TimerService,
+    log: Logger,
+  ) {
+    super();
+    this.#store = store;
+    this.#codec = codec;
+    this.#timer = timer;
+    this.#log = log;
+    this.#writer = board.targets.claimWriter(this.name);
+    board.storeContact.subscribe(({ isReachable }) => {
+      if (!isReachable) this.#lastSilentAtMs = timer.nowMs();
+    });
+    this.followed = new FollowedPrefix({
+      prefix: codec.registrationPrefix,
+      minIntervalMs: LOOK_INTERVAL_MS,
+      onChange: (entries, isFromPeer) => this.#apply(entries, isFromPeer),
+    });
+  }
+
+  override start(): Promise<void> {
+    this.followed.start(this.#store);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#cancelLapse();
+    this.followed.stop();
+    return Promise.resolve();
+  }
+
+  override dumpState(): unknown {
+    return {
+      revision: this.followed.revision,
+      targets: Object.fromEntries(this.#states),
+    };
+  }
+
+  #apply(entries: readonly KeyValueEntry[], isFromPeer: boolean): void {
+    const nowMs = this.#timer.nowMs();
+    const isAfterTrouble = !isFromPeer &&
+      nowMs - this.#lastSilentAtMs < LAPSED_GRACE_MS;
+    this.#roster.update(this.#decode(entries), nowMs, isAfterTrouble);
+    this.#publish();
+  }
+
+  #decode(entries: readonly KeyValueEntry[]): TargetRegistration[] {
+    const registrations: TargetRegistration[] = [];
+    for (const { key, value, modRevision } of entries) {
+      const registration = this.#codec.decodeRegistration(key, value);
+      if (registration.isOk()) {
+        registrations.push(registration.value);
+        continue;
+      }
+      const mark = `${key}@${modRevision}`;
+      if (this.#refusedKeys.has(mark)) continue;
+      this.#refusedKeys.add(mark);
+      const error = formatStepError(registration.error);
+      this.#log.event("knowledgeRefused", { key, error });
+    }
+    return registrations;
+  }
+
+  #publish(): void {
+    const nowMs = this.#timer.nowMs();
+    const targets = this.#roster.eligible(nowMs);
+    // Heartbeats change nothing but the sequence, and need no write.
+    const facts = JSON.stringify(
+      targets.map((target) => ({ ...target, sequence: 0 })),
+    );
+    if (facts !== this.#written || targets.length === 0) {
+      this.#written = facts;
+      this.#logChanges();
+      this.#writer.write(targets);
+    }
+    this.#cancelLapse();
+    const lapseAtMs = this.#roster.nextLapseAtMs(nowMs);
+    if (lapseAtMs === undefined) return;
+    this.#cancelLapse = this.#timer.after(
+      lapseAtMs - nowMs + 1,
+      () => this.#publish(),
+    );
+  }
+
+  #logChanges(): void {
+    const states = this.#roster.states();
+    const changes: Record<string, string> = {};
+    for (const [id, state] of states) {
+      if (this.#states.get(id) !== state) changes[id] = state;
+    }
+    this.#states = states;
+    if (Object.keys(changes).length === 0) return;
+    this.#log.event("rosterChanged", {
+      changes,
+      revision: this.followed.revision,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
@@ -0,0 +1,59 @@
+import type { TimerService } from "@coltsfootford/core";
+import type { KeyValueClient } from "@coltsfootford/key-value";
+import { Controller } from "../../controllers/index.ts";
+import type { Logger } from "../../log/index.ts";
+import type { ForwardingBoard } from "../board.ts";
+
+const CHECK_PERIOD_MS = 250;
+/** Silence after which the store counts as lost: a watch waits two seconds. */
+const LOST_SILENCE_MS = 2_300;
+
+/** Writes `storeContact`. */
+export class StoreContactController extends Controller {
+  override readonly name = "store-contact";
+  readonly #store: KeyValueClient;
+  readonly #timer: TimerService;
+  readonly #log: Logger;
+  readonly #writer;
+  #isReachable = true;
+  #cancel: () => void = () => {};
+
+  constructor(
+    board: ForwardingBoard,
+    store: KeyValueClient,
+    timer: TimerService,
+    log: Logger,
+  ) {
+    super();
+    this.#store = store;
+    this.#timer = timer;
+    this.#log = log;
+    this.#writer = board.storeContact.claimWriter(this.name);
+  }
+
+  override start(): Promise<void> {
+    this.#cancel = this.#timer.every(CHECK_PERIOD_MS, () => this.#check());
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#cancel();
+    return Promise.resolve();
+  }
+
+  override dumpState(): unknown {
+    return { isReachable: this.#isReachable, calls: this.#store.calls };
+  }
+
+  #check(): void {
+    const heardAtMs = this.#store.answeredAtMs;
+    const silentMs = this.#timer.nowMs() - heardAtMs;
+    const isReachable = silentMs < LOST_SILENCE_MS;
+    if (isReachable !== this.#isReachable) {
+      this.#isReachable = isReachable;
+      const name = isReachable ? "storeRegained" : "storeLost";
+      this.#log.event(name, { silentMs: Math.round(silentMs) });
+    }
+    this.#writer.write({ heardAtMs, isReachable });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwarding/settings.ts
@@ -0,0 +1,33 @@
+import { z } from "zod";
+
+const AddressSchema = z.object({
+  host: z.string(),
+  port: z.number().int().min(1).max(65_535),
+});
+
+/** Settings of a daemon that forwards requests, on whatever platform. */
+export const ForwardingSettingsSchema = z.object({
+  vm: z.string(),
+  availabilityZone: z.string(),
+  listen: z.object({
+    clients: AddressSchema,
+    readiness: AddressSchema,
+    peers: AddressSchema.optional(),
+    metrics: AddressSchema.optional(),
+  }),
+  seeds: z.array(AddressSchema),
+  store: AddressSchema,
+  /** Time between SIGTERM and the end of the process by force. */
+  shutdownLimitMs: z.number().positive(),
+  /** Repeats allowed per first request of a service, over all daemons. */
+  repeatRatio: z.number().nonnegative(),
+  /** Repeats allowed beside the ratio in a window, over all daemons. */
+  repeatSlack: z.number().nonnegative(),
+  /** A target holds at most this multiple of the mean load. */
+  maxLoadFactor: z.number().positive(),
+});
+
+/** An address to listen on or to connect to. */
+export type Address = z.infer<typeof AddressSchema>;
+/** See `ForwardingSettingsSchema`. */
+export type ForwardingSettings = z.infer<typeof ForwardingSettingsSchema>;
--- /dev/null
+++ b/packages/daemon/src/forwarding/status_app.ts
@@ -0,0 +1,47 @@
+import { Hono } from "hono";
+import type { JSONRPCServer } from "json-rpc-2.0";
+import type { Controller } from "../controllers/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import { type ForwardingBoard, isReady } from "./board.ts";
+import { PEER_RPC_PATH } from "./knowledge/index.ts";
+
+/** What the status pages show. */
+export interface StatusAppParts {
+  readonly board: ForwardingBoard;
+  readonly metrics: Metrics;
+  readonly controllers: readonly Controller[];
+  readonly rpc: JSONRPCServer;
+  /** The path at which the balancer asks for readiness. */
+  readonly readinessPath: string;
+}
+
+/** Readiness, metrics, a state dump, and calls of other daemons. */
+export function createStatusApp(parts: StatusAppParts): Hono {
+  const { board, metrics, controllers, rpc } = parts;
+  const app = new Hono();
+  app.get(parts.readinessPath, (context) => {
+    const ready = isReady(board);
+    return context.json({ ready }, ready ? 200 : 503);
+  });
+  app.get("/metrics", (context) => context.text(metrics.renderText()));
+  app.get("/dump", (context) =>
+    context.json({
+      lifecycle: board.lifecycle.read(),
+      configVersion: board.routes.read()?.config.version ?? null,
+      targets: board.targets.read() ?? null,
+      peers: board.peers.read(),
+      storeContact: board.storeContact.read(),
+      controllers: Object.fromEntries(
+        controllers.map((controller) => [
+          controller.name,
+          controller.dumpState(),
+        ]),
+      ),
+      metrics: metrics.dump(),
+    }));
+  app.post(PEER_RPC_PATH, async (context) => {
+    const answer = await rpc.receiveJSON(await context.req.text());
+    return answer ? context.json(answer) : context.body(null, 204);
+  });
+  return app;
+}
--- a/packages/daemon/src/guards.ts
+++ b/packages/daemon/src/guards.ts
@@ -3,7 +3,7 @@
   DEFAULT_POISON_SETTINGS,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import { AdmissionController } from "./admission/index.ts";
 import type { Blackboard } from "./blackboard/index.ts";
 import { ClaimController, ClaimedCalls } from "./claims/index.ts";
--- /dev/null
+++ b/packages/daemon/src/log/bounded_logger.ts
@@ -0,0 +1,77 @@
+import Bunyan from "bunyan";
+import { SonicBoom } from "sonic-boom";
+import type { TimerService } from "@coltsfootford/core";
+import { type EventName, EVENTS } from "./events.ts";
+import type { EventFields, Logger } from "./logger.ts";
+
+const STANDARD_OUTPUT_FD = 1;
+/** Lines are written together once they fill this, or with the next flush. */
+const MIN_WRITE_BYTES = 4_096;
+const FLUSH_PERIOD_MS = 500;
+/** Lines wait in memory up to this size; then whole writes are dropped. */
+const MAX_WAITING_BYTES = 1_048_576;
+/** Lines of one event that may be written in each period. */
+const MAX_LINES_PER_PERIOD = 400;
+/** Lines of a failure's cause that may be written in each period. */
+const MAX_CAUSE_LINES_PER_PERIOD = 2_000;
+const PERIOD_MS = 1_000;
+
+/**
+ * A logger whose volume is bounded and whose writes never wait for the reader
+ * of the standard output. What it leaves out is counted in a line of its own.
+ */
+export class BoundedLogger implements Logger {
+  readonly #bunyan: Bunyan;
+  readonly #output: SonicBoom;
+  readonly #linesInPeriod = new Map<EventName, number>();
+  readonly #dropped = new Map<string, number>();
+
+  constructor(vm: string, timer: TimerService) {
+    this.#output = new SonicBoom({
+      fd: STANDARD_OUTPUT_FD,
+      sync: false,
+      minLength: MIN_WRITE_BYTES,
+      maxLength: MAX_WAITING_BYTES,
+    });
+    this.#output.on("drop", () => this.#countDropped("unwritten"));
+    this.#bunyan = Bunyan.createLogger({
+      name: "coltsfootd",
+      vm,
+      streams: [{
+        type: "stream",
+        level: "debug",
+        stream: this.#output as unknown as NodeJS.WritableStream,
+      }],
+    });
+    timer.every(FLUSH_PERIOD_MS, () => this.#output.flush());
+    timer.every(PERIOD_MS, () => this.#startPeriod());
+  }
+
+  event(name: EventName, fields: EventFields = {}): void {
+    const { number, level, text } = EVENTS[name];
+    const lines = (this.#linesInPeriod.get(name) ?? 0) + 1;
+    this.#linesInPeriod.set(name, lines);
+    const bound = level === "info"
+      ? MAX_LINES_PER_PERIOD
+      : MAX_CAUSE_LINES_PER_PERIOD;
+    if (lines > bound) return this.#countDropped(name);
+    this.#bunyan[level]({ event: number, eventName: name, ...fields }, text);
+  }
+
+  /** Writes what waits, before the process ends. */
+  close(): void {
+    this.#output.flushSync();
+  }
+
+  #countDropped(name: string): void {
+    this.#dropped.set(name, (this.#dropped.get(name) ?? 0) + 1);
+  }
+
+  #startPeriod(): void {
+    this.#linesInPeriod.clear();
+    if (this.#dropped.size === 0) return;
+    const dropped = Object.fromEntries(this.#dropped);
+    this.#dropped.clear();
+    this.event("linesDropped", { dropped });
+  }
+}
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -117,6 +117,86 @@
     level: "error",
     text: "a request that crashes targets is refused from now on",
   },
+  forwardingSent: {
+    number: 6001,
+    level: "info",
+    text: "request was sent to a target",
+  },
+  forwardingTryFailed: {
+    number: 6002,
+    level: "warn",
+    text: "try of a request at a target failed",
+  },
+  forwardingEnded: {
+    number: 6003,
+    level: "info",
+    text: "request has its final answer",
+  },
+  forwardingRefused: {
+    number: 6004,
+    level: "warn",
+    text: "request was refused before it was sent",
+  },
+  forwardingClientError: {
+    number: 6005,
+    level: "warn",
+    text: "client sent what is no request",
+  },
+  knowledgeApplied: {
+    number: 6101,
+    level: "info",
+    text: "routes of a configuration are in force",
+  },
+  knowledgeRefused: {
+    number: 6102,
+    level: "error",
+    text: "record of the store cannot be read",
+  },
+  rosterChanged: {
+    number: 6103,
+    level: "info",
+    text: "targets that may be sent work have changed",
+  },
+  storeLost: {
+    number: 6104,
+    level: "warn",
+    text: "store no longer answers",
+  },
+  storeRegained: {
+    number: 6105,
+    level: "info",
+    text: "store answers again",
+  },
+  peerKnowledgeTaken: {
+    number: 6106,
+    level: "info",
+    text: "later knowledge was taken from another daemon",
+  },
+  peerUnreachable: {
+    number: 6107,
+    level: "warn",
+    text: "another daemon could not be asked",
+  },
+  registrationFailed: {
+    number: 6108,
+    level: "warn",
+    text: "registration of this daemon in the store failed",
+  },
+  settingsReloaded: {
+    number: 6109,
+    level: "info",
+    text: "settings file was read again",
+  },
+  settingsRefused: {
+    number: 6110,
+    level: "error",
+    text: "settings file could not be read again",
+  },
+  linesDropped: {
+    number: 6201,
+    level: "warn",
+    text: "log lines were left out to bound their volume",
+  },
   internalFault: {
     number: 9001,
     level: "error",
--- a/packages/daemon/src/log/index.ts
+++ b/packages/daemon/src/log/index.ts
@@ -1,2 +1,3 @@
 export * from "./events.ts";
 export * from "./logger.ts";
+export * from "./bounded_logger.ts";
--- a/packages/daemon/src/membership/membership_controller_test.ts
+++ b/packages/daemon/src/membership/membership_controller_test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "@jest/globals";
-import { SystemTimerService, type Vm } from "@coltsfootford/platform";
+import { SystemTimerService, type Vm } from "@coltsfootford/key-value";
 import { type Blackboard, createBlackboard } from "../blackboard/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import { PeerAddressController, Peers } from "../peers/index.ts";
--- a/packages/daemon/src/membership/views.ts
+++ b/packages/daemon/src/membership/views.ts
@@ -4,7 +4,7 @@
   KeptTarget,
   Membership,
 } from "@coltsfootford/core";
-import type { Vm } from "@coltsfootford/platform";
+import type { Vm } from "@coltsfootford/key-value";
 import type { DaemonView, TargetView } from "../blackboard/index.ts";
 
 /** A daemon that the settings name. */
--- a/packages/daemon/src/poison/quarantine_store.ts
+++ b/packages/daemon/src/poison/quarantine_store.ts
@@ -2,7 +2,7 @@
   type QuarantineNotice,
   quarantineNoticeSchema,
 } from "@coltsfootford/core";
-import type { KeyValueClient } from "@coltsfootford/platform";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 
 const PREFIX = "coltsfoot/quarantine/";
 
--- a/packages/daemon/src/shutdown/graceful_shutdown_test.ts
+++ b/packages/daemon/src/shutdown/graceful_shutdown_test.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, request, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, expect, it } from "@jest/globals";
-import { SystemTimerService } from "@coltsfootford/platform";
+import { SystemTimerService } from "@coltsfootford/key-value";
 import { createBlackboard } from "../blackboard/index.ts";
 import { RunningRequests } from "../entry/index.ts";
 import { ConnectionDrain } from "./connection_drain.ts";
--- a/packages/daemon/src/vm_list/vm_list_controller.ts
+++ b/packages/daemon/src/vm_list/vm_list_controller.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, TimerService } from "@coltsfootford/core";
-import type { Vm, VmListClient } from "@coltsfootford/platform";
+import type { Vm, VmListClient } from "@coltsfootford/key-value";
 import type { Blackboard, FieldWriter } from "../blackboard/index.ts";
 import { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
--- a/packages/platform/src/index.ts
+++ b/packages/key-value/src/index.ts
@@ -1,11 +1,13 @@
 /**
- * Clients of what the platform gives: the key-value service and the VM list.
+ * The abstract client of a key-value service with its watch loop and mirror,
+ * its implementation for the JSON gateway of etcd, and the VM list.
  */
 export * from "./config_parts.ts";
 export * from "./etcd_gateway_client.ts";
 export * from "./key_value_client.ts";
 export * from "./key_value_error.ts";
 export * from "./key_value_types.ts";
+export * from "./prefix_mirror.ts";
 export * from "./system_timer_service.ts";
 export * from "./vm_list_client.ts";
-export type { Watch, WatchOptions } from "./watch_loop.ts";
+export type { Watch, WatchOptions, WatchSink } from "./watch_loop.ts";
--- a/packages/platform/src/key_value_client.ts
+++ b/packages/key-value/src/key_value_client.ts
@@ -41,6 +41,9 @@
   /** Calls made so far. The platform counts a waiting watch as one call. */
   readonly calls: CallCounts = { reads: 0, writes: 0, leases: 0, watches: 0 };
 
+  /** When the service last answered a call, on the timer's clock. */
+  answeredAtMs = -Infinity;
+
   constructor(
     protected readonly timer: TimerService,
     protected readonly random: RandomSource,
@@ -69,6 +72,7 @@
     selection: KeySelection,
     startRevision: number,
     sink: WatchSink,
+    minIntervalMs: number,
   ): CancelTimer;
 
   /** Reads one key; the value is undefined where the key is absent. */
@@ -137,7 +141,8 @@
       range: (selection) => this.range(selection),
       open: (selection, startRevision, sink) => {
         this.calls.watches += 1;
-        return this.openWatch(selection, startRevision, sink);
+        const { minIntervalMs = 0 } = options;
+        return this.openWatch(selection, startRevision, sink, minIntervalMs);
       },
     });
     loop.start();
--- a/packages/platform/src/watch_loop.ts
+++ b/packages/key-value/src/watch_loop.ts
@@ -25,6 +25,13 @@
   readonly onBatch: (batch: WatchBatch) => Promise<void> | void;
   /** Called when the watch connects or loses its connection. */
   readonly onConnected?: (isConnected: boolean) => void;
+  /** Longest wait before a reconnect; `MAX_BACKOFF_MS` where absent. */
+  readonly maxBackoffMs?: number;
+  /**
+   * Least time between two deliveries. A client that asks again for each
+   * delivery saves calls by it; others may ignore it.
+   */
+  readonly minIntervalMs?: number;
 }
 
 /** A running watch. */
@@ -174,7 +181,8 @@
     this.#cancelTimer();
     if (this.#isClosed) return;
     const delayMs = this.#backoffMs * (0.5 + 0.5 * this.#parts.random());
-    this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
+    const maxMs = this.#parts.options.maxBackoffMs ?? MAX_BACKOFF_MS;
+    this.#backoffMs = Math.min(maxMs, this.#backoffMs * 2);
     this.#cancelTimer = this.#parts.timer.after(
       delayMs,
       () => void this.#connect(),
