--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -116,6 +116,7 @@
       log,
       metrics: this.#metrics,
       random,
+      shutdownLimitMs: settings.shutdownLimitMs,
     });
     this.#drain = new ConnectionDrain(this.#server.server, timer);
     this.#createStatusServers(peerKnowledge);
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -21,6 +21,7 @@
 import { headerBytes } from "./http_headers.ts";
 import { type BodyFault, readWholeBody } from "./read_whole_body.ts";
 import type { RequestCodec, RequestFacts } from "./request_codec.ts";
+import { isTakenWhileEnding } from "./shutdown.ts";
 
 /** Header bytes that the parser takes; the configured limit is below. */
 const PARSER_MAX_HEADER_BYTES = 128 * 1024;
@@ -42,12 +43,14 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly random: () => number;
+  readonly shutdownLimitMs: number;
 }
 
 /** Takes requests from clients, checks them and has them forwarded. */
 export class ForwardingServer {
   readonly server: Server;
   readonly #parts: ForwardingServerParts;
+  #stoppingSinceMs: number | undefined;
 
   constructor(parts: ForwardingServerParts) {
     this.#parts = parts;
@@ -63,6 +66,9 @@
     this.server.on("clientError", (error, socket) => {
       this.#onClientError(error, socket);
     });
+    parts.board.lifecycle.subscribe((phase) => {
+      if (phase === "draining") this.#stoppingSinceMs = parts.timer.nowMs();
+    });
     parts.board.routes.subscribe((routes) => {
       if (routes) this.#applyLimits(routes.config.limits);
     });
@@ -112,10 +118,16 @@
     if (service === undefined) {
       return this.#refuseForNow(answer, facts, "route without a service");
     }
-    const limitMs = facts.clientTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS;
+    const longestMs = Math.min(
+      facts.clientTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+      route.timeoutMs,
+    );
+    if (!this.#canFinish(longestMs)) {
+      return this.#refuseForNow(answer, facts, "daemon is ending");
+    }
     const body = readWholeBody(incoming, {
       maxBytes: limits.maxBodyBytes,
-      timeoutMs: Math.min(limitMs, route.timeoutMs),
+      timeoutMs: longestMs,
       timer: this.#parts.timer,
     });
     void new ResultAsync(body).match(
@@ -137,6 +149,13 @@
     );
   }
 
+  #canFinish(longestMs: number): boolean {
+    if (this.#stoppingSinceMs === undefined) return true;
+    const { timer, shutdownLimitMs } = this.#parts;
+    const sinceMs = timer.nowMs() - this.#stoppingSinceMs;
+    return isTakenWhileEnding(sinceMs, longestMs, shutdownLimitMs);
+  }
+
   #refuseBody(
     answer: ClientAnswer,
     facts: RequestFacts,
