Pass an answer without a length on without one

A target that fails in the middle of a body without a length closes with FIN, so the cut can't be seen (socket trace: end, no error); a length of our own vouched for it. Ruled out: a reset taken for an end (Node.js reports the error first).

--- a/packages/daemon/src/forwarding/client_answer.ts
+++ b/packages/daemon/src/forwarding/client_answer.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { RawHeaders } from "./request_codec.ts";
-import type { WholeAnswer } from "./target_try.ts";
+import type { StreamHead, WholeAnswer } from "./target_try.ts";
 
 const BODILESS_STATUSES = new Set([204, 304]);
 
@@ -8,7 +8,6 @@
 export class ClientAnswer {
   readonly #outgoing: ServerResponse;
   readonly #method: string;
-  /** Gives headers for each answer, such as a request to close. */
   #hasBegun = false;
   #hasEnded = false;
 
@@ -53,17 +52,20 @@
       if (answer.contentLength !== undefined) {
         headers.push("Content-Length", answer.contentLength);
       }
-    } else if (!BODILESS_STATUSES.has(answer.status)) {
+    } else if (!answer.isFramed) this.#leaveUnframed(headers);
+    else if (!BODILESS_STATUSES.has(answer.status)) {
       headers.push("Content-Length", String(answer.body.length));
     }
     this.#whole(answer.status, headers, answer.body);
   }
 
   /** Begins a stream. */
-  begin(status: number, headers: RawHeaders): void {
+  begin({ status, facts, isFramed }: StreamHead): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
-    this.#outgoing.writeHead(status, [...headers]);
+    const headers = [...facts.headers];
+    if (!isFramed) this.#leaveUnframed(headers);
+    this.#outgoing.writeHead(status, headers);
   }
 
   /** Passes events on; false where the client doesn't keep up. */
@@ -88,6 +90,15 @@
     this.#outgoing.destroy();
   }
 
+  /**
+   * Ends the body with the connection. A body that came so may be cut short
+   * without a sign, and a length of our own would vouch for it.
+   */
+  #leaveUnframed(headers: string[]): void {
+    this.#outgoing.useChunkedEncodingByDefault = false;
+    headers.push("Connection", "close");
+  }
+
   #whole(status: number, headers: string[], body: Buffer): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -16,7 +16,12 @@
 import type { AcceptedRequest, ForwarderParts } from "./forwarding_types.ts";
 import type { AnswerFacts } from "./request_codec.ts";
 import type { PooledTarget } from "./target_pool.ts";
-import { TargetTry, type TryEnd, type WholeAnswer } from "./target_try.ts";
+import {
+  type StreamHead,
+  TargetTry,
+  type TryEnd,
+  type WholeAnswer,
+} from "./target_try.ts";
 
 /** Statuses by which callers are promised that their request never runs. */
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
@@ -59,7 +64,7 @@
   #mayHaveRun = false;
   #lastEventId: string | undefined;
   /** The head of a stream whose first event has not come. */
-  #streamHead: { status: number; facts: AnswerFacts } | undefined;
+  #streamHead: StreamHead | undefined;
   #isDone = false;
 
   constructor(
@@ -179,7 +184,9 @@
       parts.timer,
       {
         onFirstByte: (facts) => this.#onFirstByte(current, facts),
-        onStreamHead: (status, facts) => this.#onStreamHead(status, facts),
+        onStreamHead: (head) => {
+          this.#streamHead = head;
+        },
         onEvents: (bytes, lastId) => this.#onEvents(current, bytes, lastId),
         onEnd: (end) => this.#onTryEnd(current, end),
       },
@@ -208,14 +215,9 @@
     );
   }
 
-  #onStreamHead(status: number, facts: AnswerFacts): void {
-    this.#streamHead = { status, facts };
-  }
-
   /** Begins the answer with the head of the first target that sent events. */
   #beginStream(): void {
-    const head = this.#streamHead;
-    if (head) this.#accepted.answer.begin(head.status, head.facts.headers);
+    if (this.#streamHead) this.#accepted.answer.begin(this.#streamHead);
   }
 
   #onEvents(
--- a/packages/daemon/src/forwarding/target_try.ts
+++ b/packages/daemon/src/forwarding/target_try.ts
@@ -14,6 +14,8 @@
   readonly status: number;
   readonly facts: AnswerFacts;
   readonly contentLength: string | undefined;
+  /** Whether the end of the body shows without the connection's end. */
+  readonly isFramed: boolean;
   readonly body: Buffer;
 }
 
@@ -30,6 +32,14 @@
   | { readonly kind: "whole"; readonly answer: WholeAnswer }
   | { readonly kind: "streamed" };
 
+/** The head of a stream's answer. */
+export interface StreamHead {
+  readonly status: number;
+  readonly facts: AnswerFacts;
+  /** See `WholeAnswer.isFramed`. */
+  readonly isFramed: boolean;
+}
+
 /** What one try sends, and to whom. */
 export interface TryPlan {
   readonly requestId: string;
@@ -46,7 +56,7 @@
 /** Receives what a try brings. */
 export interface TryListener {
   /** The head of a stream's answer has come. */
-  onStreamHead(status: number, facts: AnswerFacts): void;
+  onStreamHead(head: StreamHead): void;
   /** Whole events, in order. */
   onEvents(bytes: Buffer, lastId: string | undefined): void;
   /** The target has begun to answer. */
@@ -181,7 +191,8 @@
     facts: AnswerFacts,
   ): void {
     const framer = new EventFramer();
-    this.#listener.onStreamHead(status, facts);
+    const isStreamFramed = isFramed(response);
+    this.#listener.onStreamHead({ status, facts, isFramed: isStreamFramed });
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#noteHeard();
@@ -195,7 +206,7 @@
     response.on("end", () => {
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("stream broken off");
-      if (framer.rest.length > 0 && !isFramed(response)) {
+      if (framer.rest.length > 0 && !isStreamFramed) {
         return this.#fail("stream ended inside an event");
       }
       if (framer.rest.length > 0) {
@@ -226,6 +237,7 @@
         status,
         facts,
         contentLength: response.headers["content-length"],
+        isFramed: isFramed(response),
         body: Buffer.concat(chunks),
       };
       this.#end({ kind: "whole", answer });
@@ -267,7 +279,6 @@
   return type === undefined || type.startsWith("text/event-stream");
 }
 
-/** Tells whether the end of the body shows without the connection's end. */
 function isFramed(response: IncomingMessage): boolean {
   const { headers } = response;
   return headers["transfer-encoding"] !== undefined ||
