--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -17,6 +17,8 @@
 export interface Candidate {
   readonly target: RosterTarget;
   readonly record: TargetRecord;
+  /** Whether the target may be the home of prompts; see `findSettled`. */
+  readonly isSettled: boolean;
 }
 
 /** All that a choice depends on. */
@@ -39,13 +41,8 @@
   readonly reason: "home" | "cheapest" | "all-full" | "all-distrusted";
 }
 
-/**
- * Part of the allowed load that is used: knowledge of other daemons' requests
- * is some tens of ms old, and each of them may add a request meanwhile.
- */
-const USED_SHARE_OF_LOAD_FACTOR = 0.9;
-/** Requests that a target may hold whatever the mean; the rule allows three. */
-const FREE_REQUESTS = 2;
+/** Requests that a target may hold beside the multiple of the mean, by rule. */
+const FREE_REQUESTS = 3;
 /** Cost of each request at a target, a part of a step of an engine's batch. */
 const COST_PER_REQUEST_MS = 1.5;
 /** Cost of another availability zone: two ways of some ms, and its price. */
@@ -117,11 +114,10 @@
   let total = 0;
   for (const { record } of candidates) total += record.estimateLoad(nowMs);
   const mean = total / Math.max(1, candidates.length);
-  const factor = Math.max(1, maxLoadFactor * USED_SHARE_OF_LOAD_FACTOR);
-  return mean * factor + FREE_REQUESTS;
+  return mean * maxLoadFactor + FREE_REQUESTS;
 }
 
-/** The target at which, by rendezvous hashing, all daemons send a prompt. */
+/** The settled target to which, by rendezvous hashing, all daemons send. */
 function findHome(
   prompt: PromptDescription,
   candidates: readonly Candidate[],
@@ -132,6 +128,7 @@
   let home: Candidate | undefined;
   let highest = -1;
   for (const candidate of candidates) {
+    if (!candidate.isSettled) continue;
     const score = mixHash32(keyHash, hash32(candidate.target.incarnation));
     if (score <= highest) continue;
     highest = score;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -7,6 +7,7 @@
 export * from "./repeat_share.ts";
 export * from "./return_time.ts";
 export * from "./route_table.ts";
+export * from "./settled_targets.ts";
 export * from "./silence.ts";
 export * from "./target_record.ts";
 export * from "./target_roster.ts";
--- a/packages/daemon/src/forwarding/board.ts
+++ b/packages/daemon/src/forwarding/board.ts
@@ -23,6 +23,8 @@
   readonly targets: Field<readonly RosterTarget[] | undefined>;
   readonly peers: Field<readonly PeerDaemon[]>;
   readonly storeContact: Field<StoreContact>;
+  /** When a peer last told that the store answers it, monotonic. */
+  readonly peerContactAtMs: Field<number>;
   readonly lifecycle: Field<LifecyclePhase>;
 }
 
@@ -39,6 +41,7 @@
       heardAtMs: 0,
       isReachable: false,
     }),
+    peerContactAtMs: new Field<number>("peerContactAtMs", -Infinity),
     lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
   };
 }
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -83,7 +83,7 @@
       log,
       random,
     });
-    const pool = new TargetPool(board);
+    const pool = new TargetPool(board, timer);
     this.#controllers = [
       new StoreContactController(board, store, timer, log),
       routes,
--- a/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
@@ -27,7 +27,11 @@
   revision: z.number(),
   entries: z.array(EntrySchema),
 });
-const CopiesSchema = z.record(z.string(), CopySchema);
+const LaterSchema = z.object({
+  isStoreReachable: z.boolean(),
+  copies: z.record(z.string(), CopySchema),
+});
+type Later = z.infer<typeof LaterSchema>;
 const AskSchema = z.record(z.string(), z.number());
 
 /** The parts of the controller. */
@@ -43,7 +47,7 @@
 }
 
 /**
- * Hands knowledge over between daemons. A daemon that the store turns away
+ * Writes `peerContactAtMs`, and hands knowledge over between daemons. A daemon that the store turns away
  * asks a peer for later copies of what it follows; while the store answers,
  * nothing is sent.
  */
@@ -51,6 +55,7 @@
   override readonly name = "peer-knowledge";
   readonly server = new JSONRPCServer();
   readonly #parts: PeerKnowledgeParts;
+  readonly #writer;
   #cancel: () => void = () => {};
   #isAsking = false;
   #taken = 0;
@@ -58,6 +63,7 @@
   constructor(parts: PeerKnowledgeParts) {
     super();
     this.#parts = parts;
+    this.#writer = parts.board.peerContactAtMs.claimWriter(this.name);
     this.server.addMethod("knowledge.later", (params: unknown) => {
       return this.#laterThan(AskSchema.parse(params));
     });
@@ -80,14 +86,15 @@
     return { copiesTaken: this.#taken };
   }
 
-  #laterThan(known: Record<string, number>): Record<string, PrefixCopy> {
+  #laterThan(known: Record<string, number>) {
+    const { isReachable } = this.#parts.board.storeContact.read();
     const copies: Record<string, PrefixCopy> = {};
     for (const followed of this.#parts.followed) {
       const knownRevision = known[followed.prefix] ?? 0;
       if (followed.revision <= knownRevision) continue;
       copies[followed.prefix] = followed.copy();
     }
-    return copies;
+    return { isStoreReachable: isReachable, copies };
   }
 
   async #askIfCutOff(): Promise<void> {
@@ -97,7 +104,7 @@
     if (!peer) return;
     this.#isAsking = true;
     try {
-      this.#take(peer, CopiesSchema.parse(await this.#ask(peer)));
+      this.#take(peer, LaterSchema.parse(await this.#ask(peer)));
     } catch (cause) {
       const error = (cause as Error).message;
       log.event("peerUnreachable", { peer: peer.name, error });
@@ -123,7 +130,8 @@
     return client.request("knowledge.later", known);
   }
 
-  #take(peer: PeerDaemon, copies: z.infer<typeof CopiesSchema>): void {
+  #take(peer: PeerDaemon, { isStoreReachable, copies }: Later): void {
+    if (isStoreReachable) this.#writer.write(this.#parts.timer.nowMs());
     for (const followed of this.#parts.followed) {
       const copy = copies[followed.prefix];
       if (!copy || !followed.takeCopy(copy)) continue;
--- a/packages/daemon/src/forwarding/knowledge/roster_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/roster_controller.ts
@@ -1,6 +1,5 @@
 import {
   formatStepError,
-  LAPSED_GRACE_MS,
   type TargetRegistration,
   TargetRoster,
   type TimerService,
@@ -17,11 +16,20 @@
  * heartbeat of a target. Well within the bound on leaving targets, seconds.
  */
 const LOOK_INTERVAL_MS = 400;
+/**
+ * Time after a trouble of the store in which its first answer shows which
+ * registrations lapsed meanwhile. What is missing later has left.
+ */
+const FIRST_LOOK_MS = 1_000;
+/** How long a peer's word holds that the store answers it. */
+const PEER_CONTACT_MS = 2_000;
+
 /** Writes `targets`: the targets that may be sent work. */
 export class RosterController extends Controller {
   override readonly name = "roster";
   readonly followed: FollowedPrefix;
   readonly #roster = new TargetRoster();
+  readonly #board: ForwardingBoard;
   readonly #store: KeyValueClient;
   readonly #codec: KnowledgeCodec;
   readonly #timer: TimerService;
@@ -41,6 +49,7 @@
     log: Logger,
   ) {
     super();
+    this.#board = board;
     this.#store = store;
     this.#codec = codec;
     this.#timer = timer;
@@ -76,12 +85,17 @@
 
   #apply(entries: readonly KeyValueEntry[], isFromPeer: boolean): void {
     const nowMs = this.#timer.nowMs();
-    const isAfterTrouble = !isFromPeer &&
-      nowMs - this.#lastSilentAtMs < LAPSED_GRACE_MS;
+    const isAfterTrouble = !isFromPeer && this.#isStoreBack(nowMs);
     this.#roster.update(this.#decode(entries), nowMs, isAfterTrouble);
     this.#publish();
   }
 
+  /** Tells whether the store is just back for all, not only for this daemon. */
+  #isStoreBack(nowMs: number): boolean {
+    if (nowMs - this.#lastSilentAtMs >= FIRST_LOOK_MS) return false;
+    return nowMs - this.#board.peerContactAtMs.read() >= PEER_CONTACT_MS;
+  }
+
   #decode(entries: readonly KeyValueEntry[]): TargetRegistration[] {
     const registrations: TargetRegistration[] = [];
     for (const { key, value, modRevision } of entries) {
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -1,8 +1,10 @@
 import {
   CacheBeliefs,
   type Candidate,
+  findSettled,
   type RosterTarget,
   TargetRecord,
+  type TimerService,
 } from "@coltsfootford/core";
 import type { ForwardingBoard } from "./board.ts";
 import { TargetConnections } from "./target_connections.ts";
@@ -10,15 +12,22 @@
 /** One incarnation of a target with what belongs to it. */
 export interface PooledTarget extends Candidate {
   readonly connections: TargetConnections;
+  isSettled: boolean;
 }
 
+/** How often targets that have grown old enough become homes. */
+const SETTLE_PERIOD_MS = 1_000;
+
 /** The targets on the board, each with its record and its connections. */
 export class TargetPool {
   readonly beliefs = new CacheBeliefs();
+  readonly #timer: TimerService;
   readonly #byIncarnation = new Map<string, PooledTarget>();
   #byService = new Map<string, PooledTarget[]>();
 
-  constructor(board: ForwardingBoard) {
+  constructor(board: ForwardingBoard, timer: TimerService) {
+    this.#timer = timer;
+    timer.every(SETTLE_PERIOD_MS, () => this.#settle());
     board.targets.subscribe((targets) => this.#update(targets ?? []));
   }
 
@@ -42,6 +51,18 @@
     this.beliefs.keepOnly(present);
     this.#byService = new Map();
     for (const target of targets) this.#add(target);
+    this.#settle();
+  }
+
+  #settle(): void {
+    const wallClockMs = this.#timer.wallClockMs();
+    for (const siblings of this.#byService.values()) {
+      const targets = siblings.map(({ target }) => target);
+      const settled = findSettled(targets, wallClockMs);
+      for (const pooled of siblings) {
+        pooled.isSettled = settled.has(pooled.target.incarnation);
+      }
+    }
   }
 
   #add(target: RosterTarget): void {
@@ -55,6 +76,7 @@
       connections: known && !isMoved
         ? known.connections
         : new TargetConnections(),
+      isSettled: known?.isSettled ?? false,
     };
     this.#byIncarnation.set(target.incarnation, pooled);
     const siblings = this.#byService.get(target.service) ?? [];
