--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -53,6 +53,7 @@
   readonly #lifecycle = this.#board.lifecycle.claimWriter("daemon");
   readonly #metrics = new Metrics();
   readonly #controllers: readonly Controller[];
+  readonly #pool: TargetPool;
   readonly #forwarder: Forwarder;
   readonly #server: ForwardingServer;
   readonly #drain: ConnectionDrain;
@@ -84,6 +85,7 @@
       random,
     });
     const pool = new TargetPool(board, timer);
+    this.#pool = pool;
     this.#controllers = [
       new StoreContactController(board, store, timer, log),
       routes,
@@ -153,6 +155,7 @@
     });
     if (cut > 0) log.event("requestsCut", { requests: cut });
     this.#stopForwarder();
+    this.#pool.close();
     this.#lifecycle.write("stopped");
     for (const controller of this.#controllers) await controller.stop();
     await platform.store.close();
@@ -160,6 +163,19 @@
     return cut;
   }
 
+  /** Ends at once, whatever still runs; for tests. */
+  close(): void {
+    this.#stopForwarder();
+    this.#pool.close();
+    this.#lifecycle.write("stopped");
+    this.#drain.stopAccepting();
+    this.#drain.closeAll();
+    for (const server of this.#statusServers) server.close();
+    for (const server of this.#statusServers) server.closeAllConnections();
+    for (const controller of this.#controllers) void controller.stop();
+    void this.#parts.platform.store.close();
+  }
+
   #createStatusServers(peerKnowledge: PeerKnowledgeController): void {
     const app = createStatusApp({
       board: this.#board,
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -24,10 +24,11 @@
   readonly #timer: TimerService;
   readonly #byIncarnation = new Map<string, PooledTarget>();
   #byService = new Map<string, PooledTarget[]>();
+  readonly #cancel: () => void;
 
   constructor(board: ForwardingBoard, timer: TimerService) {
     this.#timer = timer;
-    timer.every(SETTLE_PERIOD_MS, () => this.#settle());
+    this.#cancel = timer.every(SETTLE_PERIOD_MS, () => this.#settle());
     board.targets.subscribe((targets) => this.#update(targets ?? []));
   }
 
@@ -41,6 +42,12 @@
     return this.#byIncarnation.values();
   }
 
+  /** Closes the connections that are idle, and the others when they are. */
+  close(): void {
+    this.#cancel();
+    for (const { connections } of this.all()) connections.retire();
+  }
+
   #update(targets: readonly RosterTarget[]): void {
     const present = new Set(targets.map((target) => target.incarnation));
     for (const [incarnation, pooled] of this.#byIncarnation) {
--- a/packages/standins/src/platform/index.ts
+++ b/packages/standins/src/platform/index.ts
@@ -1,2 +1,8 @@
 export * from "./key_value_service.ts";
 export * from "./platform_options.ts";
+export {
+  KeyValueStore,
+  type StoredValue,
+  type StoreEvent,
+} from "./key_value_store.ts";
+export { Leases } from "./leases.ts";
