--- /dev/null
+++ b/packages/core/src/forwarding/choose_target_test.ts
@@ -0,0 +1,176 @@
+import { beforeEach, describe, expect, it } from "@jest/globals";
+import { CacheBeliefs } from "./cache_beliefs.ts";
+import {
+  type Candidate,
+  chooseTarget,
+  type PlacementQuestion,
+} from "./choose_target.ts";
+import { NO_PROMPT, type PromptDescription, sharedParts } from "./prompt.ts";
+import { type RunningTry, TargetRecord } from "./target_record.ts";
+
+const SETTINGS = {
+  availabilityZone: "a",
+  maxLoadFactor: 2,
+  promptTokensPerMs: 50,
+};
+const PROMPT: PromptDescription = {
+  parts: [
+    { id: "common", tokens: 500 },
+    { id: "document", tokens: 10_000 },
+    { id: "own", tokens: 300 },
+  ],
+  promptTokens: 10_800,
+  maxOutputTokens: 100,
+};
+
+let beliefs: CacheBeliefs;
+
+beforeEach(() => {
+  beliefs = new CacheBeliefs();
+});
+
+function candidate(id: string, zone = "a"): Candidate {
+  return {
+    target: {
+      id,
+      incarnation: `${id}@1`,
+      bornAtMs: 1,
+      sequence: 1,
+      service: "models",
+      host: "127.0.0.1",
+      port: 1,
+      availabilityZone: zone,
+      slots: 64,
+      isLeaving: false,
+      coldLeftMs: 0,
+    },
+    record: new TargetRecord(),
+    isSettled: true,
+  };
+}
+
+function ask(
+  candidates: readonly Candidate[],
+  fields: Partial<PlacementQuestion> = {},
+) {
+  return chooseTarget({
+    prompt: PROMPT,
+    targetLatencyMs: 800,
+    triedIncarnations: new Set(),
+    candidates,
+    beliefs,
+    nowMs: 1_000,
+    ...fields,
+  }, SETTINGS);
+}
+
+function addTries({ record }: Candidate, count: number): void {
+  for (let at = 0; at < count; at++) {
+    const running: RunningTry = {
+      startedAtMs: 1_000,
+      unreadTokens: 0,
+      lastHeardAtMs: 1_000,
+      hasAnswer: true,
+    };
+    record.tries.add(running);
+  }
+}
+
+const fleet = () => ["t1", "t2", "t3", "t4"].map((id) => candidate(id));
+
+describe("chooseTarget", () => {
+  it("sends a prompt to the same home from every daemon", () => {
+    const first = ask(fleet());
+    const second = ask(fleet().reverse());
+    expect(first?.reason).toBe("home");
+    expect(second?.candidate.target.id).toBe(first?.candidate.target.id);
+    expect(first?.missingTokens).toBe(300);
+  });
+
+  it("keeps the home where only a common part is known elsewhere", () => {
+    const targets = fleet();
+    const home = ask(targets)!.candidate;
+    const other = targets.find((target) => target !== home)!;
+    beliefs.noteRead(other.target.incarnation, [PROMPT.parts[0]!], 900);
+    expect(ask(targets)?.candidate).toBe(home);
+  });
+
+  it("prefers a target that has read the whole prefix over a new home", () => {
+    const targets = fleet();
+    const home = ask(targets)!.candidate;
+    const other = targets.find((target) => target !== home)!;
+    beliefs.noteRead(other.target.incarnation, sharedParts(PROMPT), 900);
+    expect(ask(targets)?.candidate).toBe(other);
+  });
+
+  it("makes no home of a target that has not settled", () => {
+    const targets = fleet();
+    const home = ask(targets)!.candidate;
+    const changed = targets.map((target) =>
+      target === home ? { ...target, isSettled: false } : target
+    );
+    expect(ask(changed)?.candidate.target.id).not.toBe(home.target.id);
+  });
+
+  it("spills a hot prompt once its home holds its bound", () => {
+    const targets = fleet();
+    const home = ask(targets)!.candidate;
+    addTries(home, 5);
+    // The mean is 1.25, so the home may hold 2 * 1.25 + 3 = 5.5 requests.
+    expect(ask(targets)?.candidate).not.toBe(home);
+    expect(ask(targets)?.reason).toBe("cheapest");
+  });
+
+  it("keeps a home that holds a few requests at a low mean", () => {
+    const targets = fleet();
+    const home = ask(targets)!.candidate;
+    addTries(home, 2);
+    expect(ask(targets)?.candidate).toBe(home);
+  });
+
+  it("takes the least loaded where all are at their bound", () => {
+    const targets = [candidate("t1")];
+    addTries(targets[0]!, 50);
+    const placement = ask(targets, { candidates: targets });
+    expect(placement?.candidate).toBe(targets[0]);
+  });
+
+  it("passes over targets that were tried, silent or suspended", () => {
+    const [silent, suspended, tried, good] = fleet();
+    silent!.record.tries.add({
+      startedAtMs: 0,
+      unreadTokens: 0,
+      lastHeardAtMs: 0,
+      hasAnswer: false,
+    });
+    suspended!.record.suspend(1_000);
+    const placement = ask([silent!, suspended!, tried!, good!], {
+      triedIncarnations: new Set([tried!.target.incarnation]),
+    });
+    expect(placement?.candidate).toBe(good);
+  });
+
+  it("uses distrusted targets where there are no others", () => {
+    const [only] = fleet();
+    only!.record.suspend(1_000);
+    expect(ask([only!])?.reason).toBe("all-distrusted");
+  });
+
+  it("avoids a target that fails a part of its requests", () => {
+    const [failing, good] = fleet();
+    for (let at = 0; at < 5; at++) failing!.record.noteVerdict("failed", 1_000);
+    const placement = ask([failing!, good!], { prompt: NO_PROMPT });
+    expect(placement?.candidate).toBe(good);
+  });
+
+  it("prefers the own availability zone at the same load", () => {
+    const far = candidate("t1", "b");
+    const near = candidate("t2", "a");
+    const placement = ask([far, near], { prompt: NO_PROMPT });
+    expect(placement?.candidate).toBe(near);
+  });
+
+  it("finds nothing without targets", () => {
+    expect(ask([])).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/core/src/forwarding/forwarding_parts_test.ts
@@ -0,0 +1,199 @@
+import { describe, expect, it } from "@jest/globals";
+import fc from "fast-check";
+import { EventFramer } from "./event_frames.ts";
+import type { ForwardingConfig } from "./forwarding_config.ts";
+import { RepeatShares } from "./repeat_share.ts";
+import { returnAfterMs } from "./return_time.ts";
+import { pickService, RouteTable } from "./route_table.ts";
+import { findSettled } from "./settled_targets.ts";
+import { isWaitFutile, type SilenceQuestion } from "./silence.ts";
+import { TargetRecord } from "./target_record.ts";
+import type { RosterTarget } from "./target_roster.ts";
+
+const ROUTE = {
+  name: "r",
+  host: "h",
+  pathPrefix: "/a/",
+  kind: "idempotent",
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  targetPauseMs: 100,
+  rank: 0,
+  services: [{ service: "s", weight: 1 }],
+  maxTargets: 1,
+  isPublic: false,
+  isResumable: false,
+} as const;
+const CONFIG: ForwardingConfig = {
+  version: 1,
+  routes: [
+    ROUTE,
+    { ...ROUTE, name: "deep", pathPrefix: "/a/b/" },
+    { ...ROUTE, name: "public", pathPrefix: "/p/", isPublic: true },
+  ],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  teams: [{ name: "team", keys: ["k"], rank: undefined }],
+};
+
+describe("RouteTable", () => {
+  const table = new RouteTable(CONFIG);
+
+  it("selects the longest prefix that begins the path", () => {
+    expect(table.findRoute("h", "/a/b/c")?.name).toBe("deep");
+    expect(table.findRoute("h", "/a/bc")?.name).toBe("r");
+    expect(table.findRoute("h", "/a")).toBeUndefined();
+    expect(table.findRoute("other", "/a/")).toBeUndefined();
+  });
+
+  it("finds teams by key, and asks none on public routes", () => {
+    const closed = table.findRoute("h", "/a/")!;
+    const open = table.findRoute("h", "/p/")!;
+    expect(table.findTeam(closed, "k").kind).toBe("team");
+    expect(table.findTeam(closed, "x").kind).toBe("unknown-key");
+    expect(table.findTeam(closed, undefined).kind).toBe("unknown-key");
+    expect(table.findTeam(open, "x").kind).toBe("no-team");
+  });
+
+  it("splits requests by weight, the same in every daemon", () => {
+    const services = [{ service: "s", weight: 90 }, {
+      service: "t",
+      weight: 10,
+    }];
+    const route = { ...ROUTE, services };
+    const picks = Array.from(
+      { length: 2_000 },
+      (_, at) => pickService(route, `request-${at}`),
+    );
+    const share = picks.filter((service) => service === "t").length / 2_000;
+    expect(share).toBeGreaterThan(0.07);
+    expect(share).toBeLessThan(0.13);
+  });
+});
+
+describe("EventFramer", () => {
+  it("gives whole events only, however the bytes are cut", () => {
+    const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
+    fc.assert(fc.property(
+      fc.array(fc.integer({ min: 1, max: 9 })),
+      (sizes) => {
+        const framer = new EventFramer();
+        const bytes = Buffer.from(text);
+        const frames = [];
+        let at = 0;
+        for (const size of [...sizes, bytes.length]) {
+          frames.push(...framer.push(bytes.subarray(at, at + size)));
+          at += size;
+        }
+        expect(frames.map(({ id }) => id)).toEqual(["1", "2"]);
+        const whole = Buffer.concat([
+          ...frames.map((frame) => frame.bytes),
+          framer.rest,
+        ]);
+        expect(whole.toString()).toBe(text);
+      },
+    ));
+  });
+});
+
+describe("findSettled", () => {
+  const born = (id: string, bornAtMs: number) =>
+    ({ incarnation: id, bornAtMs }) as RosterTarget;
+
+  it("takes the first cohort and those that have been there for long", () => {
+    const targets = [born("a", 0), born("b", 3_000), born("new", 30_000)];
+    expect([...findSettled(targets, 40_000)]).toEqual(["a", "b"]);
+    expect([...findSettled(targets, 90_000)]).toEqual(["a", "b", "new"]);
+  });
+
+  it("takes the new ones once they are the most", () => {
+    const targets = [born("a", 0), born("x", 30_000), born("y", 31_000)];
+    expect(findSettled(targets, 32_000).has("y")).toBe(true);
+  });
+});
+
+describe("TargetRecord", () => {
+  it("adds own requests to what the target told of others", () => {
+    const record = new TargetRecord();
+    record.noteTold({ runningRequests: 6, waitingRequests: 1, slots: 8 }, 0);
+    expect(record.estimateLoad(0)).toBe(7);
+    expect(record.estimateLoad(2_000)).toBe(3.5);
+  });
+
+  it("leaves an unreachable target alone for longer each time", () => {
+    const record = new TargetRecord();
+    record.suspend(0);
+    expect(record.suspendedUntilMs).toBe(250);
+    record.suspend(250);
+    expect(record.suspendedUntilMs).toBe(750);
+    record.noteVerdict("good", 750);
+    record.suspend(800);
+    expect(record.suspendedUntilMs).toBe(1_050);
+  });
+
+  it("forgets what is held against a target", () => {
+    const record = new TargetRecord();
+    record.noteVerdict("failed", 0);
+    expect(record.failureShare(0)).toBeCloseTo(0.15);
+    expect(record.failureShare(8_000)).toBeLessThan(0.04);
+  });
+});
+
+describe("isWaitFutile", () => {
+  const question: SilenceQuestion = {
+    isRepeatable: true,
+    hasAnswer: false,
+    isStream: true,
+    targetLatencyMs: 400,
+    targetPauseMs: 400,
+    silentMs: 950,
+    targetSilentMs: 950,
+    timeLeftMs: 10_000,
+  };
+
+  it("gives a stream up where its whole target is silent", () => {
+    expect(isWaitFutile(question)).toBe(true);
+    expect(isWaitFutile({ ...question, targetSilentMs: 0 })).toBe(false);
+  });
+
+  it("never gives up what can't be repeated", () => {
+    expect(isWaitFutile({ ...question, isRepeatable: false })).toBe(false);
+  });
+
+  it("leaves time for another try of a plain request", () => {
+    const plain = { ...question, isStream: false, targetSilentMs: 0 };
+    expect(isWaitFutile({ ...plain, silentMs: 220, timeLeftMs: 380 }))
+      .toBe(true);
+    expect(isWaitFutile({ ...plain, silentMs: 90, timeLeftMs: 510 }))
+      .toBe(false);
+  });
+});
+
+describe("returnAfterMs", () => {
+  it("stays within what a client is ready to wait, and spreads", () => {
+    expect(returnAfterMs(600, 1)).toBeCloseTo(200);
+    expect(returnAfterMs(600, 0)).toBeCloseTo(100);
+    expect(returnAfterMs(60_000, 1)).toBe(1_000);
+  });
+});
+
+describe("RepeatShares", () => {
+  it("adds up to less than the bound over all daemons", () => {
+    const bound = { ratio: 0.2, slack: 52 };
+    let repeats = 0;
+    const requestsEach = 500;
+    for (let daemon = 0; daemon < 6; daemon++) {
+      const budget = new RepeatShares(bound, () => 6).budgetOf("s");
+      for (let at = 0; at < requestsEach; at++) {
+        budget.noteFirstTry();
+        if (budget.tryTake()) repeats += 1;
+      }
+    }
+    expect(repeats).toBeLessThanOrEqual(0.2 * 6 * requestsEach + 52);
+  });
+});
--- /dev/null
+++ b/packages/core/src/forwarding/target_roster_test.ts
@@ -0,0 +1,76 @@
+import { beforeEach, describe, expect, it } from "@jest/globals";
+import {
+  LAPSED_GRACE_MS,
+  type TargetRegistration,
+  TargetRoster,
+} from "./target_roster.ts";
+
+let roster: TargetRoster;
+
+beforeEach(() => {
+  roster = new TargetRoster();
+});
+
+function registration(
+  fields: Partial<TargetRegistration> = {},
+): TargetRegistration {
+  return {
+    id: "t1",
+    bornAtMs: 100,
+    sequence: 5,
+    service: "models",
+    host: "127.0.0.1",
+    port: 80,
+    availabilityZone: "a",
+    slots: 8,
+    isLeaving: false,
+    coldLeftMs: 0,
+    ...fields,
+  };
+}
+
+function update(
+  nowMs: number,
+  registrations: TargetRegistration[],
+  isAfterTrouble = false,
+) {
+  roster.update(registrations, nowMs, isAfterTrouble);
+  return roster.eligible(nowMs).map(({ incarnation }) => incarnation);
+}
+
+describe("TargetRoster", () => {
+  it("lists targets that are registered", () => {
+    expect(update(0, [registration()])).toEqual(["t1@100"]);
+  });
+
+  it("keeps a leaving target out, whatever old record turns up", () => {
+    update(0, [registration()]);
+    expect(update(1, [registration({ isLeaving: true, sequence: 6 })]))
+      .toEqual([]);
+    expect(update(2, [registration({ sequence: 5 })])).toEqual([]);
+    expect(update(3, [registration({ sequence: 9 })])).toEqual([]);
+  });
+
+  it("keeps a removed target out until it registers anew", () => {
+    update(0, [registration()]);
+    expect(update(1, [])).toEqual([]);
+    expect(update(2, [registration({ sequence: 5 })])).toEqual([]);
+    expect(update(3, [registration({ sequence: 6 })])).toEqual(["t1@100"]);
+  });
+
+  it("takes a later incarnation under the same id, and no earlier one", () => {
+    update(0, [registration({ isLeaving: true })]);
+    expect(update(1, [registration({ bornAtMs: 200, sequence: 1 })]))
+      .toEqual(["t1@200"]);
+    expect(update(2, [registration({ bornAtMs: 100, sequence: 99 })]))
+      .toEqual(["t1@200"]);
+  });
+
+  it("serves a lapsed target for the grace after the store's trouble", () => {
+    update(0, [registration()]);
+    expect(update(1_000, [], true)).toEqual(["t1@100"]);
+    expect(roster.nextLapseAtMs(1_000)).toBe(1_000 + LAPSED_GRACE_MS);
+    expect(roster.eligible(1_000 + LAPSED_GRACE_MS)).toEqual([]);
+    expect(update(1_500, [registration({ sequence: 6 })])).toEqual(["t1@100"]);
+  });
+});
