--- a/packages/daemon/src/log/bounded_logger.ts
+++ b/packages/daemon/src/log/bounded_logger.ts
@@ -1,9 +1,12 @@
 import Bunyan from "bunyan";
-import { SonicBoom } from "sonic-boom";
+import sonicBoom from "sonic-boom";
 import type { TimerService } from "@coltsfootford/core";
 import { type EventName, EVENTS } from "./events.ts";
 import type { EventFields, Logger } from "./logger.ts";
 
+// The package has the older module format, without named exports.
+const { SonicBoom } = sonicBoom;
+
 const STANDARD_OUTPUT_FD = 1;
 /** Lines are written together once they fill this, or with the next flush. */
 const MIN_WRITE_BYTES = 4_096;
@@ -22,7 +25,7 @@
  */
 export class BoundedLogger implements Logger {
   readonly #bunyan: Bunyan;
-  readonly #output: SonicBoom;
+  readonly #output: InstanceType<typeof SonicBoom>;
   readonly #linesInPeriod = new Map<EventName, number>();
   readonly #dropped = new Map<string, number>();
 
