--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -1,4 +1,4 @@
-import { hash32, mixHash32 } from "../hash/index.ts";
+import { pickByRendezvous } from "../hash/index.ts";
 import type { CacheBeliefs } from "./cache_beliefs.ts";
 import { homePart, type PromptDescription, sharedParts } from "./prompt.ts";
 import type { TargetRecord } from "./target_record.ts";
@@ -17,8 +17,6 @@
 export interface Candidate {
   readonly target: RosterTarget;
   readonly record: TargetRecord;
-  /** Whether the target may be the home of prompts; see `findSettled`. */
-  readonly isSettled: boolean;
 }
 
 /** All that a choice depends on. */
@@ -28,6 +26,8 @@
   /** Targets that had a try of this request already. */
   readonly triedIncarnations: ReadonlySet<string>;
   readonly candidates: readonly Candidate[];
+  /** The incarnation that is the prompt's home; see `HomeHistory`. */
+  readonly home: string | undefined;
   readonly beliefs: CacheBeliefs;
   readonly nowMs: number;
 }
@@ -49,6 +49,13 @@
 const OTHER_ZONE_COST_MS = 8;
 /** Silence after which a target gets no new work while another is there. */
 const SUSPICIOUS_SILENCE_MS = 700;
+/**
+ * Standard deviation of a share of failures that is averaged over some seven
+ * tries, as `TargetRecord` does, at a true share of a half.
+ */
+const FAILURE_SHARE_NOISE = 0.14;
+/** A failed try costs its own time, the next one's and the client's patience. */
+const FAILED_TRY_COST = 3;
 /** Most of the failure share that counts, so that the cost stays finite. */
 const MAX_FAILURE_SHARE = 0.95;
 /** A cold target works up to this much slower for a while, by its sheet. */
@@ -74,23 +81,24 @@
   const open = pool.filter(({ record }) =>
     record.estimateLoad(question.nowMs) + 1 <= bound
   );
-  if (open.length === 0) return leastLoaded(pool, question);
-  const home = findHome(question.prompt, pool);
-  const believed = believedTokens(question, pool);
+  const home = findHome(question, pool);
+  const believed = believedTokens(question, pool, home);
+  const failureShare = meanFailureShare(question);
   let best: Placement | undefined;
-  for (const candidate of open) {
+  for (const candidate of open.length > 0 ? open : pool) {
     const placement = weigh(
       candidate,
       believed.get(candidate) ?? 0,
       candidate === home,
+      failureShare,
       question,
       settings,
     );
     if (!best || placement.costMs < best.costMs) best = placement;
   }
-  if (best && trusted.length === 0) {
-    return { ...best, reason: "all-distrusted" };
-  }
+  if (!best) return undefined;
+  if (trusted.length === 0) return { ...best, reason: "all-distrusted" };
+  if (open.length === 0) return { ...best, reason: "all-full" };
   return best;
 }
 
@@ -117,34 +125,31 @@
   return mean * maxLoadFactor + FREE_REQUESTS;
 }
 
-/** The settled target to which, by rendezvous hashing, all daemons send. */
+/**
+ * The home of the prompt, or where it is not to be used now, the target to
+ * which all daemons send meanwhile.
+ */
 function findHome(
-  prompt: PromptDescription,
+  { prompt, home }: PlacementQuestion,
   candidates: readonly Candidate[],
 ): Candidate | undefined {
   const part = homePart(prompt);
   if (!part) return undefined;
-  const keyHash = hash32(part.id);
-  let home: Candidate | undefined;
-  let highest = -1;
-  for (const candidate of candidates) {
-    if (!candidate.isSettled) continue;
-    const score = mixHash32(keyHash, hash32(candidate.target.incarnation));
-    if (score <= highest) continue;
-    highest = score;
-    home = candidate;
-  }
-  return home;
+  const known = candidates.find(({ target }) => target.incarnation === home);
+  if (known) return known;
+  const names = candidates.map(({ target }) => target.incarnation);
+  const stand = pickByRendezvous(part.id, names);
+  return candidates.find(({ target }) => target.incarnation === stand);
 }
 
 /**
  * The shared tokens that each target is believed to have. The home has all of
- * them, since every daemon sends there, unless this daemon knows of a better
- * place: then the home is new, and has yet to read them.
+ * them, since every daemon sends there.
  */
 function believedTokens(
   { prompt, beliefs, nowMs }: PlacementQuestion,
   candidates: readonly Candidate[],
+  home: Candidate | undefined,
 ): Map<Candidate, number> {
   const shared = sharedParts(prompt);
   const believed = new Map<Candidate, number>();
@@ -154,18 +159,16 @@
     const tokens = beliefs.cachedTokens(incarnation, shared, nowMs);
     if (tokens > 0) believed.set(candidate, tokens);
   }
-  const home = findHome(prompt, candidates);
   if (!home) return believed;
   const all = shared.reduce((sum, part) => sum + part.tokens, 0);
-  const isElsewhere = Math.max(0, ...believed.values()) >= all;
-  if (!isElsewhere) believed.set(home, all);
-  return believed;
+  return believed.set(home, all);
 }
 
 function weigh(
   candidate: Candidate,
   cachedTokens: number,
   isHome: boolean,
+  poolFailureShare: number,
   question: PlacementQuestion,
   settings: PlacementSettings,
 ): Placement {
@@ -180,7 +183,7 @@
       ? 0
       : OTHER_ZONE_COST_MS) +
     (target.coldLeftMs > 0 ? COLD_COST_MS : 0) +
-    record.delayMs(nowMs) + distrustMs(record, question);
+    record.delayMs(nowMs) + distrustMs(record, poolFailureShare, question);
   return {
     candidate,
     costMs,
@@ -200,33 +203,24 @@
 /** Time in which all slots of a target are free again, in the order of a run. */
 const QUEUED_ROUND_MS = 1_000;
 
-/** Expected time lost by a failed try: its odds times the latency aimed at. */
-function distrustMs(record: TargetRecord, question: PlacementQuestion) {
-  const share = Math.min(
-    MAX_FAILURE_SHARE,
-    record.failureShare(question.nowMs),
-  );
-  return (share / (1 - share)) * question.targetLatencyMs;
+/**
+ * Expected time lost by failed tries, beyond what the pool loses on average:
+ * where all targets fail alike, moving a prompt only reads it again.
+ */
+function distrustMs(
+  record: TargetRecord,
+  poolFailureShare: number,
+  { nowMs, targetLatencyMs }: PlacementQuestion,
+): number {
+  const excess = record.failureShare(nowMs) - poolFailureShare -
+    FAILURE_SHARE_NOISE;
+  if (excess <= 0) return 0;
+  const share = Math.min(MAX_FAILURE_SHARE, excess);
+  return (share / (1 - share)) * targetLatencyMs * FAILED_TRY_COST;
 }
 
-function leastLoaded(
-  candidates: readonly Candidate[],
-  { nowMs, prompt }: PlacementQuestion,
-): Placement | undefined {
-  let best: Candidate | undefined;
-  let least = Infinity;
-  for (const candidate of candidates) {
-    const load = candidate.record.estimateLoad(nowMs);
-    if (load >= least) continue;
-    least = load;
-    best = candidate;
-  }
-  if (!best) return undefined;
-  return {
-    candidate: best,
-    costMs: least * COST_PER_REQUEST_MS,
-    missingTokens: prompt.promptTokens,
-    estimatedLoad: least,
-    reason: "all-full",
-  };
+function meanFailureShare({ candidates, nowMs }: PlacementQuestion): number {
+  let total = 0;
+  for (const { record } of candidates) total += record.failureShare(nowMs);
+  return total / Math.max(1, candidates.length);
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -133,6 +133,7 @@
       targetLatencyMs: route.targetLatencyMs,
       triedIncarnations: this.#tried,
       candidates: this.#parts.pool.ofService(service),
+      home: this.#parts.pool.homeOf(service, facts.prompt),
       beliefs: this.#parts.pool.beliefs,
       nowMs: this.#parts.timer.nowMs(),
     }, this.#parts.placement);
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -1,7 +1,9 @@
 import {
   CacheBeliefs,
   type Candidate,
-  findSettled,
+  HomeHistory,
+  homePart,
+  type PromptDescription,
   type RosterTarget,
   TargetRecord,
   type TimerService,
@@ -12,23 +14,19 @@
 /** One incarnation of a target with what belongs to it. */
 export interface PooledTarget extends Candidate {
   readonly connections: TargetConnections;
-  isSettled: boolean;
 }
 
-/** How often targets that have grown old enough become homes. */
-const SETTLE_PERIOD_MS = 1_000;
-
 /** The targets on the board, each with its record and its connections. */
 export class TargetPool {
   readonly beliefs = new CacheBeliefs();
   readonly #timer: TimerService;
   readonly #byIncarnation = new Map<string, PooledTarget>();
   #byService = new Map<string, PooledTarget[]>();
-  readonly #cancel: () => void;
+  /** The homes of prompts by service. */
+  readonly #homes = new Map<string, HomeHistory>();
 
   constructor(board: ForwardingBoard, timer: TimerService) {
     this.#timer = timer;
-    this.#cancel = timer.every(SETTLE_PERIOD_MS, () => this.#settle());
     board.targets.subscribe((targets) => this.#update(targets ?? []));
   }
 
@@ -37,6 +35,12 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** The incarnation that is the home of a prompt at a service. */
+  homeOf(service: string, prompt: PromptDescription): string | undefined {
+    const part = homePart(prompt);
+    return part && this.#historyOf(service).homeOf(part.id);
+  }
+
   /** All targets that may be sent work. */
   all(): Iterable<PooledTarget> {
     return this.#byIncarnation.values();
@@ -44,7 +48,6 @@
 
   /** Closes the connections that are idle, and the others when they are. */
   close(): void {
-    this.#cancel();
     for (const { connections } of this.all()) connections.retire();
   }
 
@@ -58,18 +61,19 @@
     this.beliefs.keepOnly(present);
     this.#byService = new Map();
     for (const target of targets) this.#add(target);
-    this.#settle();
+    for (const [service, siblings] of this.#byService) {
+      const members = siblings.map(({ target }) => target);
+      this.#historyOf(service).noteTargets(members, this.#timer.nowMs());
+    }
   }
 
-  #settle(): void {
-    const wallClockMs = this.#timer.wallClockMs();
-    for (const siblings of this.#byService.values()) {
-      const targets = siblings.map(({ target }) => target);
-      const settled = findSettled(targets, wallClockMs);
-      for (const pooled of siblings) {
-        pooled.isSettled = settled.has(pooled.target.incarnation);
-      }
+  #historyOf(service: string): HomeHistory {
+    let history = this.#homes.get(service);
+    if (!history) {
+      history = new HomeHistory();
+      this.#homes.set(service, history);
     }
+    return history;
   }
 
   #add(target: RosterTarget): void {
@@ -83,7 +87,6 @@
       connections: known && !isMoved
         ? known.connections
         : new TargetConnections(),
-      isSettled: known?.isSettled ?? false,
     };
     this.#byIncarnation.set(target.incarnation, pooled);
     const siblings = this.#byService.get(target.service) ?? [];
