--- a/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
+++ b/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
@@ -4,6 +4,7 @@
   PrefixMirror,
   type Watch,
   type WatchBatch,
+  type WatchPace,
 } from "@coltsfootford/key-value";
 
 /**
@@ -15,7 +16,7 @@
 /** What a follower does with its prefix. */
 export interface FollowOptions {
   readonly prefix: string;
-  readonly minIntervalMs: number;
+  readonly pace: WatchPace;
   /** `isFromPeer` tells that another daemon handed the entries over. */
   readonly onChange: (
     entries: readonly KeyValueEntry[],
@@ -48,11 +49,11 @@
   }
 
   start(store: KeyValueClient): void {
-    const { prefix, minIntervalMs } = this.#options;
+    const { prefix, pace } = this.#options;
     this.#watch = store.watch({
       selection: { prefix },
       maxBackoffMs: MAX_BACKOFF_MS,
-      minIntervalMs,
+      pace,
       onBatch: (batch) => this.#apply(batch, false),
     });
   }
--- a/packages/daemon/src/forwarding/knowledge/peers_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -1,5 +1,9 @@
 import { formatStepError, type TimerService } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type {
+  KeyValueClient,
+  KeyValueEntry,
+  WatchPace,
+} from "@coltsfootford/key-value";
 import { z } from "zod";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
@@ -12,7 +16,7 @@
 /** Three renewals fit into a lease, so that two may be lost. */
 const RENEW_PERIOD_MS = 3_000;
 /** The list of daemons may be some seconds late. */
-const LOOK_INTERVAL_MS = 1_500;
+const PACE: WatchPace = { minIntervalMs: 1_500, maxWaitMs: 20_000 };
 
 const PeerSchema = z.object({
   name: z.string(),
@@ -47,7 +51,7 @@
     this.#writer = board.peers.claimWriter(this.name);
     this.#followed = new FollowedPrefix({
       prefix: PREFIX,
-      minIntervalMs: LOOK_INTERVAL_MS,
+      pace: PACE,
       onChange: (entries) => this.#writer.write(this.#decode(entries)),
     });
   }
--- a/packages/daemon/src/forwarding/knowledge/roster_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/roster_controller.ts
@@ -4,7 +4,11 @@
   TargetRoster,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type {
+  KeyValueClient,
+  KeyValueEntry,
+  WatchPace,
+} from "@coltsfootford/key-value";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard } from "../board.ts";
@@ -12,10 +16,10 @@
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
 /**
- * Least time between two looks at the registrations, which change with each
- * heartbeat of a target. Well within the bound on leaving targets, seconds.
+ * Well within the bound on leaving targets, seconds. The wait also bounds the
+ * silence of a store that answers; see `StoreContactController`.
  */
-const LOOK_INTERVAL_MS = 400;
+const PACE: WatchPace = { minIntervalMs: 800, maxWaitMs: 2_000 };
 /**
  * Time after a trouble of the store in which its first answer shows which
  * registrations lapsed meanwhile. What is missing later has left.
@@ -60,7 +64,7 @@
     });
     this.followed = new FollowedPrefix({
       prefix: codec.registrationPrefix,
-      minIntervalMs: LOOK_INTERVAL_MS,
+      pace: PACE,
       onChange: (entries, isFromPeer) => this.#apply(entries, isFromPeer),
     });
   }
--- a/packages/daemon/src/forwarding/knowledge/routes_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/routes_controller.ts
@@ -1,11 +1,21 @@
 import { formatStepError, RouteTable } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type {
+  KeyValueClient,
+  KeyValueEntry,
+  WatchPace,
+} from "@coltsfootford/key-value";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard } from "../board.ts";
 import { FollowedPrefix } from "./followed_prefix.ts";
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
+/**
+ * A connection that went silent shows after a wait. That and the bound on
+ * configurations fit into the time after which a daemon counts as in touch.
+ */
+const PACE: WatchPace = { minIntervalMs: 0, maxWaitMs: 3_500 };
+
 /** Writes `routes`: the newest configuration that can be read. */
 export class RoutesController extends Controller {
   override readonly name = "routes";
@@ -30,7 +40,7 @@
     this.#writer = board.routes.claimWriter(this.name);
     this.followed = new FollowedPrefix({
       prefix: codec.configKey,
-      minIntervalMs: 0,
+      pace: PACE,
       onChange: (entries, isFromPeer) => this.#apply(entries, isFromPeer),
     });
   }
--- a/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
@@ -5,8 +5,11 @@
 import type { ForwardingBoard } from "../board.ts";
 
 const CHECK_PERIOD_MS = 250;
-/** Silence after which the store counts as lost: a watch waits two seconds. */
-const LOST_SILENCE_MS = 2_300;
+/**
+ * Silence after which the store counts as lost: the watch on registrations
+ * brings an answer after its pause and its wait, 2.8 s at the most.
+ */
+const LOST_SILENCE_MS = 3_200;
 
 /** Writes `storeContact`. */
 export class StoreContactController extends Controller {
--- a/packages/key-value/src/index.ts
+++ b/packages/key-value/src/index.ts
@@ -10,4 +10,9 @@
 export * from "./prefix_mirror.ts";
 export * from "./system_timer_service.ts";
 export * from "./vm_list_client.ts";
-export type { Watch, WatchOptions, WatchSink } from "./watch_loop.ts";
+export type {
+  Watch,
+  WatchOptions,
+  WatchPace,
+  WatchSink,
+} from "./watch_loop.ts";
--- a/packages/key-value/src/key_value_client.ts
+++ b/packages/key-value/src/key_value_client.ts
@@ -15,6 +15,7 @@
   type Watch,
   WatchLoop,
   type WatchOptions,
+  type WatchPace,
   type WatchSink,
 } from "./watch_loop.ts";
 
@@ -72,7 +73,7 @@
     selection: KeySelection,
     startRevision: number,
     sink: WatchSink,
-    minIntervalMs: number,
+    pace: WatchPace | undefined,
   ): CancelTimer;
 
   /** Reads one key; the value is undefined where the key is absent. */
@@ -141,8 +142,7 @@
       range: (selection) => this.range(selection),
       open: (selection, startRevision, sink) => {
         this.calls.watches += 1;
-        const { minIntervalMs = 0 } = options;
-        return this.openWatch(selection, startRevision, sink, minIntervalMs);
+        return this.openWatch(selection, startRevision, sink, options.pace);
       },
     });
     loop.start();
--- a/packages/key-value/src/watch_loop.ts
+++ b/packages/key-value/src/watch_loop.ts
@@ -16,6 +16,14 @@
 /** Longest wait until the service accepts a watch; a hung one never does. */
 const OPEN_TIMEOUT_MS = 5_000;
 
+/** How often a client asks that watches by asking again and again. */
+export interface WatchPace {
+  /** Least time between a delivery and the next call. */
+  readonly minIntervalMs: number;
+  /** Longest wait of one call; a lost connection shows after it. */
+  readonly maxWaitMs: number;
+}
+
 /** What to watch, and who is told. */
 export interface WatchOptions {
   readonly selection: KeySelection;
@@ -27,11 +35,8 @@
   readonly onConnected?: (isConnected: boolean) => void;
   /** Longest wait before a reconnect; `MAX_BACKOFF_MS` where absent. */
   readonly maxBackoffMs?: number;
-  /**
-   * Least time between two deliveries. A client that asks again for each
-   * delivery saves calls by it; others may ignore it.
-   */
-  readonly minIntervalMs?: number;
+  /** For clients that ask again and again; others may ignore it. */
+  readonly pace?: WatchPace;
 }
 
 /** A running watch. */
