--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -45,6 +45,8 @@
 const FREE_REQUESTS = 3;
 /** Cost of each request at a target, a part of a step of an engine's batch. */
 const COST_PER_REQUEST_MS = 1.5;
+/** Time in which all slots of a target are free again, in the order of a run. */
+const QUEUED_ROUND_MS = 1_000;
 /** Cost of another availability zone: two ways of some ms, and its price. */
 const OTHER_ZONE_COST_MS = 8;
 /** Silence after which a target gets no new work while another is there. */
@@ -200,9 +202,6 @@
   return load * COST_PER_REQUEST_MS + queueMs;
 }
 
-/** Time in which all slots of a target are free again, in the order of a run. */
-const QUEUED_ROUND_MS = 1_000;
-
 /**
  * Expected time lost by failed tries, beyond what the pool loses on average:
  * where all targets fail alike, moving a prompt only reads it again.
--- a/packages/daemon/src/forwarding/client_answer.ts
+++ b/packages/daemon/src/forwarding/client_answer.ts
@@ -9,7 +9,6 @@
   readonly #outgoing: ServerResponse;
   readonly #method: string;
   #hasBegun = false;
-  #hasEnded = false;
 
   constructor(outgoing: ServerResponse, method: string) {
     this.#outgoing = outgoing;
@@ -21,10 +20,6 @@
     return this.#hasBegun;
   }
 
-  get hasEnded(): boolean {
-    return this.#hasEnded;
-  }
-
   /** Calls `action` once if the client leaves before its answer is whole. */
   onClientGone(action: () => void): void {
     this.#outgoing.on("close", () => {
@@ -80,13 +75,11 @@
 
   /** Ends a stream as whole. */
   end(): void {
-    this.#hasEnded = true;
     this.#outgoing.end();
   }
 
   /** Ends a stream so that it can't be taken for whole. */
   cutOff(): void {
-    this.#hasEnded = true;
     this.#outgoing.destroy();
   }
 
@@ -102,7 +95,6 @@
   #whole(status: number, headers: string[], body: Buffer): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
-    this.#hasEnded = true;
     this.#outgoing.writeHead(status, headers);
     this.#outgoing.end(body);
   }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -15,6 +15,7 @@
 } from "@coltsfootford/core";
 import type { AcceptedRequest, ForwarderParts } from "./forwarding_types.ts";
 import type { AnswerFacts } from "./request_codec.ts";
+import { logEnded, logSent, logTryFailed } from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
 import {
   type StreamHead,
@@ -153,7 +154,10 @@
       lastHeardAtMs: nowMs,
       hasAnswer: false,
     };
-    this.#logSend(placement, nowMs);
+    logSent(parts, accepted, placement, {
+      timeLeftMs,
+      triesBefore: this.#tried.size,
+    });
     this.#tried.add(target.target.incarnation);
     target.record.tries.add(running);
     parts.pool.beliefs.noteRead(
@@ -285,7 +289,12 @@
         nowMs: this.#parts.timer.nowMs(),
         deadlineMs: this.#deadlineMs,
       }, this.#parts.repeats.budgetOf(service));
-    this.#logTryFailed(current, end, decision);
+    logTryFailed(this.#parts, this.#accepted, {
+      target: current.target.target.incarnation,
+      end,
+      afterMs: this.#parts.timer.nowMs() - current.running.startedAtMs,
+      decision,
+    });
     if (decision.kind === "retry") return this.#tryNext();
     if (end.kind === "whole" && !answer.hasBegun) {
       if (!PROMISE_STATUSES.has(end.answer.status)) {
@@ -360,58 +369,12 @@
   #done(outcome: string, status: number): void {
     this.#isDone = true;
     this.#cancelDeadline();
-    const { metrics, timer, log } = this.#parts;
-    const { facts, route, receivedAtMs } = this.#accepted;
-    const tookMs = Math.round(timer.nowMs() - receivedAtMs);
-    metrics.recordMs("request_ms", tookMs);
-    const metric = outcome.replaceAll(/[ -]/g, "_");
-    metrics.count(`requests_${metric}_total`);
-    log.event("forwardingEnded", {
-      request: facts.requestId,
-      route: route.name,
+    logEnded(this.#parts, this.#accepted, {
       outcome,
       status,
-      tookMs,
       tries: this.#tried.size,
       mayHaveRun: this.#mayHaveRun,
     });
     this.#onDone();
   }
-
-  #logSend(placement: Placement, nowMs: number): void {
-    const { target, record } = placement.candidate;
-    this.#parts.log.event("forwardingSent", {
-      request: this.#accepted.facts.requestId,
-      target: target.incarnation,
-      service: target.service,
-      reason: placement.reason,
-      costMs: Math.round(placement.costMs),
-      missingTokens: placement.missingTokens,
-      load: Math.round(placement.estimatedLoad * 10) / 10,
-      toldAgeMs: Math.min(99_999, Math.round(record.toldAgeMs(nowMs))),
-      configVersion: this.#accepted.configVersion,
-      timeLeftMs: Math.round(this.#timeLeftMs()),
-      triesBefore: this.#tried.size,
-    });
-  }
-
-  #logTryFailed(
-    current: CurrentTry,
-    end: TryEnd,
-    decision: { kind: string; reason?: string },
-  ): void {
-    this.#parts.metrics.count(`tries_${end.kind}_total`);
-    this.#parts.log.event("forwardingTryFailed", {
-      request: this.#accepted.facts.requestId,
-      target: current.target.target.incarnation,
-      ended: end.kind,
-      cause: "cause" in end ? end.cause : undefined,
-      status: end.kind === "whole" ? end.answer.status : undefined,
-      afterMs: Math.round(
-        this.#parts.timer.nowMs() - current.running.startedAtMs,
-      ),
-      next: decision.kind,
-      why: decision.reason,
-    });
-  }
 }
--- a/packages/daemon/src/forwarding/knowledge/roster_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/roster_controller.ts
@@ -9,10 +9,9 @@
   KeyValueEntry,
   WatchPace,
 } from "@coltsfootford/key-value";
-import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard } from "../board.ts";
-import { FollowedPrefix } from "./followed_prefix.ts";
+import { FollowingController } from "./following_controller.ts";
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
 /**
@@ -29,12 +28,10 @@
 const PEER_CONTACT_MS = 2_000;
 
 /** Writes `targets`: the targets that may be sent work. */
-export class RosterController extends Controller {
+export class RosterController extends FollowingController {
   override readonly name = "roster";
-  readonly followed: FollowedPrefix;
   readonly #roster = new TargetRoster();
   readonly #board: ForwardingBoard;
-  readonly #store: KeyValueClient;
   readonly #codec: KnowledgeCodec;
   readonly #timer: TimerService;
   readonly #log: Logger;
@@ -52,9 +49,8 @@
     timer: TimerService,
     log: Logger,
   ) {
-    super();
+    super(store, { prefix: codec.registrationPrefix, pace: PACE });
     this.#board = board;
-    this.#store = store;
     this.#codec = codec;
     this.#timer = timer;
     this.#log = log;
@@ -62,22 +58,11 @@
     board.storeContact.subscribe(({ isReachable }) => {
       if (!isReachable) this.#lastSilentAtMs = timer.nowMs();
     });
-    this.followed = new FollowedPrefix({
-      prefix: codec.registrationPrefix,
-      pace: PACE,
-      onChange: (entries, isFromPeer) => this.#apply(entries, isFromPeer),
-    });
-  }
-
-  override start(): Promise<void> {
-    this.followed.start(this.#store);
-    return Promise.resolve();
   }
 
   override stop(): Promise<void> {
     this.#cancelLapse();
-    this.followed.stop();
-    return Promise.resolve();
+    return super.stop();
   }
 
   override dumpState(): unknown {
@@ -87,7 +72,10 @@
     };
   }
 
-  #apply(entries: readonly KeyValueEntry[], isFromPeer: boolean): void {
+  protected override applyEntries(
+    entries: readonly KeyValueEntry[],
+    isFromPeer: boolean,
+  ): void {
     const nowMs = this.#timer.nowMs();
     const isAfterTrouble = !isFromPeer && this.#isStoreBack(nowMs);
     this.#roster.update(this.#decode(entries), nowMs, isAfterTrouble);
--- a/packages/daemon/src/forwarding/knowledge/routes_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/routes_controller.ts
@@ -4,10 +4,9 @@
   KeyValueEntry,
   WatchPace,
 } from "@coltsfootford/key-value";
-import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard } from "../board.ts";
-import { FollowedPrefix } from "./followed_prefix.ts";
+import { FollowingController } from "./following_controller.ts";
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
 /**
@@ -17,10 +16,8 @@
 const PACE: WatchPace = { minIntervalMs: 0, maxWaitMs: 3_500 };
 
 /** Writes `routes`: the newest configuration that can be read. */
-export class RoutesController extends Controller {
+export class RoutesController extends FollowingController {
   override readonly name = "routes";
-  readonly followed: FollowedPrefix;
-  readonly #store: KeyValueClient;
   readonly #codec: KnowledgeCodec;
   readonly #log: Logger;
   readonly #writer;
@@ -33,33 +30,20 @@
     codec: KnowledgeCodec,
     log: Logger,
   ) {
-    super();
-    this.#store = store;
+    super(store, { prefix: codec.configKey, pace: PACE });
     this.#codec = codec;
     this.#log = log;
     this.#writer = board.routes.claimWriter(this.name);
-    this.followed = new FollowedPrefix({
-      prefix: codec.configKey,
-      pace: PACE,
-      onChange: (entries, isFromPeer) => this.#apply(entries, isFromPeer),
-    });
-  }
-
-  override start(): Promise<void> {
-    this.followed.start(this.#store);
-    return Promise.resolve();
-  }
-
-  override stop(): Promise<void> {
-    this.followed.stop();
-    return Promise.resolve();
   }
 
   override dumpState(): unknown {
     return { version: this.#version, revision: this.followed.revision };
   }
 
-  #apply(entries: readonly KeyValueEntry[], isFromPeer: boolean): void {
+  protected override applyEntries(
+    entries: readonly KeyValueEntry[],
+    isFromPeer: boolean,
+  ): void {
     const entry = entries.find(({ key }) => key === this.#codec.configKey);
     if (!entry || entry.value === this.#lastValue) return;
     this.#lastValue = entry.value;
