Notice a silent watch before a daemon counts as in touch again

The watch on the configuration waited 3.5 s, so a connection that went silent showed after 4.3 s, while a daemon is in touch again after 3 s. Test: 'in force in time though the watch on it went silent' fails with 3.5 s and passes with 1.5 s.

--- a/packages/daemon/src/forwarding/knowledge/roster_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/roster_controller.ts
@@ -18,7 +18,7 @@
  * Well within the bound on leaving targets, seconds. The wait also bounds the
  * silence of a store that answers; see `StoreContactController`.
  */
-const PACE: WatchPace = { minIntervalMs: 800, maxWaitMs: 2_000 };
+const PACE: WatchPace = { minIntervalMs: 800, maxWaitMs: 1_500 };
 /**
  * Time after a trouble of the store in which its first answer shows which
  * registrations lapsed meanwhile. What is missing later has left.
--- a/packages/daemon/src/forwarding/knowledge/routes_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/routes_controller.ts
@@ -10,10 +10,11 @@
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
 /**
- * A connection that went silent shows after a wait. That and the bound on
- * configurations fit into the time after which a daemon counts as in touch.
+ * A connection that went silent shows after one wait and the client's margin.
+ * Both must end within the time after which a daemon counts as in touch again,
+ * three seconds, since a configuration may change in the silence.
  */
-const PACE: WatchPace = { minIntervalMs: 0, maxWaitMs: 3_500 };
+const PACE: WatchPace = { minIntervalMs: 0, maxWaitMs: 1_500 };
 
 /** Writes `routes`: the newest configuration that can be read. */
 export class RoutesController extends FollowingController {
--- a/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
@@ -7,7 +7,7 @@
 const CHECK_PERIOD_MS = 250;
 /**
  * Silence after which the store counts as lost: the watch on registrations
- * brings an answer after its pause and its wait, 2.8 s at the most.
+ * brings an answer after its pause and its wait, 2.3 s at the most.
  */
 const LOST_SILENCE_MS = 3_200;
 
