Let engines fetch cached parts from one another instead of reading them again

The parts were still kept by a target that could be reached. Ruled out: looser bounds (the home is passed over for its load only briefly).

--- /dev/null
+++ b/packages/core/src/forwarding/cache_source.ts
@@ -0,0 +1,91 @@
+import type { CacheBeliefs } from "./cache_beliefs.ts";
+import type { Candidate } from "./choose_target.ts";
+import type { EngineFacts } from "./forwarding_config.ts";
+import { type PromptDescription, sharedParts } from "./prompt.ts";
+
+/** A target from which another can fetch the KV cache of a prompt. */
+export interface CacheSource {
+  readonly candidate: Candidate;
+  /** Leading shared tokens of the prompt that the source keeps. */
+  readonly tokens: number;
+}
+
+/** All that the search for a source depends on. */
+export interface CacheSourceQuestion {
+  readonly prompt: PromptDescription;
+  readonly engine: EngineFacts | undefined;
+  /** Targets that may be asked: those in use, and those about to leave. */
+  readonly candidates: readonly Candidate[];
+  /** The home of the prompt, which is believed to keep all shared parts. */
+  readonly home: Candidate | undefined;
+  /** The home before, as long as it can be reached. */
+  readonly formerHome: Candidate | undefined;
+  readonly beliefs: CacheBeliefs;
+  readonly nowMs: number;
+}
+
+/** Fewer tokens are read sooner than a fetch is set up, which takes some ms. */
+export const MIN_FETCH_TOKENS = 256;
+
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT = 1e6;
+const MS_PER_S = 1_000;
+
+/** Where the shared parts of one prompt can be fetched from. */
+export class CacheSources {
+  readonly #question: CacheSourceQuestion;
+  /** The most tokens first. */
+  readonly #sources: readonly CacheSource[];
+
+  constructor(question: CacheSourceQuestion) {
+    this.#question = question;
+    this.#sources = canFetch(question.engine) ? findSources(question) : [];
+  }
+
+  /**
+   * The source for a target: one that keeps more than the target is known to
+   * have read. The home counts as having all parts only towards others, since
+   * a prompt may be new to it.
+   */
+  sourceFor(target: Candidate): CacheSource | undefined {
+    if (this.#sources.length === 0) return undefined;
+    const { prompt, beliefs, nowMs } = this.#question;
+    const known = beliefs.cachedTokens(
+      target.target.incarnation,
+      sharedParts(prompt),
+      nowMs,
+    );
+    return this.#sources.find(({ candidate, tokens }) =>
+      candidate.target.incarnation !== target.target.incarnation &&
+      tokens >= known + MIN_FETCH_TOKENS
+    );
+  }
+}
+
+/** Time that a fetch of tokens takes on a free link. */
+export function fetchMs(tokens: number, engine: EngineFacts): number {
+  const bits = tokens * engine.cacheBytesPerToken * BITS_PER_BYTE;
+  return bits / (engine.linkMbps * BITS_PER_MEGABIT) * MS_PER_S;
+}
+
+function canFetch(engine: EngineFacts | undefined): boolean {
+  return engine !== undefined && engine.linkMbps > 0 &&
+    engine.cacheBytesPerToken > 0;
+}
+
+function findSources(question: CacheSourceQuestion): CacheSource[] {
+  const { prompt, candidates, home, formerHome, beliefs, nowMs } = question;
+  const shared = sharedParts(prompt);
+  const all = shared.reduce((sum, part) => sum + part.tokens, 0);
+  if (all < MIN_FETCH_TOKENS) return [];
+  const sources: CacheSource[] = [];
+  if (formerHome) sources.push({ candidate: formerHome, tokens: all });
+  if (home) sources.push({ candidate: home, tokens: all });
+  for (const candidate of candidates) {
+    if (candidate === home || candidate === formerHome) continue;
+    const { incarnation } = candidate.target;
+    const tokens = beliefs.cachedTokens(incarnation, shared, nowMs);
+    if (tokens >= MIN_FETCH_TOKENS) sources.push({ candidate, tokens });
+  }
+  return sources.sort((a, b) => b.tokens - a.tokens);
+}
--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -1,5 +1,7 @@
 import { pickByRendezvous } from "../hash/index.ts";
 import type { CacheBeliefs } from "./cache_beliefs.ts";
+import { type CacheSource, CacheSources, fetchMs } from "./cache_source.ts";
+import type { EngineFacts } from "./forwarding_config.ts";
 import { homePart, type PromptDescription, sharedParts } from "./prompt.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { RosterTarget } from "./target_roster.ts";
@@ -28,6 +30,10 @@
   readonly candidates: readonly Candidate[];
   /** The incarnation that is the prompt's home; see `HomeHistory`. */
   readonly home: string | undefined;
+  /** The home before the last move, while it can still be reached. */
+  readonly formerHome: Candidate | undefined;
+  /** Undefined for plain services. */
+  readonly engine: EngineFacts | undefined;
   readonly beliefs: CacheBeliefs;
   readonly nowMs: number;
 }
@@ -36,7 +42,10 @@
 export interface Placement {
   readonly candidate: Candidate;
   readonly costMs: number;
+  /** Prompt tokens that the target has to read or to fetch. */
   readonly missingTokens: number;
+  /** Where the target fetches cached parts from before it reads the rest. */
+  readonly source: CacheSource | undefined;
   readonly estimatedLoad: number;
   readonly reason: "home" | "cheapest" | "all-full" | "all-distrusted";
 }
@@ -60,6 +69,8 @@
 const FAILED_TRY_COST = 3;
 /** Most of the failure share that counts, so that the cost stays finite. */
 const MAX_FAILURE_SHARE = 0.95;
+/** Transfers to and from one engine run one after another, and are priced. */
+const FETCH_COST_FACTOR = 2;
 /** A cold target works up to this much slower for a while, by its sheet. */
 const COLD_COST_MS = 50;
 
@@ -85,12 +96,14 @@
   );
   const home = findHome(question, pool);
   const believed = believedTokens(question, pool, home);
+  const sources = findSources(question, home);
   const failureShare = meanFailureShare(question);
   let best: Placement | undefined;
   for (const candidate of open.length > 0 ? open : pool) {
     const placement = weigh(
       candidate,
       believed.get(candidate) ?? 0,
+      sources.sourceFor(candidate),
       candidate === home,
       failureShare,
       question,
@@ -166,9 +179,35 @@
   return believed.set(home, all);
 }
 
+/** A target that was tried or is full may still be fetched from. */
+function findSources(
+  question: PlacementQuestion,
+  home: Candidate | undefined,
+): CacheSources {
+  const { prompt, engine, candidates, beliefs, nowMs, formerHome } = question;
+  const reachable = candidates.filter(({ record }) =>
+    isTrusted(record, question)
+  );
+  const keeper = reachable.find(({ target }) =>
+    target.incarnation === question.home
+  );
+  return new CacheSources({
+    prompt,
+    engine,
+    candidates: reachable,
+    home: keeper ?? home,
+    formerHome: formerHome && isTrusted(formerHome.record, question)
+      ? formerHome
+      : undefined,
+    beliefs,
+    nowMs,
+  });
+}
+
 function weigh(
   candidate: Candidate,
   cachedTokens: number,
+  source: CacheSource | undefined,
   isHome: boolean,
   poolFailureShare: number,
   question: PlacementQuestion,
@@ -178,8 +217,12 @@
   const { target, record } = candidate;
   const missingTokens = prompt.promptTokens - cachedTokens;
   const estimatedLoad = record.estimateLoad(nowMs);
-  const costMs =
-    (missingTokens + record.unreadTokens) / settings.promptTokensPerMs +
+  const fetchedTokens = Math.max(0, (source?.tokens ?? 0) - cachedTokens);
+  const transferMs = question.engine
+    ? fetchMs(fetchedTokens, question.engine) * FETCH_COST_FACTOR
+    : 0;
+  const readTokens = missingTokens - fetchedTokens + record.unreadTokens;
+  const costMs = readTokens / settings.promptTokensPerMs + transferMs +
     loadCostMs(target, estimatedLoad) +
     (target.availabilityZone === settings.availabilityZone
       ? 0
@@ -190,6 +233,7 @@
     candidate,
     costMs,
     missingTokens: Math.max(0, missingTokens),
+    source,
     estimatedLoad,
     reason: isHome ? "home" : "cheapest",
   };
--- a/packages/core/src/forwarding/choose_target_test.ts
+++ b/packages/core/src/forwarding/choose_target_test.ts
@@ -5,6 +5,7 @@
   chooseTarget,
   type PlacementQuestion,
 } from "./choose_target.ts";
+import type { EngineFacts } from "./forwarding_config.ts";
 import { NO_PROMPT, type PromptDescription } from "./prompt.ts";
 import { type RunningTry, TargetRecord } from "./target_record.ts";
 
@@ -23,6 +24,12 @@
   maxOutputTokens: 100,
 };
 
+const ENGINE: EngineFacts = {
+  slots: 64,
+  cacheBytesPerToken: 163_840,
+  linkMbps: 260_000,
+};
+
 let beliefs: CacheBeliefs;
 
 beforeEach(() => {
@@ -58,6 +65,8 @@
     triedIncarnations: new Set(),
     candidates,
     home: undefined,
+    formerHome: undefined,
+    engine: ENGINE,
     beliefs,
     nowMs: 1_000,
     ...fields,
--- a/packages/core/src/forwarding/forwarding_config.ts
+++ b/packages/core/src/forwarding/forwarding_config.ts
@@ -34,13 +34,23 @@
   readonly isResumable: boolean;
 }
 
+/** What an operator tells of the model engines of a service. */
+export interface EngineFacts {
+  /** Requests that one engine runs at once. */
+  readonly slots: number;
+  /** KV cache that a token takes. */
+  readonly cacheBytesPerToken: number;
+  /** Bandwidth at which engines fetch KV cache from one another. */
+  readonly linkMbps: number;
+}
+
 /** What is known of a service beside its targets. */
 export interface ForwardingService {
   readonly name: string;
   /** Connections that one target accepts from all callers together. */
   readonly maxConnectionsPerTarget: number;
-  /** Requests that one engine runs at once; absent for plain services. */
-  readonly engineSlots: number | undefined;
+  /** Undefined for plain services. */
+  readonly engine: EngineFacts | undefined;
 }
 
 /** What clients may send, and how long they may take. */
--- a/packages/core/src/forwarding/home_history.ts
+++ b/packages/core/src/forwarding/home_history.ts
@@ -25,6 +25,8 @@
 
 interface Home {
   incarnation: string | undefined;
+  /** The home before the last move; undefined where there was none. */
+  former: string | undefined;
   /** Number of the epoch up to which the home was followed. */
   epoch: number;
 }
@@ -83,7 +85,7 @@
   /** The home of a part; undefined while there are no targets. */
   homeOf(partId: string): string | undefined {
     const home = this.#homes.get(partId) ??
-      { incarnation: undefined, epoch: this.#firstEpoch };
+      { incarnation: undefined, former: undefined, epoch: this.#firstEpoch };
     const keyHash = hash32(partId);
     const end = this.#firstEpoch + this.#epochs.length;
     for (
@@ -95,6 +97,7 @@
       if (home.incarnation !== undefined && names.has(home.incarnation)) {
         continue;
       }
+      home.former = home.incarnation;
       home.incarnation = pickMember(keyHash, members);
     }
     home.epoch = end;
@@ -104,6 +107,12 @@
     return home.incarnation;
   }
 
+  /** The home that the part had before its last move, if it moved. */
+  formerHomeOf(partId: string): string | undefined {
+    this.homeOf(partId);
+    return this.#homes.get(partId)?.former;
+  }
+
   #push(targets: readonly RosterTarget[], atMs: number): void {
     this.#epochs.push(createEpoch(targets, atMs));
   }
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Decisions of the forwarding path: any HTTP request to a service's target. */
 export * from "./cache_beliefs.ts";
+export * from "./cache_source.ts";
 export * from "./choose_target.ts";
 export * from "./event_frames.ts";
 export * from "./forwarding_config.ts";
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -135,6 +135,8 @@
       triedIncarnations: this.#tried,
       candidates: this.#parts.pool.ofService(service),
       home: this.#parts.pool.homeOf(service, facts.prompt),
+      formerHome: this.#parts.pool.formerHomeOf(service, facts.prompt),
+      engine: this.#accepted.engine,
       beliefs: this.#parts.pool.beliefs,
       nowMs: this.#parts.timer.nowMs(),
     }, this.#parts.placement);
@@ -174,10 +176,11 @@
           targetId: target.target.id,
           timeLeftMs,
           team: accepted.team?.name,
-          rank: accepted.isEngine
+          rank: accepted.engine
             ? accepted.team?.rank ?? accepted.route.rank
             : undefined,
           lastEventId: this.#lastEventId,
+          fetchFrom: placement.source?.candidate.target,
         }),
         body: accepted.body,
         target,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -84,7 +84,7 @@
       log,
       random,
     });
-    const pool = new TargetPool(board, timer);
+    const pool = new TargetPool(board, timer, settings.targetLeaveMs);
     this.#pool = pool;
     this.#controllers = [
       new StoreContactController(board, store, timer, log),
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -139,7 +139,7 @@
           body: bytes,
           route,
           service,
-          isEngine: routes.findService(service)?.engineSlots !== undefined,
+          engine: routes.findService(service)?.engine,
           team: team.kind === "team" ? team.team : undefined,
           configVersion: version,
           receivedAtMs,
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -1,4 +1,5 @@
 import type {
+  EngineFacts,
   ForwardingRoute,
   PlacementSettings,
   RepeatShares,
@@ -20,7 +21,8 @@
   readonly body: Buffer;
   readonly route: ForwardingRoute;
   readonly service: string;
-  readonly isEngine: boolean;
+  /** Undefined for plain services. */
+  readonly engine: EngineFacts | undefined;
   readonly team: TeamKeys | undefined;
   readonly configVersion: number;
   /** When its head came, on the monotonic clock. */
--- a/packages/daemon/src/forwarding/request_codec.ts
+++ b/packages/daemon/src/forwarding/request_codec.ts
@@ -5,6 +5,8 @@
   ToldLoad,
 } from "@coltsfootford/core";
 
+import type { Address } from "./settings.ts";
+
 /** Header names and values in turn, as Node.js gives and takes them. */
 export type RawHeaders = readonly string[];
 
@@ -29,6 +31,8 @@
   /** 0 is the most urgent; undefined for services without ranks. */
   readonly rank: number | undefined;
   readonly lastEventId: string | undefined;
+  /** A target from which this one fetches KV cache that it lacks. */
+  readonly fetchFrom: Address | undefined;
 }
 
 /** What the head of a target's answer says. */
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -21,6 +21,7 @@
     reason: placement.reason,
     costMs: Math.round(placement.costMs),
     missingTokens: placement.missingTokens,
+    fetchFrom: placement.source?.candidate.target.incarnation,
     load: Math.round(placement.estimatedLoad * 10) / 10,
     toldAgeMs: Math.min(MAX_LOGGED_AGE_MS, toldAgeMs),
     configVersion,
--- a/packages/daemon/src/forwarding/settings.ts
+++ b/packages/daemon/src/forwarding/settings.ts
@@ -19,6 +19,8 @@
   store: AddressSchema,
   /** Time between SIGTERM and the end of the process by force. */
   shutdownLimitMs: z.number().positive(),
+  /** Time for which a target serves on after it says that it leaves. */
+  targetLeaveMs: z.number().nonnegative(),
   /** Repeats allowed per first request of a service, over all daemons. */
   repeatRatio: z.number().nonnegative(),
   /** Repeats allowed beside the ratio in a window, over all daemons. */
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -21,12 +21,20 @@
   readonly beliefs = new CacheBeliefs();
   readonly #timer: TimerService;
   readonly #byIncarnation = new Map<string, PooledTarget>();
+  readonly #leaveMs: number;
+  /** Targets that left shortly before, from which others may still fetch. */
+  readonly #departed = new Map<
+    string,
+    { readonly pooled: PooledTarget; readonly untilMs: number }
+  >();
   #byService = new Map<string, PooledTarget[]>();
   /** The homes of prompts by service. */
   readonly #homes = new Map<string, HomeHistory>();
 
-  constructor(board: ForwardingBoard, timer: TimerService) {
+  /** `leaveMs` is how long a target that leaves can still be reached. */
+  constructor(board: ForwardingBoard, timer: TimerService, leaveMs: number) {
     this.#timer = timer;
+    this.#leaveMs = leaveMs;
     board.targets.subscribe((targets) => this.#update(targets ?? []));
   }
 
@@ -41,6 +49,22 @@
     return part && this.#historyOf(service).homeOf(part.id);
   }
 
+  /** The home before the last move, while it can still be reached. */
+  formerHomeOf(
+    service: string,
+    prompt: PromptDescription,
+  ): PooledTarget | undefined {
+    const part = homePart(prompt);
+    if (!part) return undefined;
+    const former = this.#historyOf(service).formerHomeOf(part.id);
+    if (former === undefined) return undefined;
+    const serving = this.#byIncarnation.get(former);
+    if (serving) return serving;
+    const departed = this.#departed.get(former);
+    const isLate = departed && this.#timer.nowMs() > departed.untilMs;
+    return isLate ? undefined : departed?.pooled;
+  }
+
   /** All targets that may be sent work. */
   all(): Iterable<PooledTarget> {
     return this.#byIncarnation.values();
@@ -57,7 +81,12 @@
       if (present.has(incarnation)) continue;
       this.#byIncarnation.delete(incarnation);
       pooled.connections.retire();
+      this.#departed.set(incarnation, {
+        pooled,
+        untilMs: this.#timer.nowMs() + this.#leaveMs,
+      });
     }
+    this.#forgetDeparted();
     this.beliefs.keepOnly(present);
     this.#byService = new Map();
     for (const target of targets) this.#add(target);
@@ -67,6 +96,13 @@
     }
   }
 
+  #forgetDeparted(): void {
+    const nowMs = this.#timer.nowMs();
+    for (const [incarnation, { untilMs }] of this.#departed) {
+      if (nowMs > untilMs) this.#departed.delete(incarnation);
+    }
+  }
+
   #historyOf(service: string): HomeHistory {
     let history = this.#homes.get(service);
     if (!history) {
