Derive the homes of prompts from the targets alone

Cause: the history of homes was lost with each restart, hung on the order in which a daemon saw its targets, and gave new targets no homes. Since engines fetch, a home that moves costs a fetch and not a second reading. HomeHistory and its tests are replaced by HomeOrder and tests of the same promises: daemons agree, a target that leaves moves only its own homes, one that comes takes only its own, and both name the home before as source.

--- a/packages/core/src/forwarding/cache_source.ts
+++ b/packages/core/src/forwarding/cache_source.ts
@@ -18,8 +18,8 @@
   readonly candidates: readonly Candidate[];
   /** The home of the prompt, which is believed to keep all shared parts. */
   readonly home: Candidate | undefined;
-  /** The home before, as long as it can be reached. */
-  readonly formerHome: Candidate | undefined;
+  /** Those before it that can be reached, the likeliest first. */
+  readonly formerHomes: readonly Candidate[];
   readonly beliefs: CacheBeliefs;
   readonly nowMs: number;
 }
@@ -74,15 +74,15 @@
 }
 
 function findSources(question: CacheSourceQuestion): CacheSource[] {
-  const { prompt, candidates, home, formerHome, beliefs, nowMs } = question;
+  const { prompt, candidates, home, formerHomes, beliefs, nowMs } = question;
   const shared = sharedParts(prompt);
   const all = shared.reduce((sum, part) => sum + part.tokens, 0);
   if (all < MIN_FETCH_TOKENS) return [];
   const sources: CacheSource[] = [];
-  if (formerHome) sources.push({ candidate: formerHome, tokens: all });
-  if (home) sources.push({ candidate: home, tokens: all });
+  const keepers = new Set(home ? [...formerHomes, home] : formerHomes);
+  for (const candidate of keepers) sources.push({ candidate, tokens: all });
   for (const candidate of candidates) {
-    if (candidate === home || candidate === formerHome) continue;
+    if (keepers.has(candidate)) continue;
     const { incarnation } = candidate.target;
     const tokens = beliefs.cachedTokens(incarnation, shared, nowMs);
     if (tokens >= MIN_FETCH_TOKENS) sources.push({ candidate, tokens });
--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -1,7 +1,7 @@
-import { pickByRendezvous } from "../hash/index.ts";
 import type { CacheBeliefs } from "./cache_beliefs.ts";
 import { type CacheSource, CacheSources, fetchMs } from "./cache_source.ts";
 import type { EngineFacts } from "./forwarding_config.ts";
+import { HomeOrder } from "./home_order.ts";
 import { homePart, type PromptDescription, sharedParts } from "./prompt.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { RosterTarget } from "./target_roster.ts";
@@ -19,6 +19,8 @@
 export interface Candidate {
   readonly target: RosterTarget;
   readonly record: TargetRecord;
+  /** Hash of the incarnation's name. */
+  readonly incarnationHash: number;
 }
 
 /** All that a choice depends on. */
@@ -28,10 +30,8 @@
   /** Targets that had a try of this request already. */
   readonly triedIncarnations: ReadonlySet<string>;
   readonly candidates: readonly Candidate[];
-  /** The incarnation that is the prompt's home; see `HomeHistory`. */
-  readonly home: string | undefined;
-  /** The home before the last move, while it can still be reached. */
-  readonly formerHome: Candidate | undefined;
+  /** Targets that left shortly before and can still be fetched from. */
+  readonly departed: readonly Candidate[];
   /** Undefined for plain services. */
   readonly engine: EngineFacts | undefined;
   readonly beliefs: CacheBeliefs;
@@ -94,9 +94,10 @@
   const open = pool.filter(({ record }) =>
     record.estimateLoad(question.nowMs) + 1 <= bound
   );
-  const home = findHome(question, pool);
+  const order = orderHomes(question);
+  const home = order?.first(new Set(pool));
   const believed = believedTokens(question, pool, home);
-  const sources = findSources(question, home);
+  const sources = findSources(question, order);
   const failureShare = meanFailureShare(question);
   let best: Placement | undefined;
   for (const candidate of open.length > 0 ? open : pool) {
@@ -140,21 +141,11 @@
   return mean * maxLoadFactor + FREE_REQUESTS;
 }
 
-/**
- * The home of the prompt, or where it is not to be used now, the target to
- * which all daemons send meanwhile.
- */
-function findHome(
-  { prompt, home }: PlacementQuestion,
-  candidates: readonly Candidate[],
-): Candidate | undefined {
+function orderHomes(
+  { prompt, candidates, departed }: PlacementQuestion,
+): HomeOrder | undefined {
   const part = homePart(prompt);
-  if (!part) return undefined;
-  const known = candidates.find(({ target }) => target.incarnation === home);
-  if (known) return known;
-  const names = candidates.map(({ target }) => target.incarnation);
-  const stand = pickByRendezvous(part.id, names);
-  return candidates.find(({ target }) => target.incarnation === stand);
+  return part && new HomeOrder(part.id, [...candidates, ...departed]);
 }
 
 /**
@@ -182,23 +173,24 @@
 /** A target that was tried or is full may still be fetched from. */
 function findSources(
   question: PlacementQuestion,
-  home: Candidate | undefined,
+  order: HomeOrder | undefined,
 ): CacheSources {
-  const { prompt, engine, candidates, beliefs, nowMs, formerHome } = question;
+  const { prompt, engine, candidates, beliefs, nowMs } = question;
   const reachable = candidates.filter(({ record }) =>
     isTrusted(record, question)
   );
-  const keeper = reachable.find(({ target }) =>
-    target.incarnation === question.home
-  );
+  const home = order?.first(new Set(reachable));
+  const formerHomes = home
+    ? order!.formerHomes(home).filter(({ record }) =>
+      isTrusted(record, question)
+    )
+    : [];
   return new CacheSources({
     prompt,
     engine,
     candidates: reachable,
-    home: keeper ?? home,
-    formerHome: formerHome && isTrusted(formerHome.record, question)
-      ? formerHome
-      : undefined,
+    home,
+    formerHomes,
     beliefs,
     nowMs,
   });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -4,7 +4,7 @@
 export * from "./choose_target.ts";
 export * from "./event_frames.ts";
 export * from "./forwarding_config.ts";
-export * from "./home_history.ts";
+export * from "./home_order.ts";
 export * from "./prompt.ts";
 export * from "./repeat_share.ts";
 export * from "./return_time.ts";
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -1,9 +1,7 @@
 import {
   CacheBeliefs,
   type Candidate,
-  HomeHistory,
-  homePart,
-  type PromptDescription,
+  hash32,
   type RosterTarget,
   TargetRecord,
   type TimerService,
@@ -28,8 +26,6 @@
     { readonly pooled: PooledTarget; readonly untilMs: number }
   >();
   #byService = new Map<string, PooledTarget[]>();
-  /** The homes of prompts by service. */
-  readonly #homes = new Map<string, HomeHistory>();
 
   /** `leaveMs` is how long a target that leaves can still be reached. */
   constructor(board: ForwardingBoard, timer: TimerService, leaveMs: number) {
@@ -43,26 +39,15 @@
     return this.#byService.get(service) ?? [];
   }
 
-  /** The incarnation that is the home of a prompt at a service. */
-  homeOf(service: string, prompt: PromptDescription): string | undefined {
-    const part = homePart(prompt);
-    return part && this.#historyOf(service).homeOf(part.id);
-  }
-
-  /** The home before the last move, while it can still be reached. */
-  formerHomeOf(
-    service: string,
-    prompt: PromptDescription,
-  ): PooledTarget | undefined {
-    const part = homePart(prompt);
-    if (!part) return undefined;
-    const former = this.#historyOf(service).formerHomeOf(part.id);
-    if (former === undefined) return undefined;
-    const serving = this.#byIncarnation.get(former);
-    if (serving) return serving;
-    const departed = this.#departed.get(former);
-    const isLate = departed && this.#timer.nowMs() > departed.untilMs;
-    return isLate ? undefined : departed?.pooled;
+  /** Targets of a service that left shortly before; see `leaveMs`. */
+  departedOf(service: string): readonly PooledTarget[] {
+    const nowMs = this.#timer.nowMs();
+    const departed: PooledTarget[] = [];
+    for (const { pooled, untilMs } of this.#departed.values()) {
+      if (pooled.target.service !== service || nowMs > untilMs) continue;
+      departed.push(pooled);
+    }
+    return departed;
   }
 
   /** All targets that may be sent work. */
@@ -90,10 +75,6 @@
     this.beliefs.keepOnly(present);
     this.#byService = new Map();
     for (const target of targets) this.#add(target);
-    for (const [service, siblings] of this.#byService) {
-      const members = siblings.map(({ target }) => target);
-      this.#historyOf(service).noteTargets(members, this.#timer.nowMs());
-    }
   }
 
   #forgetDeparted(): void {
@@ -103,15 +84,6 @@
     }
   }
 
-  #historyOf(service: string): HomeHistory {
-    let history = this.#homes.get(service);
-    if (!history) {
-      history = new HomeHistory();
-      this.#homes.set(service, history);
-    }
-    return history;
-  }
-
   #add(target: RosterTarget): void {
     const known = this.#byIncarnation.get(target.incarnation);
     const isMoved = known?.target.host !== target.host ||
@@ -120,6 +92,7 @@
     const pooled: PooledTarget = {
       target,
       record: known?.record ?? new TargetRecord(),
+      incarnationHash: hash32(target.incarnation),
       connections: known && !isMoved
         ? known.connections
         : new TargetConnections(),
