Follow the store by one watch; cheap probes notice a silent one

Now one watch over all keys waits 20 s, and a serializable read of the store's revision a second (a tenth of a call) opens it anew where it missed something. Tests: store_client_test.ts, forwarding_test.ts (silent watch), which pass unchanged.

--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -16,6 +16,7 @@
   RosterController,
   RoutesController,
   StoreContactController,
+  StoreFollowerController,
 } from "./knowledge/index.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { Address, ForwardingSettings } from "./settings.ts";
@@ -66,14 +67,9 @@
     const { requestCodec, knowledgeCodec, store } = platform;
     const board = this.#board;
     const self = describeSelf(settings);
-    const routes = new RoutesController(board, store, knowledgeCodec, log);
-    const roster = new RosterController(
-      board,
-      store,
-      knowledgeCodec,
-      timer,
-      log,
-    );
+    const routes = new RoutesController(board, knowledgeCodec, log);
+    const roster = new RosterController(board, knowledgeCodec, timer, log);
+    const peers = new PeersController(self, board, store, timer, log);
     const peerKnowledge = new PeerKnowledgeController({
       board,
       followed: [routes.followed, roster.followed],
@@ -90,8 +86,14 @@
       new StoreContactController(board, store, timer, log),
       routes,
       roster,
-      new PeersController(self, board, store, timer, log),
+      peers,
       peerKnowledge,
+      new StoreFollowerController({
+        store,
+        followed: [routes.followed, roster.followed, peers.followed],
+        timer,
+        log,
+      }),
     ];
     this.#forwarder = new Forwarder({
       codec: requestCodec,
--- a/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
+++ b/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
@@ -1,22 +1,12 @@
 import {
-  type KeyValueClient,
   type KeyValueEntry,
   PrefixMirror,
-  type Watch,
   type WatchBatch,
-  type WatchPace,
 } from "@coltsfootford/key-value";
 
-/**
- * Longest wait before the store is asked again. It keeps a daemon within the
- * bound on configurations, seconds, after a trouble of the store.
- */
-const MAX_BACKOFF_MS = 400;
-
 /** What a follower does with its prefix. */
 export interface FollowOptions {
   readonly prefix: string;
-  readonly pace: WatchPace;
   /** `isFromPeer` tells that another daemon handed the entries over. */
   readonly onChange: (
     entries: readonly KeyValueEntry[],
@@ -30,11 +20,10 @@
   readonly entries: readonly KeyValueEntry[];
 }
 
-/** Follows one prefix of the store, and takes later copies of peers. */
+/** Keeps the entries of one prefix, from the store and from copies of peers. */
 export class FollowedPrefix {
   readonly #mirror = new PrefixMirror();
   readonly #options: FollowOptions;
-  #watch: Watch | undefined;
 
   constructor(options: FollowOptions) {
     this.#options = options;
@@ -48,24 +37,15 @@
     return this.#mirror.revision;
   }
 
-  start(store: KeyValueClient): void {
-    const { prefix, pace } = this.#options;
-    this.#watch = store.watch({
-      selection: { prefix },
-      maxBackoffMs: MAX_BACKOFF_MS,
-      pace,
-      onBatch: (batch) => this.#apply(batch, false),
-    });
-  }
-
-  stop(): void {
-    this.#watch?.close();
-  }
-
   copy(): PrefixCopy {
     return { revision: this.#mirror.revision, entries: this.#mirror.entries() };
   }
 
+  /** Takes what concerns the prefix out of a batch over all keys. */
+  takeBatch(batch: WatchBatch): void {
+    this.#apply(selectPrefix(batch, this.prefix), false);
+  }
+
   /** Takes a peer's copy where it is later than the own; tells whether. */
   takeCopy({ revision, entries }: PrefixCopy): boolean {
     if (revision <= this.#mirror.revision) return false;
@@ -78,3 +58,15 @@
     this.#options.onChange(this.#mirror.entries(), isFromPeer);
   }
 }
+
+function selectPrefix(batch: WatchBatch, prefix: string): WatchBatch {
+  if (batch.kind === "snapshot") {
+    const entries = batch.entries.filter(({ key }) => key.startsWith(prefix));
+    return { ...batch, entries };
+  }
+  const events = batch.events.filter((event) => {
+    const key = event.kind === "put" ? event.entry.key : event.key;
+    return key.startsWith(prefix);
+  });
+  return { ...batch, events };
+}
--- a/packages/daemon/src/forwarding/knowledge/following_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/following_controller.ts
@@ -1,28 +1,24 @@
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type { KeyValueEntry } from "@coltsfootford/key-value";
 import { Controller } from "../../controllers/index.ts";
-import { FollowedPrefix, type FollowOptions } from "./followed_prefix.ts";
+import { FollowedPrefix } from "./followed_prefix.ts";
 
-/** A controller that follows one prefix of the store while it runs. */
+/** A controller that takes in the entries of one prefix of the store. */
 export abstract class FollowingController extends Controller {
   readonly followed: FollowedPrefix;
-  readonly #store: KeyValueClient;
 
-  constructor(store: KeyValueClient, options: Omit<FollowOptions, "onChange">) {
+  constructor(prefix: string) {
     super();
-    this.#store = store;
     this.followed = new FollowedPrefix({
-      ...options,
+      prefix,
       onChange: (entries, isFromPeer) => this.applyEntries(entries, isFromPeer),
     });
   }
 
   override start(): Promise<void> {
-    this.followed.start(this.#store);
     return Promise.resolve();
   }
 
   override stop(): Promise<void> {
-    this.followed.stop();
     return Promise.resolve();
   }
 
--- a/packages/daemon/src/forwarding/knowledge/index.ts
+++ b/packages/daemon/src/forwarding/knowledge/index.ts
@@ -6,3 +6,4 @@
 export * from "./roster_controller.ts";
 export * from "./routes_controller.ts";
 export * from "./store_contact_controller.ts";
+export * from "./store_follower_controller.ts";
--- a/packages/daemon/src/forwarding/knowledge/peers_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -1,9 +1,5 @@
 import { formatStepError, type TimerService } from "@coltsfootford/core";
-import type {
-  KeyValueClient,
-  KeyValueEntry,
-  WatchPace,
-} from "@coltsfootford/key-value";
+import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
 import { z } from "zod";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
@@ -15,8 +11,6 @@
 const LEASE_TTL_MS = 10_000;
 /** Three renewals fit into a lease, so that two may be lost. */
 const RENEW_PERIOD_MS = 3_000;
-/** The list of daemons may be some seconds late. */
-const PACE: WatchPace = { minIntervalMs: 1_500, maxWaitMs: 20_000 };
 
 const PeerSchema = z.object({
   name: z.string(),
@@ -32,7 +26,7 @@
   readonly #timer: TimerService;
   readonly #log: Logger;
   readonly #writer;
-  readonly #followed: FollowedPrefix;
+  readonly followed: FollowedPrefix;
   #leaseId: string | undefined;
   #cancel: () => void = () => {};
 
@@ -49,15 +43,13 @@
     this.#timer = timer;
     this.#log = log;
     this.#writer = board.peers.claimWriter(this.name);
-    this.#followed = new FollowedPrefix({
+    this.followed = new FollowedPrefix({
       prefix: PREFIX,
-      pace: PACE,
       onChange: (entries) => this.#writer.write(this.#decode(entries)),
     });
   }
 
   override start(): Promise<void> {
-    this.#followed.start(this.#store);
     void this.#register();
     this.#cancel = this.#timer.every(
       RENEW_PERIOD_MS,
@@ -68,7 +60,6 @@
 
   override async stop(): Promise<void> {
     this.#cancel();
-    this.#followed.stop();
     if (this.#leaseId === undefined) return;
     const ended = await this.#store.revokeLease(this.#leaseId);
     if (ended.isErr()) this.#logFailure(formatStepError(ended.error));
--- a/packages/daemon/src/forwarding/knowledge/roster_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/roster_controller.ts
@@ -4,21 +4,12 @@
   TargetRoster,
   type TimerService,
 } from "@coltsfootford/core";
-import type {
-  KeyValueClient,
-  KeyValueEntry,
-  WatchPace,
-} from "@coltsfootford/key-value";
+import type { KeyValueEntry } from "@coltsfootford/key-value";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard } from "../board.ts";
 import { FollowingController } from "./following_controller.ts";
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
-/**
- * Well within the bound on leaving targets, seconds. The wait also bounds the
- * silence of a store that answers; see `StoreContactController`.
- */
-const PACE: WatchPace = { minIntervalMs: 800, maxWaitMs: 1_500 };
 /**
  * Time after a trouble of the store in which its first answer shows which
  * registrations lapsed meanwhile. What is missing later has left.
@@ -44,12 +35,11 @@
 
   constructor(
     board: ForwardingBoard,
-    store: KeyValueClient,
     codec: KnowledgeCodec,
     timer: TimerService,
     log: Logger,
   ) {
-    super(store, { prefix: codec.registrationPrefix, pace: PACE });
+    super(codec.registrationPrefix);
     this.#board = board;
     this.#codec = codec;
     this.#timer = timer;
@@ -62,7 +52,7 @@
 
   override stop(): Promise<void> {
     this.#cancelLapse();
-    return super.stop();
+    return Promise.resolve();
   }
 
   override dumpState(): unknown {
--- a/packages/daemon/src/forwarding/knowledge/routes_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/routes_controller.ts
@@ -1,21 +1,10 @@
 import { formatStepError, RouteTable } from "@coltsfootford/core";
-import type {
-  KeyValueClient,
-  KeyValueEntry,
-  WatchPace,
-} from "@coltsfootford/key-value";
+import type { KeyValueEntry } from "@coltsfootford/key-value";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard } from "../board.ts";
 import { FollowingController } from "./following_controller.ts";
 import type { KnowledgeCodec } from "./knowledge_codec.ts";
 
-/**
- * A connection that went silent shows after one wait and the client's margin.
- * Both must end within the time after which a daemon counts as in touch again,
- * three seconds, since a configuration may change in the silence.
- */
-const PACE: WatchPace = { minIntervalMs: 0, maxWaitMs: 1_500 };
-
 /** Writes `routes`: the newest configuration that can be read. */
 export class RoutesController extends FollowingController {
   override readonly name = "routes";
@@ -27,11 +16,10 @@
 
   constructor(
     board: ForwardingBoard,
-    store: KeyValueClient,
     codec: KnowledgeCodec,
     log: Logger,
   ) {
-    super(store, { prefix: codec.configKey, pace: PACE });
+    super(codec.configKey);
     this.#codec = codec;
     this.#log = log;
     this.#writer = board.routes.claimWriter(this.name);
--- a/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_contact_controller.ts
@@ -6,10 +6,10 @@
 
 const CHECK_PERIOD_MS = 250;
 /**
- * Silence after which the store counts as lost: the watch on registrations
- * brings an answer after its pause and its wait, 2.3 s at the most.
+ * Silence after which the store counts as lost: a probe a second, its time-out
+ * and one repeat on another connection; see `StoreFollowerController`.
  */
-const LOST_SILENCE_MS = 3_200;
+const LOST_SILENCE_MS = 2_700;
 
 /** Writes `storeContact`. */
 export class StoreContactController extends Controller {
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -162,6 +162,11 @@
     level: "warn",
     text: "store no longer answers",
   },
+  watchReopened: {
+    number: 6111,
+    level: "info",
+    text: "watch has missed changes of the store and is opened anew",
+  },
   storeRegained: {
     number: 6105,
     level: "info",
--- a/packages/key-value/src/etcd_gateway_client.ts
+++ b/packages/key-value/src/etcd_gateway_client.ts
@@ -55,6 +55,8 @@
   readonly body: object;
   readonly schema: Schema;
   readonly step: string;
+  /** The client's own time-out where absent. */
+  readonly timeoutMs?: number;
 }
 
 /** Speaks the JSON gateway of etcd v3 over HTTP/1.1. */
@@ -87,6 +89,18 @@
     });
   }
 
+  override async readRevision(timeoutMs: number): KeyValueResult<number> {
+    this.calls.reads += 1;
+    const answer = await this.#call({
+      path: "/v3/kv/range",
+      body: { ...encodeSelection({ key: "\0" }), serializable: true },
+      schema: rangeAnswerSchema,
+      step: "key-value.revision",
+      timeoutMs,
+    });
+    return answer.map(({ revision }) => revision);
+  }
+
   override txn(request: TxnRequest): KeyValueResult<TxnAnswer> {
     if (isReadOnly(request)) this.calls.reads += 1;
     else this.calls.writes += 1;
@@ -163,10 +177,11 @@
     endpoint: string,
     call: Call<Schema>,
   ): KeyValueResult<z.output<Schema>> {
+    const timeoutMs = call.timeoutMs ?? this.#timeoutMs;
     const abort = new AbortController();
     const cancelTimer = this.timer.after(
-      this.#timeoutMs,
-      () => abort.abort(new Error(`no answer within ${this.#timeoutMs} ms`)),
+      timeoutMs,
+      () => abort.abort(new Error(`no answer within ${timeoutMs} ms`)),
     );
     try {
       const response = await this.#post(endpoint, call, abort.signal);
--- a/packages/key-value/src/key_value_client.ts
+++ b/packages/key-value/src/key_value_client.ts
@@ -53,6 +53,12 @@
   /** Reads one key or all keys with a prefix. */
   abstract range(selection: KeySelection): KeyValueResult<RangeAnswer>;
 
+  /**
+   * Reads the revision of the service by its cheapest read, which may be some
+   * seconds old.
+   */
+  abstract readRevision(timeoutMs: number): KeyValueResult<number>;
+
   /** Runs a transaction; all its operations take effect together or none. */
   abstract txn(request: TxnRequest): KeyValueResult<TxnAnswer>;
 
--- a/packages/key-value/src/testing/fake_key_value.ts
+++ b/packages/key-value/src/testing/fake_key_value.ts
@@ -72,6 +72,15 @@
     );
   }
 
+  override async readRevision(): KeyValueResult<number> {
+    this.calls.reads += 1;
+    const answer = await this.#answer(
+      "key-value.revision",
+      () => this.store.range({ key: "" }),
+    );
+    return answer.map(({ revision }) => revision);
+  }
+
   override async txn(request: TxnRequest): KeyValueResult<TxnAnswer> {
     this.calls.writes += 1;
     const step = "key-value.txn";
--- a/packages/key-value/src/watch_loop.ts
+++ b/packages/key-value/src/watch_loop.ts
@@ -41,6 +41,8 @@
 
 /** A running watch. */
 export interface Watch {
+  /** Connects anew from what was delivered last, without a wait. */
+  reopen(): void;
   /** Ends the watch; no batch is delivered afterwards. */
   close(): void;
 }
@@ -99,6 +101,13 @@
     void this.#connect();
   }
 
+  reopen(): void {
+    if (this.#isClosed) return;
+    this.#cancelTimer();
+    this.#closeConnection();
+    void this.#connect();
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#generation += 1;
@@ -115,7 +124,9 @@
       if (!isRead) return this.#reconnectLater();
     }
     const startRevision = this.#nextRevision ?? 1;
-    this.#cancelTimer = this.#parts.timer.after(OPEN_TIMEOUT_MS, () => {
+    const waitMs = this.#parts.options.pace?.maxWaitMs ?? 0;
+    const timeoutMs = OPEN_TIMEOUT_MS + waitMs;
+    this.#cancelTimer = this.#parts.timer.after(timeoutMs, () => {
       this.#closeConnection();
       this.#onEnd("lost");
     });
