Tell requests that crash targets to all daemons; take changed settings at once

Only a target that no longer accepts connections counts as crashed, so lost connections hold nothing against a request, nor does content without a body that was served lately.

--- a/packages/core/src/forwarding/forwarding_parts_test.ts
+++ b/packages/core/src/forwarding/forwarding_parts_test.ts
@@ -170,7 +170,7 @@
     let repeats = 0;
     const requestsEach = 500;
     for (let daemon = 0; daemon < 6; daemon++) {
-      const budget = new RepeatShares(bound, () => 6).budgetOf("s");
+      const budget = new RepeatShares(() => bound, () => 6).budgetOf("s");
       for (let at = 0; at < requestsEach; at++) {
         budget.noteFirstTry();
         if (budget.tryTake()) repeats += 1;
@@ -178,4 +178,17 @@
     }
     expect(repeats).toBeLessThanOrEqual(0.2 * 6 * requestsEach + 52);
   });
+
+  it("shrinks a share that was taken before the other daemons were known", () => {
+    let daemons = 1;
+    const shares = new RepeatShares(
+      () => ({ ratio: 0.2, slack: 52 }),
+      () => daemons,
+    );
+    for (let at = 0; at < 1_000; at++) shares.budgetOf("s").noteFirstTry();
+    daemons = 13;
+    let repeats = 0;
+    while (shares.budgetOf("s").tryTake()) repeats += 1;
+    expect(repeats).toBeLessThanOrEqual(52 / 13);
+  });
 });
--- a/packages/core/src/forwarding/repeat_share.ts
+++ b/packages/core/src/forwarding/repeat_share.ts
@@ -1,4 +1,4 @@
-import { RetryBudget } from "../retry/index.ts";
+import { RetryBudget, type RetryBudgetSettings } from "../retry/index.ts";
 
 /** The bound on repeats that all daemons keep together. */
 export interface RepeatBound {
@@ -20,26 +20,34 @@
  * keeps the bound without a message between them.
  */
 export class RepeatShares {
-  readonly #bound: RepeatBound;
+  readonly #bound: () => RepeatBound;
   readonly #daemonCount: () => number;
   readonly #budgets = new Map<string, RetryBudget>();
 
-  constructor(bound: RepeatBound, daemonCount: () => number) {
+  constructor(bound: () => RepeatBound, daemonCount: () => number) {
     this.#bound = bound;
     this.#daemonCount = daemonCount;
   }
 
   budgetOf(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (!budget) {
-      const { ratio, slack } = this.#bound;
-      const daemons = Math.max(1, this.#daemonCount());
-      budget = new RetryBudget({
-        ratio: ratio * USED_SHARE,
-        maxSaved: Math.max(1, (slack * USED_SHARE) / daemons),
-      });
-      this.#budgets.set(service, budget);
+    const settings = this.#ownShare();
+    const known = this.#budgets.get(service);
+    if (known) {
+      known.resize(settings);
+      return known;
     }
+    const budget = new RetryBudget(settings);
+    this.#budgets.set(service, budget);
     return budget;
   }
+
+  /** Follows the number of daemons, which is not known at the start. */
+  #ownShare(): RetryBudgetSettings {
+    const { ratio, slack } = this.#bound();
+    const daemons = Math.max(1, this.#daemonCount());
+    return {
+      ratio: ratio * USED_SHARE,
+      maxSaved: Math.max(1, (slack * USED_SHARE) / daemons),
+    };
+  }
 }
--- a/packages/core/src/retry/retry_budget.ts
+++ b/packages/core/src/retry/retry_budget.ts
@@ -15,7 +15,7 @@
  * needs no clock, since the load itself fills it.
  */
 export class RetryBudget {
-  readonly #settings: RetryBudgetSettings;
+  #settings: RetryBudgetSettings;
   #savedRetries = 0;
 
   constructor(settings: RetryBudgetSettings) {
@@ -28,6 +28,12 @@
     return this.#savedRetries;
   }
 
+  /** Takes new limits; what was saved beyond them is lost. */
+  resize(settings: RetryBudgetSettings): void {
+    this.#settings = settings;
+    this.#savedRetries = Math.min(this.#savedRetries, settings.maxSaved);
+  }
+
   /** Counts a first try. */
   noteFirstTry(): void {
     const { ratio, maxSaved } = this.#settings;
--- a/packages/daemon/src/forwarding/board.ts
+++ b/packages/daemon/src/forwarding/board.ts
@@ -1,5 +1,6 @@
 import type { RosterTarget, RouteTable } from "@coltsfootford/core";
 import { Field, type LifecyclePhase } from "../blackboard/index.ts";
+import type { ForwardingLimits } from "./settings.ts";
 
 /** Another daemon of the fleet. */
 export interface PeerDaemon {
@@ -26,10 +27,16 @@
   /** When a peer last told that the store answers it, monotonic. */
   readonly peerContactAtMs: Field<number>;
   readonly lifecycle: Field<LifecyclePhase>;
+  /** Settings that may change while the daemon runs. */
+  readonly limits: Field<ForwardingLimits>;
+  /** Digests of requests that crash targets and are refused. */
+  readonly quarantine: Field<ReadonlySet<string>>;
 }
 
 /** Creates an empty board. */
-export function createForwardingBoard(): ForwardingBoard {
+export function createForwardingBoard(
+  limits: ForwardingLimits,
+): ForwardingBoard {
   return {
     routes: new Field<RouteTable | undefined>("routes", undefined),
     targets: new Field<readonly RosterTarget[] | undefined>(
@@ -43,6 +50,8 @@
     }),
     peerContactAtMs: new Field<number>("peerContactAtMs", -Infinity),
     lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
+    limits: new Field<ForwardingLimits>("limits", limits),
+    quarantine: new Field<ReadonlySet<string>>("quarantine", new Set()),
   };
 }
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -138,7 +138,7 @@
       engine: this.#accepted.engine,
       beliefs: this.#parts.pool.beliefs,
       nowMs: this.#parts.timer.nowMs(),
-    }, this.#parts.placement);
+    }, this.#parts.placement());
     if (!placement) return this.#giveUp("no target");
     this.#send(placement);
   }
@@ -202,7 +202,10 @@
       send,
       running,
       target,
-      expectedMs: expectedFirstByteMs(placement.missingTokens, parts.placement),
+      expectedMs: expectedFirstByteMs(
+        placement.missingTokens,
+        parts.placement(),
+      ),
     };
     this.#current = current;
   }
@@ -260,6 +263,9 @@
       this.#mayHaveRun = true;
       this.#sentTries += 1;
     }
+    if (end.kind === "broken" && verdict !== "silent") {
+      this.#parts.crashes.noteBroken(this.#accepted, current.target.target);
+    }
     this.#afterFailure(current, end);
   }
 
@@ -315,11 +321,13 @@
   #finishStream(): void {
     this.#beginStream();
     this.#accepted.answer.end();
+    this.#parts.crashes.noteServed(this.#accepted);
     this.#done("served", 200);
   }
 
   #passOn(answer: WholeAnswer): void {
     this.#accepted.answer.passOn(answer);
+    this.#parts.crashes.noteServed(this.#accepted);
     this.#done("served", answer.status);
   }
 
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:http";
 import { getRequestListener } from "@hono/node-server";
+import { JSONRPCServer } from "json-rpc-2.0";
 import { RepeatShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
 import type { Controller } from "../controllers/index.ts";
@@ -13,13 +14,18 @@
   type KnowledgeCodec,
   PeerKnowledgeController,
   PeersController,
+  QuarantineController,
   RosterController,
   RoutesController,
   StoreContactController,
   StoreFollowerController,
 } from "./knowledge/index.ts";
 import type { RequestCodec } from "./request_codec.ts";
-import type { Address, ForwardingSettings } from "./settings.ts";
+import type {
+  Address,
+  ForwardingLimits,
+  ForwardingSettings,
+} from "./settings.ts";
 import { shutDownGracefully } from "./shutdown.ts";
 import { createStatusApp } from "./status_app.ts";
 import { TargetPool } from "./target_pool.ts";
@@ -50,8 +56,9 @@
 /** A daemon that forwards requests, from its start to its end. */
 export class ForwardingDaemon {
   readonly #parts: ForwardingDaemonParts;
-  readonly #board = createForwardingBoard();
-  readonly #lifecycle = this.#board.lifecycle.claimWriter("daemon");
+  readonly #board;
+  readonly #lifecycle;
+  readonly #limits;
   readonly #metrics = new Metrics();
   readonly #controllers: readonly Controller[];
   readonly #pool: TargetPool;
@@ -65,14 +72,27 @@
     this.#parts = parts;
     const { settings, platform, timer, log, random } = parts;
     const { requestCodec, knowledgeCodec, store } = platform;
-    const board = this.#board;
+    const board = createForwardingBoard(settings.limits);
+    this.#board = board;
+    this.#lifecycle = board.lifecycle.claimWriter("daemon");
+    this.#limits = board.limits.claimWriter("daemon");
+    const rpc = new JSONRPCServer();
     const self = describeSelf(settings);
     const routes = new RoutesController(board, knowledgeCodec, log);
     const roster = new RosterController(board, knowledgeCodec, timer, log);
     const peers = new PeersController(self, board, store, timer, log);
+    const quarantine = new QuarantineController({
+      self,
+      board,
+      store,
+      rpc,
+      timer,
+      log,
+    });
     const peerKnowledge = new PeerKnowledgeController({
+      rpc,
       board,
-      followed: [routes.followed, roster.followed],
+      followed: [routes.followed, roster.followed, quarantine.followed],
       seeds: settings.seeds
         .map(({ host, port }) => ({ name: `${host}:${port}`, host, port }))
         .filter(({ host }) => host !== self.host),
@@ -80,17 +100,23 @@
       log,
       random,
     });
-    const pool = new TargetPool(board, timer, settings.targetLeaveMs);
+    const pool = new TargetPool(board, timer);
     this.#pool = pool;
     this.#controllers = [
       new StoreContactController(board, store, timer, log),
       routes,
       roster,
       peers,
+      quarantine,
       peerKnowledge,
       new StoreFollowerController({
         store,
-        followed: [routes.followed, roster.followed, peers.followed],
+        followed: [
+          routes.followed,
+          roster.followed,
+          peers.followed,
+          quarantine.followed,
+        ],
         timer,
         log,
       }),
@@ -101,15 +127,19 @@
       timer,
       log,
       metrics: this.#metrics,
-      placement: {
+      placement: () => ({
         availabilityZone: settings.availabilityZone,
-        maxLoadFactor: settings.maxLoadFactor,
+        maxLoadFactor: board.limits.read().maxLoadFactor,
         promptTokensPerMs: PROMPT_TOKENS_PER_MS,
-      },
+      }),
       repeats: new RepeatShares(
-        { ratio: settings.repeatRatio, slack: settings.repeatSlack },
+        () => {
+          const { repeatRatio, repeatSlack } = board.limits.read();
+          return { ratio: repeatRatio, slack: repeatSlack };
+        },
         () => board.peers.read().length + 1,
       ),
+      crashes: quarantine,
       random,
     });
     this.#server = new ForwardingServer({
@@ -120,10 +150,9 @@
       log,
       metrics: this.#metrics,
       random,
-      shutdownLimitMs: settings.shutdownLimitMs,
     });
     this.#drain = new ConnectionDrain(this.#server.server, timer);
-    this.#createStatusServers(peerKnowledge);
+    this.#createStatusServers(rpc);
   }
 
   async start(): Promise<void> {
@@ -144,15 +173,20 @@
     log.event("daemonReady", {});
   }
 
+  /** Takes settings that may change while the daemon runs. */
+  applyLimits(limits: ForwardingLimits): void {
+    this.#limits.write(limits);
+  }
+
   /** Ends gracefully; returns the number of requests that were cut. */
   async stop(): Promise<number> {
-    const { settings, timer, log, platform } = this.#parts;
+    const { timer, log, platform } = this.#parts;
     this.#lifecycle.write("draining");
     log.event("daemonStopping", { running: this.#forwarder.runningCount });
     const cut = await shutDownGracefully({
       drain: this.#drain,
       timer,
-      shutdownLimitMs: settings.shutdownLimitMs,
+      shutdownLimitMs: this.#board.limits.read().shutdownLimitMs,
       runningCount: () => this.#forwarder.runningCount,
     });
     if (cut > 0) log.event("requestsCut", { requests: cut });
@@ -178,12 +212,12 @@
     void this.#parts.platform.store.close();
   }
 
-  #createStatusServers(peerKnowledge: PeerKnowledgeController): void {
+  #createStatusServers(rpc: JSONRPCServer): void {
     const app = createStatusApp({
       board: this.#board,
       metrics: this.#metrics,
       controllers: this.#controllers,
-      rpc: peerKnowledge.server,
+      rpc,
       readinessPath: this.#parts.platform.readinessPath,
     });
     const { peers, metrics } = this.#parts.settings.listen;
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -18,9 +18,11 @@
 import type { ForwardingBoard } from "./board.ts";
 import { ClientAnswer } from "./client_answer.ts";
 import type { Forwarder } from "./forwarder.ts";
+import type { AcceptedRequest } from "./forwarding_types.ts";
 import { headerBytes } from "./http_headers.ts";
 import { type BodyFault, readWholeBody } from "./read_whole_body.ts";
 import type { RequestCodec, RequestFacts } from "./request_codec.ts";
+import { digestRequest } from "./request_digest.ts";
 import { isTakenWhileEnding } from "./shutdown.ts";
 
 /** Header bytes that the parser takes; the configured limit is below. */
@@ -43,7 +45,6 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly random: () => number;
-  readonly shutdownLimitMs: number;
 }
 
 /** Takes requests from clients, checks them and has them forwarded. */
@@ -132,7 +133,7 @@
     });
     void new ResultAsync(body).match(
       (bytes) =>
-        this.#parts.forwarder.forward({
+        this.#forward({
           facts,
           method: incoming.method ?? "",
           path,
@@ -149,9 +150,20 @@
     );
   }
 
+  #forward(accepted: AcceptedRequest): void {
+    const quarantine = this.#parts.board.quarantine.read();
+    if (quarantine.size > 0 && quarantine.has(digestRequest(accepted))) {
+      const { answer, facts, configVersion } = accepted;
+      const reason = "requests like this one have crashed their targets";
+      return this.#refuse(answer, facts, 503, reason, configVersion);
+    }
+    this.#parts.forwarder.forward(accepted);
+  }
+
   #canFinish(longestMs: number): boolean {
     if (this.#stoppingSinceMs === undefined) return true;
-    const { timer, shutdownLimitMs } = this.#parts;
+    const { timer, board } = this.#parts;
+    const { shutdownLimitMs } = board.limits.read();
     const sinceMs = timer.nowMs() - this.#stoppingSinceMs;
     return isTakenWhileEnding(sinceMs, longestMs, shutdownLimitMs);
   }
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -3,6 +3,7 @@
   ForwardingRoute,
   PlacementSettings,
   RepeatShares,
+  RosterTarget,
   TeamKeys,
   TimerService,
 } from "@coltsfootford/core";
@@ -10,6 +11,7 @@
 import type { Metrics } from "../metrics/index.ts";
 import type { ClientAnswer } from "./client_answer.ts";
 import type { RequestCodec, RequestFacts } from "./request_codec.ts";
+import type { RequestContent } from "./request_digest.ts";
 import type { TargetPool } from "./target_pool.ts";
 
 /** A request that may be forwarded. */
@@ -30,6 +32,14 @@
   readonly answer: ClientAnswer;
 }
 
+/** Learns which requests crash the targets that run them. */
+export interface CrashWitness {
+  /** A target broke off while it may have run the request. */
+  noteBroken(request: RequestContent, target: RosterTarget): void;
+  /** The request has its target's whole answer. */
+  noteServed(request: RequestContent): void;
+}
+
 /** What forwarding needs of the daemon. */
 export interface ForwarderParts {
   readonly codec: RequestCodec;
@@ -37,7 +47,8 @@
   readonly timer: TimerService;
   readonly log: Logger;
   readonly metrics: Metrics;
-  readonly placement: PlacementSettings;
+  readonly placement: () => PlacementSettings;
+  readonly crashes: CrashWitness;
   readonly repeats: RepeatShares;
   readonly random: () => number;
 }
--- /dev/null
+++ b/packages/daemon/src/forwarding/knowledge/call_peer.ts
@@ -0,0 +1,27 @@
+import { JSONRPCClient } from "json-rpc-2.0";
+import { request } from "undici";
+import type { PeerDaemon } from "../board.ts";
+
+/** The path at which a daemon answers the others. */
+export const PEER_RPC_PATH = "/rpc";
+
+/** A peer in another zone answers within some ms; a dead one never does. */
+const CALL_TIMEOUT_MS = 400;
+
+/** Calls a method of another daemon; rejects where no answer comes in time. */
+export function callPeer(
+  { host, port }: PeerDaemon,
+  method: string,
+  params: object,
+): PromiseLike<unknown> {
+  const client = new JSONRPCClient(async (call) => {
+    const response = await request(`http://${host}:${port}${PEER_RPC_PATH}`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(call),
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    client.receive(await response.body.json() as never);
+  });
+  return client.request(method, params);
+}
--- a/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
@@ -1,19 +1,14 @@
-import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
-import { request } from "undici";
+import type { JSONRPCServer } from "json-rpc-2.0";
 import type { TimerService } from "@coltsfootford/core";
 import { z } from "zod";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBoard, PeerDaemon } from "../board.ts";
+import { callPeer } from "./call_peer.ts";
 import type { FollowedPrefix, PrefixCopy } from "./followed_prefix.ts";
 
-/** The path at which a daemon answers the others. */
-export const PEER_RPC_PATH = "/rpc";
-
 /** How often a daemon that the store leaves without answers asks a peer. */
 const ASK_PERIOD_MS = 500;
-/** A peer in another zone answers within some ms; a dead one never does. */
-const ASK_TIMEOUT_MS = 400;
 
 const EntrySchema = z.object({
   key: z.string(),
@@ -36,6 +31,7 @@
 
 /** The parts of the controller. */
 export interface PeerKnowledgeParts {
+  readonly rpc: JSONRPCServer;
   readonly board: ForwardingBoard;
   /** Prefixes that daemons hand over to one another. */
   readonly followed: readonly FollowedPrefix[];
@@ -47,13 +43,12 @@
 }
 
 /**
- * Writes `peerContactAtMs`, and hands knowledge over between daemons. A daemon that the store turns away
- * asks a peer for later copies of what it follows; while the store answers,
- * nothing is sent.
+ * Writes `peerContactAtMs`, and hands knowledge over between daemons. A daemon
+ * that the store turns away asks a peer for later copies of what it follows;
+ * while the store answers, nothing is sent.
  */
 export class PeerKnowledgeController extends Controller {
   override readonly name = "peer-knowledge";
-  readonly server = new JSONRPCServer();
   readonly #parts: PeerKnowledgeParts;
   readonly #writer;
   #cancel: () => void = () => {};
@@ -64,7 +59,7 @@
     super();
     this.#parts = parts;
     this.#writer = parts.board.peerContactAtMs.claimWriter(this.name);
-    this.server.addMethod("knowledge.later", (params: unknown) => {
+    parts.rpc.addMethod("knowledge.later", (params: unknown) => {
       return this.#laterThan(AskSchema.parse(params));
     });
   }
@@ -114,20 +109,10 @@
   }
 
   #ask(peer: PeerDaemon): PromiseLike<unknown> {
-    const url = `http://${peer.host}:${peer.port}${PEER_RPC_PATH}`;
-    const client = new JSONRPCClient(async (call) => {
-      const response = await request(url, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify(call),
-        signal: AbortSignal.timeout(ASK_TIMEOUT_MS),
-      });
-      client.receive(await response.body.json() as never);
-    });
     const known = Object.fromEntries(
       this.#parts.followed.map(({ prefix, revision }) => [prefix, revision]),
     );
-    return client.request("knowledge.later", known);
+    return callPeer(peer, "knowledge.later", known);
   }
 
   #take(peer: PeerDaemon, { isStoreReachable, copies }: Later): void {
--- /dev/null
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -0,0 +1,116 @@
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+import type { RosterTarget } from "@coltsfootford/core";
+import { SystemTimerService } from "@coltsfootford/key-value";
+import { FakeKeyValue } from "@coltsfootford/key-value/testing";
+import { JSONRPCServer } from "json-rpc-2.0";
+import { createForwardingBoard, type ForwardingBoard } from "../board.ts";
+import { digestRequest } from "../request_digest.ts";
+import { QuarantineController } from "./quarantine_controller.ts";
+
+const LIMITS = {
+  shutdownLimitMs: 8_000,
+  targetLeaveMs: 2_000,
+  repeatRatio: 0.2,
+  repeatSlack: 50,
+  maxLoadFactor: 2,
+};
+const REQUEST = {
+  method: "POST",
+  path: "/a/1",
+  body: Buffer.from("crashes"),
+  team: { name: "team" },
+};
+const KEY = `coltsfootford/quarantine/${digestRequest(REQUEST)}`;
+
+let board: ForwardingBoard;
+let store: FakeKeyValue;
+let controller: QuarantineController;
+let living: Server;
+let livingPort: number;
+let deadPort: number;
+
+async function listen(): Promise<[Server, number]> {
+  const server = createServer((socket) => socket.destroy());
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  return [server, (server.address() as AddressInfo).port];
+}
+
+beforeEach(async () => {
+  const timer = new SystemTimerService();
+  board = createForwardingBoard(LIMITS);
+  store = new FakeKeyValue(timer);
+  controller = new QuarantineController({
+    self: { name: "daemon-1", host: "127.0.0.1", port: 1 },
+    board,
+    store,
+    rpc: new JSONRPCServer(),
+    timer,
+    log: { event: () => {} },
+  });
+  [living, livingPort] = await listen();
+  const [dead, port] = await listen();
+  deadPort = port;
+  await new Promise((resolve) => dead.close(resolve));
+});
+
+afterEach(() => {
+  living.close();
+});
+
+const target = (incarnation: string, port: number) =>
+  ({ incarnation, host: "127.0.0.1", port }) as RosterTarget;
+
+async function breakOff(count: number, port: number): Promise<void> {
+  for (let at = 0; at < count; at++) {
+    controller.noteBroken(REQUEST, target(`target-${at}`, port));
+  }
+  await new Promise((resolve) => setTimeout(resolve, 200));
+}
+
+const isPublished = async () =>
+  (await store.get(KEY))._unsafeUnwrap() !== undefined;
+
+describe("QuarantineController", () => {
+  it("publishes content that has crashed three targets", async () => {
+    await breakOff(2, deadPort);
+    expect(await isPublished()).toBe(false);
+    await breakOff(3, deadPort);
+    expect(await isPublished()).toBe(true);
+  });
+
+  it("holds nothing against content whose connections were lost", async () => {
+    await breakOff(5, livingPort);
+    expect(await isPublished()).toBe(false);
+  });
+
+  it("holds nothing against content that was served lately", async () => {
+    const read = { ...REQUEST, body: Buffer.alloc(0) };
+    controller.noteServed(read);
+    for (let at = 0; at < 5; at++) {
+      controller.noteBroken(read, target(`target-${at}`, deadPort));
+    }
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    const key = `coltsfootford/quarantine/${digestRequest(read)}`;
+    expect((await store.get(key))._unsafeUnwrap()).toBeUndefined();
+  });
+
+  it("takes what other daemons published", () => {
+    controller.followed.takeBatch({
+      kind: "snapshot",
+      revision: 7,
+      entries: [{
+        key: KEY,
+        value: "{}",
+        createRevision: 7,
+        modRevision: 7,
+        version: 1,
+        leaseId: "1",
+      }],
+    });
+    expect([...board.quarantine.read()]).toEqual([digestRequest(REQUEST)]);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/forwarding/request_digest.ts
@@ -0,0 +1,16 @@
+import { digestContent } from "../poison/request_digest.ts";
+
+/** What makes two requests the same in content. */
+export interface RequestContent {
+  readonly method: string;
+  readonly path: string;
+  readonly body: Buffer;
+  readonly team: { readonly name: string } | undefined;
+}
+
+/** The digest of a request's caller and content, the same at every daemon. */
+export function digestRequest(
+  { method, path, body, team }: RequestContent,
+): string {
+  return digestContent(`${team?.name ?? ""}\n${method}\n${path}\n`, body);
+}
--- a/packages/daemon/src/forwarding/settings.ts
+++ b/packages/daemon/src/forwarding/settings.ts
@@ -5,6 +5,20 @@
   port: z.number().int().min(1).max(65_535),
 });
 
+/** Settings that take effect while a daemon runs. */
+export const ForwardingLimitsSchema = z.object({
+  /** Time between SIGTERM and the end of the process by force. */
+  shutdownLimitMs: z.number().positive(),
+  /** Time for which a target serves on after it says that it leaves. */
+  targetLeaveMs: z.number().nonnegative(),
+  /** Repeats allowed per first request of a service, over all daemons. */
+  repeatRatio: z.number().nonnegative(),
+  /** Repeats allowed beside the ratio in a window, over all daemons. */
+  repeatSlack: z.number().nonnegative(),
+  /** A target holds at most this multiple of the mean load. */
+  maxLoadFactor: z.number().positive(),
+});
+
 /** Settings of a daemon that forwards requests, on whatever platform. */
 export const ForwardingSettingsSchema = z.object({
   vm: z.string(),
@@ -17,19 +31,12 @@
   }),
   seeds: z.array(AddressSchema),
   store: AddressSchema,
-  /** Time between SIGTERM and the end of the process by force. */
-  shutdownLimitMs: z.number().positive(),
-  /** Time for which a target serves on after it says that it leaves. */
-  targetLeaveMs: z.number().nonnegative(),
-  /** Repeats allowed per first request of a service, over all daemons. */
-  repeatRatio: z.number().nonnegative(),
-  /** Repeats allowed beside the ratio in a window, over all daemons. */
-  repeatSlack: z.number().nonnegative(),
-  /** A target holds at most this multiple of the mean load. */
-  maxLoadFactor: z.number().positive(),
+  limits: ForwardingLimitsSchema,
 });
 
 /** An address to listen on or to connect to. */
 export type Address = z.infer<typeof AddressSchema>;
+/** See `ForwardingLimitsSchema`. */
+export type ForwardingLimits = z.infer<typeof ForwardingLimitsSchema>;
 /** See `ForwardingSettingsSchema`. */
 export type ForwardingSettings = z.infer<typeof ForwardingSettingsSchema>;
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -17,9 +17,9 @@
 /** The targets on the board, each with its record and its connections. */
 export class TargetPool {
   readonly beliefs = new CacheBeliefs();
+  readonly #board: ForwardingBoard;
   readonly #timer: TimerService;
   readonly #byIncarnation = new Map<string, PooledTarget>();
-  readonly #leaveMs: number;
   /** Targets that left shortly before, from which others may still fetch. */
   readonly #departed = new Map<
     string,
@@ -27,10 +27,9 @@
   >();
   #byService = new Map<string, PooledTarget[]>();
 
-  /** `leaveMs` is how long a target that leaves can still be reached. */
-  constructor(board: ForwardingBoard, timer: TimerService, leaveMs: number) {
+  constructor(board: ForwardingBoard, timer: TimerService) {
+    this.#board = board;
     this.#timer = timer;
-    this.#leaveMs = leaveMs;
     board.targets.subscribe((targets) => this.#update(targets ?? []));
   }
 
@@ -39,7 +38,7 @@
     return this.#byService.get(service) ?? [];
   }
 
-  /** Targets of a service that left shortly before; see `leaveMs`. */
+  /** Targets of a service that left shortly before and still serve what they have. */
   departedOf(service: string): readonly PooledTarget[] {
     const nowMs = this.#timer.nowMs();
     const departed: PooledTarget[] = [];
@@ -68,7 +67,8 @@
       pooled.connections.retire();
       this.#departed.set(incarnation, {
         pooled,
-        untilMs: this.#timer.nowMs() + this.#leaveMs,
+        untilMs: this.#timer.nowMs() +
+          this.#board.limits.read().targetLeaveMs,
       });
     }
     this.#forgetDeparted();
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -167,6 +167,11 @@
     level: "info",
     text: "watch has missed changes of the store and is opened anew",
   },
+  quarantineFailed: {
+    number: 6112,
+    level: "warn",
+    text: "a request that crashes targets could not be told to all daemons",
+  },
   storeRegained: {
     number: 6105,
     level: "info",
--- a/packages/daemon/src/poison/request_digest.ts
+++ b/packages/daemon/src/poison/request_digest.ts
@@ -6,9 +6,15 @@
 
 /** The digest of what a target is given, the same through every daemon. */
 export function digestRequest(context: RequestContext): string {
+  const { route, method, path, body } = context;
+  return digestContent(`${route.name}\n${method}\n${path}\n`, body);
+}
+
+/** The digest of a request's head and body. */
+export function digestContent(head: string, body: Buffer): string {
   return createHash("sha256")
-    .update(`${context.route.name}\n${context.method}\n${context.path}\n`)
-    .update(context.body)
+    .update(head)
+    .update(body)
     .digest("hex")
     .slice(0, DIGEST_CHARS);
 }
