Leave a watch alone while its answer comes; add a fault soak

On links of 10 Mbit/s the events of a storm of configurations took longer to come than a probe's period; the guard then cut the answer and asked again, for ever. Besides, copies from peers were sent whole with each call, since a prefix's revision grows with changes of all others. Ruled out: a watch that was silent (the store's answers went on), processor time (0.04 of a core).

--- a/packages/bench/src/harness/managed_process.ts
+++ b/packages/bench/src/harness/managed_process.ts
@@ -53,8 +53,10 @@
     name: string,
     script: string,
     args: readonly string[],
+    env: Readonly<Record<string, string>> = {},
   ): ManagedProcess {
     const child = spawn(process.execPath, [script, ...args], {
+      env: { ...process.env, ...env },
       stdio: ["ignore", "pipe", "pipe"],
     });
     const managed = new ManagedProcess(name, child);
@@ -97,6 +99,11 @@
     return this.#signalAndWait("SIGTERM");
   }
 
+  /** SIGHUP: the process looks at its settings again. */
+  hangUp(): void {
+    this.#child.kill("SIGHUP");
+  }
+
   /** SIGSTOP: the process stands still until `resume`. */
   pause(): void {
     this.#child.kill("SIGSTOP");
--- a/packages/bench/src/harness/tcp_link.ts
+++ b/packages/bench/src/harness/tcp_link.ts
@@ -10,6 +10,8 @@
   oneWayDelayMs: number;
   /** Refuses and breaks connections. */
   isCut: boolean;
+  /** Directions in which bytes vanish without a sign; none where absent. */
+  silent?: "none" | "to-target" | "from-target" | "both";
 }
 
 /**
@@ -46,6 +48,11 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
+  /** Resets the connections of the moment. */
+  resetConnections(): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
   async close(): Promise<void> {
     this.breakConnections();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
@@ -65,13 +72,23 @@
         this.#sockets.delete(socket);
         this.#later(() => other.destroy());
       });
-      this.#forward(socket, other);
+      this.#forward(socket, other, socket === near);
     }
   }
 
-  #forward(from: Socket, to: Socket): void {
+  #isSilent(isToTarget: boolean): boolean {
+    const { silent = "none" } = this.#state;
+    return silent === "both" ||
+      silent === (isToTarget ? "to-target" : "from-target");
+  }
+
+  #forward(from: Socket, to: Socket, isToTarget: boolean): void {
     let delayedBytes = 0;
+    let isSilent = false;
     from.on("data", (chunk) => {
+      // Bytes that were lost never come, so neither may those after them.
+      isSilent ||= this.#isSilent(isToTarget);
+      if (isSilent) return;
       delayedBytes += chunk.length;
       if (delayedBytes > MAX_DELAYED_BYTES) from.pause();
       this.#later(() => {
@@ -81,7 +98,9 @@
         if (!hasRoom) to.once("drain", () => from.resume());
       });
     });
-    from.on("end", () => this.#later(() => to.end()));
+    from.on("end", () => {
+      if (!isSilent) this.#later(() => to.end());
+    });
   }
 
   #later(action: () => void): void {
--- a/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
+++ b/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
@@ -24,6 +24,7 @@
 export class FollowedPrefix {
   readonly #mirror = new PrefixMirror();
   readonly #options: FollowOptions;
+  #changeRevision = 0;
 
   constructor(options: FollowOptions) {
     this.#options = options;
@@ -37,6 +38,14 @@
     return this.#mirror.revision;
   }
 
+  /**
+   * The revision of the last change that is known. The mirror's own revision
+   * also grows with changes of other prefixes.
+   */
+  get changeRevision(): number {
+    return this.#changeRevision;
+  }
+
   copy(): PrefixCopy {
     return { revision: this.#mirror.revision, entries: this.#mirror.entries() };
   }
@@ -55,6 +64,7 @@
 
   #apply(batch: WatchBatch, isFromPeer: boolean): void {
     if (!this.#mirror.apply(batch)) return;
+    this.#changeRevision = batch.revision;
     this.#options.onChange(this.#mirror.entries(), isFromPeer);
   }
 }
--- a/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peer_knowledge_controller.ts
@@ -86,7 +86,7 @@
     const copies: Record<string, PrefixCopy> = {};
     for (const followed of this.#parts.followed) {
       const knownRevision = known[followed.prefix] ?? 0;
-      if (followed.revision <= knownRevision) continue;
+      if (followed.changeRevision <= knownRevision) continue;
       copies[followed.prefix] = followed.copy();
     }
     return { isStoreReachable: isReachable, copies };
--- a/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
@@ -14,13 +14,15 @@
  * calls; it stays well within the bounds on changes, two seconds. The wait is
  * long, since probes notice a watch that has gone silent.
  */
-const PACE: WatchPace = { minIntervalMs: 700, maxWaitMs: 20_000 };
+const PACE: WatchPace = { minIntervalMs: 1_000, maxWaitMs: 20_000 };
 /** Longest wait before a broken watch is opened again without a probe. */
 const MAX_BACKOFF_MS = 2_000;
 /** How often the store's revision is compared with the one that is known. */
 const PROBE_PERIOD_MS = 1_000;
 /** A store in good order answers in some ms, a slow one in some hundred. */
 const PROBE_TIMEOUT_MS = 800;
+/** Bytes that came within this time show that an answer is on its way. */
+const RECEIVING_MS = 500;
 /** Time for events that are on their way when a probe is answered. */
 const EVENTS_ON_THE_WAY_MS = 200;
 
@@ -45,6 +47,7 @@
   #revision = 0;
   #heardAtMs = -Infinity;
   #isProbing = false;
+  #probedAtMs = -Infinity;
   #reopened = 0;
   #cancelProbes: CancelTimer = () => {};
   #cancelCheck: CancelTimer = () => {};
@@ -99,6 +102,7 @@
       if (isLost && mayRepeat) await this.#probe(false);
       return;
     }
+    this.#probedAtMs = timer.nowMs();
     if (revision.value <= this.#revision) return;
     this.#cancelCheck();
     this.#cancelCheck = timer.after(
@@ -107,8 +111,13 @@
     );
   }
 
+  /** A large answer that is still coming must not be cut. */
   #reopenIfBehind(storeRevision: number): void {
     if (storeRevision <= this.#revision) return;
+    const { store, timer } = this.#parts;
+    const isReceiving = timer.nowMs() - store.receivedAtMs < RECEIVING_MS &&
+      store.receivedAtMs > this.#probedAtMs;
+    if (isReceiving) return;
     this.#reopened += 1;
     this.#parts.log.event("watchReopened", {
       revision: this.#revision,
--- a/packages/key-value/src/key_value_client.ts
+++ b/packages/key-value/src/key_value_client.ts
@@ -45,6 +45,9 @@
   /** When the service last answered a call, on the timer's clock. */
   answeredAtMs = -Infinity;
 
+  /** When bytes last came from the service, on the timer's clock. */
+  receivedAtMs = -Infinity;
+
   constructor(
     protected readonly timer: TimerService,
     protected readonly random: RandomSource,
--- a/packages/key-value/src/watch_loop.ts
+++ b/packages/key-value/src/watch_loop.ts
@@ -41,7 +41,10 @@
 
 /** A running watch. */
 export interface Watch {
-  /** Connects anew from what was delivered last, without a wait. */
+  /**
+   * Connects anew at once, from a snapshot: after a gap the history may be many
+   * times as large as what there is now.
+   */
   reopen(): void;
   /** Ends the watch; no batch is delivered afterwards. */
   close(): void;
@@ -105,6 +108,7 @@
     if (this.#isClosed) return;
     this.#cancelTimer();
     this.#closeConnection();
+    this.#nextRevision = undefined;
     void this.#connect();
   }
 
