--- a/packages/core/src/forwarding/cache_source.ts
+++ b/packages/core/src/forwarding/cache_source.ts
@@ -1,7 +1,6 @@
-import type { CacheBeliefs } from "./cache_beliefs.ts";
 import type { Candidate } from "./choose_target.ts";
 import type { EngineFacts } from "./forwarding_config.ts";
-import { type PromptDescription, sharedParts } from "./prompt.ts";
+import { countSharedTokens, type PromptDescription } from "./prompt.ts";
 
 /** A target from which another can fetch the KV cache of a prompt. */
 export interface CacheSource {
@@ -20,8 +19,8 @@
   readonly home: Candidate | undefined;
   /** Those before it that can be reached, the likeliest first. */
   readonly formerHomes: readonly Candidate[];
-  readonly beliefs: CacheBeliefs;
-  readonly nowMs: number;
+  /** Leading shared tokens that targets are known to have read. */
+  readonly knownTokens: ReadonlyMap<Candidate, number>;
 }
 
 /** Fewer tokens are read sooner than a fetch is set up, which takes some ms. */
@@ -49,15 +48,9 @@
    */
   sourceFor(target: Candidate): CacheSource | undefined {
     if (this.#sources.length === 0) return undefined;
-    const { prompt, beliefs, nowMs } = this.#question;
-    const known = beliefs.cachedTokens(
-      target.target.incarnation,
-      sharedParts(prompt),
-      nowMs,
-    );
+    const known = this.#question.knownTokens.get(target) ?? 0;
     return this.#sources.find(({ candidate, tokens }) =>
-      candidate.target.incarnation !== target.target.incarnation &&
-      tokens >= known + MIN_FETCH_TOKENS
+      candidate !== target && tokens >= known + MIN_FETCH_TOKENS
     );
   }
 }
@@ -74,17 +67,15 @@
 }
 
 function findSources(question: CacheSourceQuestion): CacheSource[] {
-  const { prompt, candidates, home, formerHomes, beliefs, nowMs } = question;
-  const shared = sharedParts(prompt);
-  const all = shared.reduce((sum, part) => sum + part.tokens, 0);
+  const { prompt, candidates, home, formerHomes, knownTokens } = question;
+  const all = countSharedTokens(prompt);
   if (all < MIN_FETCH_TOKENS) return [];
   const sources: CacheSource[] = [];
   const keepers = new Set(home ? [...formerHomes, home] : formerHomes);
   for (const candidate of keepers) sources.push({ candidate, tokens: all });
   for (const candidate of candidates) {
     if (keepers.has(candidate)) continue;
-    const { incarnation } = candidate.target;
-    const tokens = beliefs.cachedTokens(incarnation, shared, nowMs);
+    const tokens = knownTokens.get(candidate) ?? 0;
     if (tokens >= MIN_FETCH_TOKENS) sources.push({ candidate, tokens });
   }
   return sources.sort((a, b) => b.tokens - a.tokens);
--- a/packages/core/src/forwarding/cache_source_test.ts
+++ b/packages/core/src/forwarding/cache_source_test.ts
@@ -1,5 +1,4 @@
 import { beforeEach, describe, expect, it } from "@jest/globals";
-import { CacheBeliefs } from "./cache_beliefs.ts";
 import { CacheSources, fetchMs } from "./cache_source.ts";
 import type { Candidate } from "./choose_target.ts";
 import { TargetRecord } from "./target_record.ts";
@@ -18,7 +17,7 @@
   promptTokens: 10_800,
   maxOutputTokens: 100,
 };
-const SHARED = PROMPT.parts.slice(0, 2);
+const SHARED_TOKENS = 10_500;
 
 function candidate(id: string): Candidate {
   return {
@@ -43,10 +42,10 @@
 const home = candidate("home");
 const former = candidate("former");
 const other = candidate("other");
-let beliefs: CacheBeliefs;
+let knownTokens: Map<Candidate, number>;
 
 beforeEach(() => {
-  beliefs = new CacheBeliefs();
+  knownTokens = new Map();
 });
 
 function sources(
@@ -58,8 +57,7 @@
     candidates: [home, other],
     home,
     formerHomes: fields.formerHomes ?? [],
-    beliefs,
-    nowMs: 1_000,
+    knownTokens,
   });
 }
 
@@ -75,15 +73,15 @@
   });
 
   it("names none where the target has read the prompt itself", () => {
-    beliefs.noteRead(home.target.incarnation, SHARED, 900);
-    beliefs.noteRead(other.target.incarnation, SHARED, 900);
+    knownTokens.set(home, SHARED_TOKENS);
+    knownTokens.set(other, SHARED_TOKENS);
     const found = sources({ formerHomes: [former] });
     expect(found.sourceFor(home)).toBeUndefined();
     expect(found.sourceFor(other)).toBeUndefined();
   });
 
   it("lets a home without a history fetch where this daemon sent before", () => {
-    beliefs.noteRead(other.target.incarnation, SHARED, 900);
+    knownTokens.set(other, SHARED_TOKENS);
     expect(sources().sourceFor(home)?.candidate).toBe(other);
   });
 
--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -2,7 +2,12 @@
 import { type CacheSource, CacheSources, fetchMs } from "./cache_source.ts";
 import type { EngineFacts } from "./forwarding_config.ts";
 import { HomeOrder } from "./home_order.ts";
-import { homePart, type PromptDescription, sharedParts } from "./prompt.ts";
+import {
+  countSharedTokens,
+  homePart,
+  type PromptDescription,
+  sharedParts,
+} from "./prompt.ts";
 import type { TargetRecord } from "./target_record.ts";
 import type { RosterTarget } from "./target_roster.ts";
 
@@ -96,14 +101,16 @@
   );
   const order = orderHomes(question);
   const home = order?.first(new Set(pool));
-  const believed = believedTokens(question, pool, home);
-  const sources = findSources(question, order);
+  const known = findKnownTokens(question);
+  const sharedTokens = countSharedTokens(question.prompt);
+  const sources = findSources(question, order, known);
   const failureShare = meanFailureShare(question);
   let best: Placement | undefined;
   for (const candidate of open.length > 0 ? open : pool) {
     const placement = weigh(
       candidate,
-      believed.get(candidate) ?? 0,
+      // The home has all shared parts, since every daemon sends there.
+      candidate === home ? sharedTokens : known.get(candidate) ?? 0,
       sources.sourceFor(candidate),
       candidate === home,
       failureShare,
@@ -148,34 +155,28 @@
   return part && new HomeOrder(part.id, [...candidates, ...departed]);
 }
 
-/**
- * The shared tokens that each target is believed to have. The home has all of
- * them, since every daemon sends there.
- */
-function believedTokens(
-  { prompt, beliefs, nowMs }: PlacementQuestion,
-  candidates: readonly Candidate[],
-  home: Candidate | undefined,
+/** The shared tokens that this daemon knows each target to have read. */
+function findKnownTokens(
+  { prompt, beliefs, candidates, nowMs }: PlacementQuestion,
 ): Map<Candidate, number> {
   const shared = sharedParts(prompt);
-  const believed = new Map<Candidate, number>();
-  if (shared.length === 0) return believed;
+  const known = new Map<Candidate, number>();
+  if (shared.length === 0) return known;
   for (const candidate of candidates) {
     const { incarnation } = candidate.target;
     const tokens = beliefs.cachedTokens(incarnation, shared, nowMs);
-    if (tokens > 0) believed.set(candidate, tokens);
+    if (tokens > 0) known.set(candidate, tokens);
   }
-  if (!home) return believed;
-  const all = shared.reduce((sum, part) => sum + part.tokens, 0);
-  return believed.set(home, all);
+  return known;
 }
 
 /** A target that was tried or is full may still be fetched from. */
 function findSources(
   question: PlacementQuestion,
   order: HomeOrder | undefined,
+  knownTokens: ReadonlyMap<Candidate, number>,
 ): CacheSources {
-  const { prompt, engine, candidates, beliefs, nowMs } = question;
+  const { prompt, engine, candidates } = question;
   const reachable = candidates.filter(({ record }) =>
     isTrusted(record, question)
   );
@@ -191,8 +192,7 @@
     candidates: reachable,
     home,
     formerHomes,
-    beliefs,
-    nowMs,
+    knownTokens,
   });
 }
 
--- a/packages/core/src/forwarding/home_order.ts
+++ b/packages/core/src/forwarding/home_order.ts
@@ -11,27 +11,18 @@
  * that know the same targets agree without a word, also after a restart.
  */
 export class HomeOrder {
-  /** The first of the order is the last part's home. */
-  readonly #ranked: readonly Candidate[];
-  readonly #oldestBornAtMs: number;
+  readonly #candidates: readonly Candidate[];
+  readonly #partHash: number;
 
   /** `candidates` serve or left shortly before. */
   constructor(partId: string, candidates: readonly Candidate[]) {
-    const partHash = hash32(partId);
-    const scored = candidates.map((candidate) => ({
-      candidate,
-      score: mixHash32(partHash, candidate.incarnationHash),
-    }));
-    scored.sort((a, b) => b.score - a.score || compareNames(a, b));
-    this.#ranked = scored.map(({ candidate }) => candidate);
-    this.#oldestBornAtMs = Math.min(
-      ...candidates.map(({ target }) => target.bornAtMs),
-    );
+    this.#candidates = candidates;
+    this.#partHash = hash32(partId);
   }
 
   /** The first of the order that is one of `serving`. */
   first(serving: ReadonlySet<Candidate>): Candidate | undefined {
-    return this.#ranked.find((candidate) => serving.has(candidate));
+    return this.#findFirst((candidate) => serving.has(candidate));
   }
 
   /**
@@ -40,24 +31,36 @@
    * the first one that was there before it.
    */
   formerHomes(home: Candidate): Candidate[] {
-    const rank = this.#ranked.indexOf(home);
-    const former = this.#ranked.slice(0, Math.max(0, rank));
+    const former = this.#candidates.filter((one) => this.#isBefore(one, home));
     const { bornAtMs } = home.target;
-    if (bornAtMs <= this.#oldestBornAtMs + COHORT_MS) return former;
-    const older = this.#ranked.slice(rank + 1).find(({ target }) =>
-      target.bornAtMs < bornAtMs
+    let oldestBornAtMs = Infinity;
+    for (const { target } of this.#candidates) {
+      oldestBornAtMs = Math.min(oldestBornAtMs, target.bornAtMs);
+    }
+    if (bornAtMs <= oldestBornAtMs + COHORT_MS) return former;
+    const older = this.#findFirst((one) =>
+      one.target.bornAtMs < bornAtMs && !this.#isBefore(one, home)
     );
     if (older) former.push(older);
     return former;
   }
-}
 
-function compareNames(
-  left: { readonly candidate: Candidate },
-  right: { readonly candidate: Candidate },
-): number {
-  const [a, b] = [left, right].map(({ candidate }) =>
-    candidate.target.incarnation
-  );
-  return a! < b! ? -1 : 1;
+  #findFirst(
+    isWanted: (candidate: Candidate) => boolean,
+  ): Candidate | undefined {
+    let first: Candidate | undefined;
+    for (const candidate of this.#candidates) {
+      if (!isWanted(candidate)) continue;
+      if (!first || this.#isBefore(candidate, first)) first = candidate;
+    }
+    return first;
+  }
+
+  #isBefore(left: Candidate, right: Candidate): boolean {
+    if (left === right) return false;
+    const leftScore = mixHash32(this.#partHash, left.incarnationHash);
+    const rightScore = mixHash32(this.#partHash, right.incarnationHash);
+    if (leftScore !== rightScore) return leftScore > rightScore;
+    return left.target.incarnation < right.target.incarnation;
+  }
 }
--- a/packages/core/src/forwarding/prompt.ts
+++ b/packages/core/src/forwarding/prompt.ts
@@ -27,6 +27,11 @@
   return prompt.parts.slice(0, -1);
 }
 
+/** Tokens of the parts that other requests share. */
+export function countSharedTokens(prompt: PromptDescription): number {
+  return sharedParts(prompt).reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
 /**
  * The part that decides on which target a prompt has its home: the last one
  * that others share, since all parts before it come with it.
--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -62,8 +62,9 @@
 
   /** Requests of all daemons at the target, as far as is known. */
   estimateLoad(nowMs: number): number {
-    return this.tries.size + this.#toldOthers *
-        halve(nowMs - this.#toldAtMs, TOLD_LOAD_HALF_LIFE_MS);
+    const ageMs = nowMs - this.#toldAtMs;
+    return this.tries.size +
+      halve(this.#toldOthers, ageMs, TOLD_LOAD_HALF_LIFE_MS);
   }
 
   /** Age of the last told load, for logs. */
@@ -79,14 +80,14 @@
 
   /** Share of recent tries that the target failed, from 0 to 1. */
   failureShare(nowMs: number): number {
-    return this.#failureShare *
-      halve(nowMs - this.#failureAtMs, DISTRUST_HALF_LIFE_MS);
+    const ageMs = nowMs - this.#failureAtMs;
+    return halve(this.#failureShare, ageMs, DISTRUST_HALF_LIFE_MS);
   }
 
   /** Time by which recent answers began later than was expected. */
   delayMs(nowMs: number): number {
-    return this.#delayMs *
-      halve(nowMs - this.#delayAtMs, DISTRUST_HALF_LIFE_MS);
+    const ageMs = nowMs - this.#delayAtMs;
+    return halve(this.#delayMs, ageMs, DISTRUST_HALF_LIFE_MS);
   }
 
   noteFirstByte(actualMs: number, expectedMs: number, nowMs: number): void {
@@ -127,6 +128,8 @@
   }
 }
 
-function halve(ageMs: number, halfLifeMs: number): number {
-  return 0.5 ** (Math.max(0, ageMs) / halfLifeMs);
+/** What is left of `value` after its age; most values are zero. */
+function halve(value: number, ageMs: number, halfLifeMs: number): number {
+  if (value === 0) return 0;
+  return value * 0.5 ** (Math.max(0, ageMs) / halfLifeMs);
 }
