--- a/packages/bench/src/harness/tcp_link.ts
+++ b/packages/bench/src/harness/tcp_link.ts
@@ -65,14 +65,15 @@
     }
     const far = connect(this.#targetPort, HOST);
     for (const [socket, other] of [[near, far], [far, near]] as const) {
+      const later = this.#inOrder();
       socket.setNoDelay(true);
       this.#sockets.add(socket);
       socket.on("error", () => other.destroy());
       socket.on("close", () => {
         this.#sockets.delete(socket);
-        this.#later(() => other.destroy());
+        later(() => other.destroy());
       });
-      this.#forward(socket, other, socket === near);
+      this.#forward(socket, other, socket === near, later);
     }
   }
 
@@ -82,7 +83,12 @@
       silent === (isToTarget ? "to-target" : "from-target");
   }
 
-  #forward(from: Socket, to: Socket, isToTarget: boolean): void {
+  #forward(
+    from: Socket,
+    to: Socket,
+    isToTarget: boolean,
+    later: (action: () => void) => void,
+  ): void {
     let delayedBytes = 0;
     let isSilent = false;
     from.on("data", (chunk) => {
@@ -91,7 +97,7 @@
       if (isSilent) return;
       delayedBytes += chunk.length;
       if (delayedBytes > MAX_DELAYED_BYTES) from.pause();
-      this.#later(() => {
+      later(() => {
         delayedBytes -= chunk.length;
         const hasRoom = !to.destroyed && to.write(chunk);
         if (hasRoom && delayedBytes <= MAX_DELAYED_BYTES) from.resume();
@@ -99,11 +105,20 @@
       });
     });
     from.on("end", () => {
-      if (!isSilent) this.#later(() => to.end());
+      if (!isSilent) later(() => to.end());
     });
   }
 
-  #later(action: () => void): void {
-    setTimeout(action, this.#state.oneWayDelayMs);
+  /** Delays actions so that none overtakes another when the delay falls. */
+  #inOrder(): (action: () => void) => void {
+    const waiting: (() => void)[] = [];
+    let dueAtMs = 0;
+    return (action) => {
+      const nowMs = performance.now();
+      dueAtMs = Math.max(dueAtMs, nowMs + this.#state.oneWayDelayMs);
+      waiting.push(action);
+      // Timers of different lengths may swap, so each runs the oldest action.
+      setTimeout(() => waiting.shift()!(), dueAtMs - nowMs);
+    };
   }
 }
--- a/packages/bench/src/harness/tcp_link_test.ts
+++ b/packages/bench/src/harness/tcp_link_test.ts
@@ -1,8 +1,11 @@
+import { type AddressInfo, connect, createServer } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 import { type PlainService, startPlainService } from "@coltsfootford/standins";
 import { Agent, request } from "undici";
+import { TcpLink } from "./tcp_link.ts";
 import { ZoneLinks } from "./zone_links.ts";
 
+const HOST = "127.0.0.1";
 const ONE_WAY_DELAY_MS = 50;
 
 describe("ZoneLinks", () => {
@@ -64,3 +67,29 @@
     expect(await call(out)).toContain("desk-1");
   });
 });
+
+describe("TcpLink", () => {
+  it("keeps the order of bytes when its delay falls", async () => {
+    const server = createServer((socket) => {
+      socket.write("first ");
+      setTimeout(() => {
+        state.oneWayDelayMs = 0;
+        socket.end("second");
+      }, 30);
+    });
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    const state = { oneWayDelayMs: 100, isCut: false };
+    const { port } = server.address() as AddressInfo;
+    const link = await TcpLink.open(port, state);
+    const text = await new Promise<string>((resolve, reject) => {
+      const chunks: Buffer[] = [];
+      const socket = connect(link.port, HOST);
+      socket.on("data", (chunk) => chunks.push(chunk));
+      socket.on("error", reject);
+      socket.on("end", () => resolve(Buffer.concat(chunks).toString()));
+    });
+    expect(text).toBe("first second");
+    await link.close();
+    server.close();
+  });
+});
