Log the load bound and the reported load of each placement

The log had the estimated load of a target and the age of its report, but neither the bound that the estimate was compared with nor the load that the target then reported, so a request that reached a full target could not be told from another.

classify_attempt_end.ts takes what forwarded_request.ts decided about the end of an attempt, unchanged. No logic changes.

--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -52,6 +52,8 @@
   /** Source from which the target fetches cached parts first, if any. */
   readonly source: CacheSource | undefined;
   readonly estimatedLoad: number;
+  /** Load bound of the service's targets, in requests. */
+  readonly loadBound: number;
   readonly reason: "home" | "cheapest" | "all-full" | "all-distrusted";
 }
 
@@ -105,7 +107,7 @@
   const sharedTokens = countSharedTokens(query.prompt);
   const sources = findSources(query, order, cachedTokensByCandidate);
   const averageFailureShare = meanFailureShare(query);
-  let best: Placement | undefined;
+  let best: Omit<Placement, "loadBound"> | undefined;
   for (const candidate of withinBound.length > 0 ? withinBound : pool) {
     const placement = estimatePlacement(
       candidate,
@@ -122,9 +124,10 @@
     if (!best || placement.costMs < best.costMs) best = placement;
   }
   if (!best) return undefined;
-  if (healthy.length === 0) return { ...best, reason: "all-distrusted" };
-  if (withinBound.length === 0) return { ...best, reason: "all-full" };
-  return best;
+  const placement = { ...best, loadBound };
+  if (healthy.length === 0) return { ...placement, reason: "all-distrusted" };
+  if (withinBound.length === 0) return { ...placement, reason: "all-full" };
+  return placement;
 }
 
 /** Expected time to the first byte at a target with an empty queue, in ms. */
@@ -205,7 +208,7 @@
   averageFailureShare: number,
   query: PlacementQuery,
   settings: PlacementSettings,
-): Placement {
+): Omit<Placement, "loadBound"> {
   const { prompt, nowMs } = query;
   const { target, record } = candidate;
   const missingTokens = prompt.promptTokens - cachedTokens;
--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -5,6 +5,13 @@
   readonly slots: number;
 }
 
+/** Running and waiting requests of a reported load. */
+export function totalRequests(
+  { runningRequests, waitingRequests }: ReportedLoad,
+): number {
+  return runningRequests + waitingRequests;
+}
+
 /** A request that is in flight at a target. */
 export interface InFlightAttempt {
   readonly startedAtMs: number;
@@ -73,8 +80,10 @@
   }
 
   recordReportedLoad(reported: ReportedLoad, nowMs: number): void {
-    const total = reported.runningRequests + reported.waitingRequests;
-    this.#reportedOtherRequests = Math.max(0, total - this.attempts.size);
+    this.#reportedOtherRequests = Math.max(
+      0,
+      totalRequests(reported) - this.attempts.size,
+    );
     this.#reportedAtMs = nowMs;
   }
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,6 +1,4 @@
 import {
-  type AttemptFailure,
-  type AttemptOutcome,
   type CancelTimer,
   canExecuteTwice,
   chooseTarget,
@@ -10,13 +8,28 @@
   isWaitFutile,
   jitteredRetryAfterMs,
   type Placement,
+  type ReportedLoad,
   type RetryStopReason,
   sharedParts,
+  totalRequests,
 } from "@coltsfootford/core";
-import type { AcceptedRequest } from "./forwarding_types.ts";
-import type { ForwarderDependencies } from "./forwarding_types.ts";
+import {
+  classifyFailure,
+  classifyOutcome,
+  isFailureResponse,
+  NOT_EXECUTED_STATUSES,
+} from "./classify_attempt_end.ts";
+import type {
+  AcceptedRequest,
+  ForwarderDependencies,
+} from "./forwarding_types.ts";
 import type { ResponseMetadata } from "./request_codec.ts";
-import { logAttemptFailed, logEnded, logSent } from "./request_log.ts";
+import {
+  countReportedLoad,
+  logAttemptFailed,
+  logEnded,
+  logSent,
+} from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
 import {
   type AttemptEnd,
@@ -25,12 +38,9 @@
   TargetAttempt,
 } from "./target_attempt.ts";
 
-/** Statuses that guarantee the client that its request was not executed. */
-const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
-const FIRST_SERVER_ERROR = 500;
 
 /** Share of the remaining time that one connect may take. */
 const CONNECT_SHARE = 0.3;
@@ -43,6 +53,7 @@
   readonly attempt: TargetAttempt;
   readonly inFlight: InFlightAttempt;
   readonly target: PooledTarget;
+  readonly placement: Placement;
   readonly expectedFirstByteMs: number;
 }
 
@@ -64,6 +75,8 @@
   /** The head of the latest stream; sent to the client with the first event. */
   #streamHead: StreamHead | undefined;
   #hasFinished = false;
+  /** Load that the target of the last attempt reported. */
+  #reportedLoad: ReportedLoad | undefined;
 
   constructor(
     accepted: AcceptedRequest,
@@ -201,6 +214,7 @@
       attempt,
       inFlight,
       target,
+      placement,
       expectedFirstByteMs: expectedFirstByteMs(
         placement.missingTokens,
         dependencies.placement(),
@@ -215,7 +229,11 @@
     const tookMs = nowMs - current.inFlight.startedAtMs;
     metrics.recordMs("target_first_byte_ms", tookMs);
     const { record } = current.target;
-    if (metadata.load) record.recordReportedLoad(metadata.load, nowMs);
+    if (metadata.load) {
+      record.recordReportedLoad(metadata.load, nowMs);
+      this.#reportedLoad = metadata.load;
+      countReportedLoad(this.#dependencies, current.placement, metadata.load);
+    }
     if (metadata.wasNotExecuted) return;
     record.recordFirstByte(
       tookMs,
@@ -247,7 +265,7 @@
     current.target.record.attempts.delete(current.inFlight);
     if (this.#hasFinished) return;
     const nowMs = this.#dependencies.timer.nowMs();
-    const outcome = this.#classifyEnd(end);
+    const outcome = classifyOutcome(end);
     current.target.record.recordOutcome(outcome, nowMs);
     if (end.kind === "unsent" || outcome === "silent") {
       current.target.record.suspend(nowMs);
@@ -255,7 +273,7 @@
     if (end.kind === "unsent") this.#attemptsUnsent += 1;
     if (end.kind === "refused") this.#rejections += 1;
     if (end.kind === "streamed") return this.#finishStream();
-    if (end.kind === "whole" && !this.#isFailure(end.response)) {
+    if (end.kind === "whole" && !isFailureResponse(end.response)) {
       return this.#relayResponse(end.response);
     }
     if (end.kind === "broken" || end.kind === "whole") {
@@ -271,25 +289,12 @@
     this.#onFailure(current, end);
   }
 
-  #classifyEnd(end: AttemptEnd): AttemptOutcome {
-    if (end.kind === "streamed") return "good";
-    if (end.kind === "refused") return "refused";
-    if (end.kind === "broken" && end.cause === "silent") return "silent";
-    if (end.kind !== "whole") return "failed";
-    return this.#isFailure(end.response) ? "failed" : "good";
-  }
-
-  /** Whether the status is a server error or unreliably denies an execution. */
-  #isFailure({ status }: BufferedResponse): boolean {
-    return status >= FIRST_SERVER_ERROR || NOT_EXECUTED_STATUSES.has(status);
-  }
-
   #onFailure(current: CurrentAttempt, end: AttemptEnd): void {
     const { route, service, response } = this.#accepted;
     const decision = this.#rejections > MAX_REJECTIONS
       ? { kind: "stop" as const, reason: "tries-used-up" as RetryStopReason }
       : decideRetry({
-        failure: this.#classifyFailure(end),
+        failure: classifyFailure(end, response.hasStarted),
         isIdempotent: canExecuteTwice(route),
         canResume: route.isResumable && this.#lastEventId !== undefined,
         hasTargetCrashed: false,
@@ -314,12 +319,6 @@
     this.#fail(decision.reason);
   }
 
-  #classifyFailure(end: AttemptEnd): AttemptFailure {
-    if (end.kind === "unsent") return "not-sent";
-    if (end.kind === "refused") return "refused";
-    return this.#accepted.response.hasStarted ? "cut" : "maybe-run";
-  }
-
   #finishStream(): void {
     this.#startStream();
     this.#accepted.response.end();
@@ -393,6 +392,7 @@
       status,
       tries: this.#attemptedIncarnations.size,
       mayHaveRun: this.#mayHaveExecuted,
+      reportedLoad: this.#reportedLoad && totalRequests(this.#reportedLoad),
     });
     this.#onFinished();
   }
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -1,4 +1,9 @@
-import type { Placement, RetryDecision } from "@coltsfootford/core";
+import {
+  type Placement,
+  type ReportedLoad,
+  type RetryDecision,
+  totalRequests,
+} from "@coltsfootford/core";
 import type {
   AcceptedRequest,
   ForwarderDependencies,
@@ -25,7 +30,8 @@
     costMs: Math.round(placement.costMs),
     missingTokens: placement.missingTokens,
     fetchFrom: placement.source?.candidate.target.incarnation,
-    load: Math.round(placement.estimatedLoad * 10) / 10,
+    load: roundToTenths(placement.estimatedLoad),
+    loadBound: roundToTenths(placement.loadBound),
     toldAgeMs: Math.min(MAX_LOGGED_AGE_MS, reportAgeMs),
     configVersion,
     timeLeftMs: Math.round(attempt.timeLeftMs),
@@ -33,6 +39,21 @@
   });
 }
 
+function roundToTenths(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
+/** Counts reported loads, those above the load bound by the placement's reason. */
+export function countReportedLoad(
+  { metrics }: ForwarderDependencies,
+  { reason, loadBound }: Placement,
+  reported: ReportedLoad,
+): void {
+  metrics.count("loads_reported_total");
+  if (totalRequests(reported) <= loadBound) return;
+  metrics.count(`loads_above_bound_${reason.replace("-", "_")}_total`);
+}
+
 /** How an attempt failed, and the decision about a retry. */
 export interface FailedAttempt {
   readonly target: string;
@@ -66,6 +87,8 @@
   readonly status: number;
   readonly tries: number;
   readonly mayHaveRun: boolean;
+  /** Load that the target of the last attempt reported, if any. */
+  readonly reportedLoad: number | undefined;
 }
 
 /** Logs the end of a request, and counts it. */
