Announce overloaded targets, and expect the mean where no report is known

What callers saw: streams that start late at a target which all daemons send a popular prompt to; the rule's bound on its load is broken.

Cause: a daemon decides by the loads that targets reported to itself. With 67 daemons these are 6 s old, and they decayed to zero with a half-life of 2 s. So (1) a popular prompt's preferred target stays within the bound in the view of each daemon, since none has more than one request there; (2) with more daemons, most targets count as idle, the mean is too low, and (3) daemons of a zone all fall back to the first of the targets that cost the same. Class of fault: a bound on what all do together, decided on what each has seen itself.

Announcements: a daemon to which a target reports half more than the bound tells all others through a tree of three messages each, at most every 250 ms for a target. Announced loads stay out of the mean, which they would raise.

Ruled out: reports to all daemons regularly (9 KB/s of control are too few for 300 daemons and 300 targets), permits (a round trip for each request).

--- a/packages/bench/src/load_bound/fleet_model.ts
+++ b/packages/bench/src/load_bound/fleet_model.ts
@@ -5,10 +5,12 @@
   expectedFirstByteMs,
   hash32,
   type InFlightAttempt,
+  OverloadAnnouncements,
   type Placement,
   type PlacementSettings,
   sharedParts,
   TargetRecord,
+  totalRequests,
 } from "@coltsfootford/core";
 import type { RandomSource } from "../load/index.ts";
 import type { EventHeap } from "../replay/index.ts";
@@ -37,6 +39,8 @@
 export interface FleetObserver {
   onArrival(arrival: Arrival): void;
   onFirstEvent(latencyMs: number): void;
+  /** A daemon announces an overloaded target to all others. */
+  onAnnouncement(): void;
   /** Processor time of a placement, in ms. */
   onPlacement(durationMs: number): void;
 }
@@ -46,6 +50,8 @@
 const TARGET_LATENCY_MS = 400;
 const IN_ZONE_DELAY_MS = 0.2;
 const CROSS_ZONE_DELAY_MS = 3.9;
+/** Time until an announcement has been relayed to all daemons. */
+const ANNOUNCEMENT_DELAY_MS = 30;
 /** Age of the load that a response reports. */
 const REPORT_LAG_MS = 200;
 const PROMPT_TOKENS_PER_MS = 50;
@@ -59,6 +65,7 @@
 class ModelDaemon {
   readonly candidates: readonly Candidate[];
   readonly cacheEstimates = new CacheEstimates();
+  readonly announcements = new OverloadAnnouncements();
   readonly settings: PlacementSettings;
 
   constructor(index: number, targets: number, maxLoadFactor: number) {
@@ -68,6 +75,7 @@
     );
     this.settings = {
       availabilityZone: zoneOf(index),
+      daemonHash: hash32(`daemon-${index}`),
       maxLoadFactor,
       promptTokensPerMs: PROMPT_TOKENS_PER_MS,
     };
@@ -168,6 +176,7 @@
             attempt.unreadTokens = 0;
             attempt.lastByteAtMs = nowMs;
             record.recordReportedLoad(load, nowMs);
+            this.#announce(daemon, placement, totalRequests(load));
             const expectedMs = TARGET_LATENCY_MS / 2 +
               expectedFirstByteMs(placement.missingTokens, daemon.settings);
             record.recordFirstByte(nowMs - sentAtMs, expectedMs, nowMs);
@@ -182,6 +191,30 @@
     });
   }
 
+  /** Announces an overloaded target to all other daemons. */
+  #announce(
+    daemon: ModelDaemon,
+    { candidate, loadBound }: Placement,
+    requests: number,
+  ): void {
+    const { incarnation, port } = candidate.target;
+    const { announcements } = daemon;
+    const nowMs = this.#heap.nowMs;
+    if (!announcements.isNews(incarnation, requests, loadBound, nowMs)) return;
+    announcements.recordAnnounced(incarnation, nowMs);
+    this.#observer.onAnnouncement();
+    this.#heap.after(ANNOUNCEMENT_DELAY_MS, () => {
+      for (const other of this.#daemons) {
+        if (other === daemon) continue;
+        other.announcements.recordAnnounced(incarnation, this.#heap.nowMs);
+        other.candidates[port]!.record.recordAnnouncedLoad(
+          requests,
+          this.#heap.nowMs,
+        );
+      }
+    });
+  }
+
   #meanLoad(): number {
     const total = this.#engines.reduce((sum, { load }) => sum + load, 0);
     return total / this.#engines.length;
--- a/packages/bench/src/load_bound/main.ts
+++ b/packages/bench/src/load_bound/main.ts
@@ -73,6 +73,7 @@
       "p95, ms",
       "missing tokens",
       "placement, us",
+      "announced/s",
     ],
     rows,
   }));
@@ -102,5 +103,6 @@
     result.firstEventP95Ms.toFixed(0),
     result.missingTokens.toFixed(0),
     result.placementUs.toFixed(0),
+    result.announcementsPerSecond.toFixed(1),
   ];
 }
--- a/packages/bench/src/load_bound/measure_load_bound.ts
+++ b/packages/bench/src/load_bound/measure_load_bound.ts
@@ -36,6 +36,8 @@
   /** Prompt tokens that were assumed to be missing, per request. */
   readonly missingTokens: number;
   readonly placementUs: number;
+  /** Announcements of overloaded targets by all daemons. */
+  readonly announcementsPerSecond: number;
 }
 
 /** The load bound of the platform's rules: a multiple of the mean, and slack. */
@@ -72,6 +74,7 @@
   const firstEventMs: number[] = [];
   let placementMs = 0;
   let placements = 0;
+  let announcements = 0;
   const fleet = new FleetModel(options, MAX_LOAD_FACTOR, heap, random, {
     onArrival: (arrival) => {
       const bound = arrival.meanLoad * MAX_LOAD_FACTOR + LOAD_SLACK_REQUESTS;
@@ -80,6 +83,9 @@
       arrivals.push({ atMs: heap.nowMs, arrival, isOverBound });
     },
     onFirstEvent: (latencyMs) => firstEventMs.push(latencyMs),
+    onAnnouncement: () => {
+      announcements += 1;
+    },
     onPlacement: (durationMs) => {
       placementMs += durationMs;
       placements += 1;
@@ -95,6 +101,8 @@
     firstEventMeanMs: mean(firstEventMs),
     firstEventP95Ms: firstEventMs[Math.floor(firstEventMs.length * 0.95)] ?? 0,
     placementUs: placementMs / placements * MS_PER_S,
+    announcementsPerSecond: announcements /
+      ((WARM_UP_MS + options.durationMs) / MS_PER_S),
   };
 }
 
--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -1,6 +1,8 @@
+import { mixHash32 } from "../hash/index.ts";
 import type { CacheEstimates } from "./cache_estimates.ts";
 import { type CacheSource, CacheSources, fetchMs } from "./cache_source.ts";
 import type { EngineProperties } from "./forwarding_config.ts";
+import { LoadEstimates } from "./load_estimates.ts";
 import { PreferredTargetOrder } from "./preferred_target_order.ts";
 import {
   affinityPart,
@@ -14,6 +16,8 @@
 /** Settings of the placement for the fleet and the engines. */
 export interface PlacementSettings {
   readonly availabilityZone: string;
+  /** Hash of the daemon's name. */
+  readonly daemonHash: number;
   /** Load bound of a target, as a multiple of its service's mean load. */
   readonly maxLoadFactor: number;
   /** Prompt tokens that an engine reads in a ms. */
@@ -97,9 +101,14 @@
   if (remaining.length === 0) return undefined;
   const healthy = remaining.filter(({ record }) => isHealthy(record, query));
   const pool = healthy.length > 0 ? healthy : remaining;
-  const loadBound = maxLoad(query, settings);
+  const loads = new LoadEstimates(
+    query.candidates.map(({ record }) => record),
+    query.nowMs,
+  );
+  const loadBound = loads.mean * settings.maxLoadFactor +
+    LOAD_BOUND_SLACK_REQUESTS;
   const withinBound = pool.filter(({ record }) =>
-    record.estimateLoad(query.nowMs) + 1 <= loadBound
+    loads.of(record) + 1 <= loadBound
   );
   const order = orderPreferredTargets(query);
   const preferredTarget = order?.first(new Set(pool));
@@ -118,10 +127,11 @@
       sources.sourceFor(candidate),
       candidate === preferredTarget,
       averageFailureShare,
+      loads.of(candidate.record),
       query,
       settings,
     );
-    if (!best || placement.costMs < best.costMs) best = placement;
+    if (!best || isBetter(placement, best, settings)) best = placement;
   }
   if (!best) return undefined;
   const placement = { ...best, loadBound };
@@ -143,16 +153,6 @@
   return record.silentForMs(nowMs) < UNRESPONSIVE_AFTER_MS;
 }
 
-function maxLoad(
-  { candidates, nowMs }: PlacementQuery,
-  { maxLoadFactor }: PlacementSettings,
-): number {
-  let total = 0;
-  for (const { record } of candidates) total += record.estimateLoad(nowMs);
-  const mean = total / Math.max(1, candidates.length);
-  return mean * maxLoadFactor + LOAD_BOUND_SLACK_REQUESTS;
-}
-
 function orderPreferredTargets(
   { prompt, candidates, departed }: PlacementQuery,
 ): PreferredTargetOrder | undefined {
@@ -206,13 +206,13 @@
   source: CacheSource | undefined,
   isPreferred: boolean,
   averageFailureShare: number,
+  estimatedLoad: number,
   query: PlacementQuery,
   settings: PlacementSettings,
 ): Omit<Placement, "loadBound"> {
   const { prompt, nowMs } = query;
   const { target, record } = candidate;
   const missingTokens = prompt.promptTokens - cachedTokens;
-  const estimatedLoad = record.estimateLoad(nowMs);
   const fetchedTokens = Math.max(0, (source?.tokens ?? 0) - cachedTokens);
   const transferMs = query.engine
     ? fetchMs(fetchedTokens, query.engine) * FETCH_COST_FACTOR
@@ -235,6 +235,20 @@
   };
 }
 
+/**
+ * Whether `left` costs less. Each daemon resolves ties in an order of its own,
+ * since daemons that know nothing of some targets would all choose the same.
+ */
+function isBetter(
+  left: Omit<Placement, "loadBound">,
+  right: Omit<Placement, "loadBound">,
+  { daemonHash }: PlacementSettings,
+): boolean {
+  if (left.costMs !== right.costMs) return left.costMs < right.costMs;
+  return mixHash32(daemonHash, left.candidate.incarnationHash) >
+    mixHash32(daemonHash, right.candidate.incarnationHash);
+}
+
 /** Cost of the load in ms; waiting requests add their share of a turnover. */
 function loadCostMs(target: RegisteredTarget, load: number): number {
   const waiting = Math.max(0, load + 1 - target.slots);
--- a/packages/core/src/forwarding/choose_target_test.ts
+++ b/packages/core/src/forwarding/choose_target_test.ts
@@ -12,6 +12,7 @@
 
 const SETTINGS = {
   availabilityZone: "a",
+  daemonHash: 1,
   maxLoadFactor: 2,
   promptTokensPerMs: 50,
 };
--- a/packages/core/src/forwarding/forwarding_parts_test.ts
+++ b/packages/core/src/forwarding/forwarding_parts_test.ts
@@ -107,8 +107,8 @@
       waitingRequests: 1,
       slots: 8,
     }, 0);
-    expect(record.estimateLoad(0)).toBe(7);
-    expect(record.estimateLoad(2_000)).toBe(3.5);
+    expect(record.estimateLoad(0, 0)).toBe(7);
+    expect(record.estimateLoad(2_000, 0)).toBe(3.5);
   });
 
   it("suspends an unreachable target for longer each time", () => {
--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -26,7 +26,7 @@
 /** The outcome of an attempt, as far as it concerns the target's health. */
 export type AttemptOutcome = "good" | "refused" | "failed" | "silent";
 
-/** Half-life of the reported load of other daemons. */
+/** Half-life of the weight of a reported load against the expected load. */
 const REPORTED_LOAD_HALF_LIFE_MS = 2_000;
 /** Weight of a new sample in the moving average of the failure share. */
 const FAILURE_WEIGHT = 0.15;
@@ -44,6 +44,8 @@
   readonly attempts = new Set<InFlightAttempt>();
   #reportedOtherRequests = 0;
   #reportedAtMs = -Infinity;
+  #announcedOtherRequests = 0;
+  #announcedAtMs = -Infinity;
   #failureShare = 0;
   #failureAtMs = 0;
   #delayMs = 0;
@@ -67,16 +69,38 @@
     return tokens;
   }
 
-  /** Estimated in-flight requests of all daemons at the target. */
-  estimateLoad(nowMs: number): number {
-    const ageMs = nowMs - this.#reportedAtMs;
-    return this.attempts.size +
-      decay(this.#reportedOtherRequests, ageMs, REPORTED_LOAD_HALF_LIFE_MS);
+  /** Requests of other daemons that the target last reported to this daemon. */
+  get reportedOtherRequests(): number {
+    return this.#reportedOtherRequests;
+  }
+
+  /** Weight of the last report to this daemon, from 1 when it is new to 0. */
+  ownReportWeight(nowMs: number): number {
+    return reportWeight(this.#reportedAtMs, nowMs);
+  }
+
+  /**
+   * Estimated in-flight requests of all daemons at the target. The older the
+   * latest report or announcement is, the more the expected load counts.
+   */
+  estimateLoad(nowMs: number, expectedOtherRequests: number): number {
+    const isAnnounced = this.#announcedAtMs > this.#reportedAtMs;
+    const known = isAnnounced
+      ? this.#announcedOtherRequests
+      : this.#reportedOtherRequests;
+    const weight = reportWeight(this.reportedAtMs, nowMs);
+    return this.attempts.size + weight * known +
+      (1 - weight) * expectedOtherRequests;
+  }
+
+  /** When the latest known load was reported to any daemon. */
+  get reportedAtMs(): number {
+    return Math.max(this.#reportedAtMs, this.#announcedAtMs);
   }
 
   /** Age of the last reported load, for logs. */
   reportedLoadAgeMs(nowMs: number): number {
-    return nowMs - this.#reportedAtMs;
+    return nowMs - this.reportedAtMs;
   }
 
   recordReportedLoad(reported: ReportedLoad, nowMs: number): void {
@@ -87,6 +111,12 @@
     this.#reportedAtMs = nowMs;
   }
 
+  /** Records a load that the target reported to another daemon. */
+  recordAnnouncedLoad(requests: number, nowMs: number): void {
+    this.#announcedOtherRequests = Math.max(0, requests - this.attempts.size);
+    this.#announcedAtMs = nowMs;
+  }
+
   /** Share of recent attempts that failed at the target, from 0 to 1. */
   failureShare(nowMs: number): number {
     const ageMs = nowMs - this.#failureAtMs;
@@ -140,6 +170,11 @@
   }
 }
 
+function reportWeight(reportedAtMs: number, nowMs: number): number {
+  return 0.5 **
+    (Math.max(0, nowMs - reportedAtMs) / REPORTED_LOAD_HALF_LIFE_MS);
+}
+
 /** Decays `value` exponentially; the shortcut is for zero, the usual value. */
 function decay(value: number, ageMs: number, halfLifeMs: number): number {
   if (value === 0) return 0;
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -24,12 +24,7 @@
   ForwarderDependencies,
 } from "./forwarding_types.ts";
 import type { ResponseMetadata } from "./request_codec.ts";
-import {
-  countReportedLoad,
-  logAttemptFailed,
-  logEnded,
-  logSent,
-} from "./request_log.ts";
+import { logAttemptFailed, logEnded, logSent } from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
 import {
   type AttemptEnd,
@@ -224,7 +219,7 @@
   }
 
   #onFirstByte(current: CurrentAttempt, metadata: ResponseMetadata): void {
-    const { timer, metrics } = this.#dependencies;
+    const { timer, metrics, loadObserver } = this.#dependencies;
     const nowMs = timer.nowMs();
     const tookMs = nowMs - current.inFlight.startedAtMs;
     metrics.recordMs("target_first_byte_ms", tookMs);
@@ -232,7 +227,7 @@
     if (metadata.load) {
       record.recordReportedLoad(metadata.load, nowMs);
       this.#reportedLoad = metadata.load;
-      countReportedLoad(this.#dependencies, current.placement, metadata.load);
+      loadObserver.onReportedLoad(current.placement, metadata.load);
     }
     if (metadata.wasNotExecuted) return;
     record.recordFirstByte(
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from "node:http";
 import { getRequestListener } from "@hono/node-server";
 import { JSONRPCServer } from "json-rpc-2.0";
-import { RetryShares, type TimerService } from "@coltsfootford/core";
+import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
@@ -14,6 +14,7 @@
 import { Forwarder } from "./forwarder.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
+  OverloadController,
   PeersController,
   PeerSyncController,
   QuarantineController,
@@ -108,8 +109,18 @@
       log,
       random,
     });
+    const daemonHash = hash32(settings.vm);
     const pool = new TargetPool(blackboard, timer);
     this.#pool = pool;
+    const overload = new OverloadController({
+      self,
+      blackboard,
+      pool,
+      rpc,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     this.#controllers = [
       new StoreContactController(blackboard, store, timer, log),
       routes,
@@ -117,6 +128,7 @@
       peers,
       quarantine,
       peerSync,
+      overload,
       new StoreFollowerController({
         store,
         followed: [
@@ -137,6 +149,7 @@
       metrics: this.#metrics,
       placement: () => ({
         availabilityZone: settings.availabilityZone,
+        daemonHash,
         maxLoadFactor: blackboard.limits.read().maxLoadFactor,
         promptTokensPerMs: PROMPT_TOKENS_PER_MS,
       }),
@@ -148,6 +161,7 @@
         () => blackboard.peers.read().length + 1,
       ),
       crashObserver: quarantine,
+      loadObserver: overload,
       random,
     });
     this.#server = new ForwardingServer({
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -1,8 +1,10 @@
 import type {
   EngineProperties,
   ForwardingRoute,
+  Placement,
   PlacementSettings,
   RegisteredTarget,
+  ReportedLoad,
   RetryShares,
   TeamKeys,
   TimerService,
@@ -40,6 +42,11 @@
   onRequestServed(request: RequestContent): void;
 }
 
+/** Receives the loads that targets report with their responses. */
+export interface LoadObserver {
+  onReportedLoad(placement: Placement, load: ReportedLoad): void;
+}
+
 /** Dependencies of the request forwarder. */
 export interface ForwarderDependencies {
   readonly codec: RequestCodec;
@@ -49,6 +56,7 @@
   readonly metrics: Metrics;
   readonly placement: () => PlacementSettings;
   readonly crashObserver: CrashObserver;
+  readonly loadObserver: LoadObserver;
   readonly retryShares: RetryShares;
   readonly random: () => number;
 }
--- a/packages/daemon/src/forwarding/knowledge/index.ts
+++ b/packages/daemon/src/forwarding/knowledge/index.ts
@@ -2,6 +2,7 @@
 export * from "./call_peer.ts";
 export * from "./followed_prefix.ts";
 export * from "./store_record_codec.ts";
+export * from "./overload_controller.ts";
 export * from "./peer_sync_controller.ts";
 export * from "./peers_controller.ts";
 export * from "./quarantine_controller.ts";
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -1,9 +1,4 @@
-import {
-  type Placement,
-  type ReportedLoad,
-  type RetryDecision,
-  totalRequests,
-} from "@coltsfootford/core";
+import type { Placement, RetryDecision } from "@coltsfootford/core";
 import type {
   AcceptedRequest,
   ForwarderDependencies,
@@ -43,17 +38,6 @@
   return Math.round(value * 10) / 10;
 }
 
-/** Counts reported loads, those above the load bound by the placement's reason. */
-export function countReportedLoad(
-  { metrics }: ForwarderDependencies,
-  { reason, loadBound }: Placement,
-  reported: ReportedLoad,
-): void {
-  metrics.count("loads_reported_total");
-  if (totalRequests(reported) <= loadBound) return;
-  metrics.count(`loads_above_bound_${reason.replace("-", "_")}_total`);
-}
-
 /** How an attempt failed, and the decision about a retry. */
 export interface FailedAttempt {
   readonly target: string;
--- a/packages/daemon/src/forwarding/target_pool.ts
+++ b/packages/daemon/src/forwarding/target_pool.ts
@@ -49,6 +49,11 @@
     return departed;
   }
 
+  /** The target incarnation, if it may receive requests. */
+  find(incarnation: string): PooledTarget | undefined {
+    return this.#byIncarnation.get(incarnation);
+  }
+
   /** All targets that may receive requests. */
   all(): Iterable<PooledTarget> {
     return this.#byIncarnation.values();
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -210,6 +210,16 @@
     level: "error",
     text: "settings file could not be reloaded",
   },
+  overloadAnnounced: {
+    number: 6113,
+    level: "info",
+    text: "target reported a load far above the load bound",
+  },
+  overloadLearned: {
+    number: 6114,
+    level: "info",
+    text: "another daemon announced an overloaded target",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
