Bound the bytes that are read of one response

Cause: only buffered bodies had a limit, 16 MB. Class of fault: a resource that a peer controls is bounded where an honest peer uses it, and not where it is read.

ResponseLimits (core) bounds a response as a whole: body bytes by what the body is read as (1 MiB of a success, 64 KiB of any other, 16 MiB of a stream), bytes beside the body by 256 KiB and 16 a body byte, an incomplete event, events by the tokens that were requested. The attempt counts the bytes of the socket, so no part is left out. A rejection's rest is read for 500 ms at most. EventFramer copied the whole incomplete event for each chunk; it now appends.

Ruled out by the test on the code before: headers, chunk extensions and trailers (Node.js bounds them), bytes after a complete response (the connection is closed).

--- a/packages/core/src/forwarding/event_frames.ts
+++ b/packages/core/src/forwarding/event_frames.ts
@@ -1,5 +1,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const INITIAL_BUFFER_BYTES = 512;
+/** Bytes of a blank line that may have arrived without its last one. */
+const MAX_PARTIAL_END_BYTES = 2;
 
 /** One complete event of a byte stream. */
 export interface EventFrame {
@@ -14,27 +17,50 @@
  * is forwarded before its end was received.
  */
 export class EventFramer {
-  #rest: Uint8Array = new Uint8Array(0);
+  /** Holds the incomplete event; grows in powers of two. */
+  #buffer: Uint8Array = new Uint8Array(INITIAL_BUFFER_BYTES);
+  #restBytes = 0;
 
   /** Appends bytes and returns the events that are complete now. */
   push(bytes: Uint8Array): EventFrame[] {
-    const all = this.#rest.length === 0 ? bytes : join(this.#rest, bytes);
+    if (this.#restBytes === 0) return this.#takeEvents(bytes, 0);
+    const scanFrom = Math.max(0, this.#restBytes - MAX_PARTIAL_END_BYTES);
+    this.#append(bytes);
+    if (findEnd(this.rest, scanFrom) === -1) return [];
+    // A copy, since the buffer is used again while the events are forwarded.
+    const all = this.rest.slice();
+    this.#restBytes = 0;
+    return this.#takeEvents(all, scanFrom);
+  }
+
+  /** Bytes after the last complete event. */
+  get rest(): Uint8Array {
+    return this.#buffer.subarray(0, this.#restBytes);
+  }
+
+  #takeEvents(all: Uint8Array, scanFrom: number): EventFrame[] {
     const frames: EventFrame[] = [];
     let startAt = 0;
-    let endAt = findEnd(all, startAt);
+    let endAt = findEnd(all, scanFrom);
     while (endAt !== -1) {
       const event = all.subarray(startAt, endAt);
       frames.push({ bytes: event, id: readId(event) });
       startAt = endAt;
       endAt = findEnd(all, startAt);
     }
-    this.#rest = all.subarray(startAt);
+    this.#append(all.subarray(startAt));
     return frames;
   }
 
-  /** Bytes after the last complete event. */
-  get rest(): Uint8Array {
-    return this.#rest;
+  #append(bytes: Uint8Array): void {
+    const neededBytes = this.#restBytes + bytes.length;
+    if (neededBytes > this.#buffer.length) {
+      const larger = new Uint8Array(2 ** Math.ceil(Math.log2(neededBytes)));
+      larger.set(this.rest);
+      this.#buffer = larger;
+    }
+    this.#buffer.set(bytes, this.#restBytes);
+    this.#restBytes = neededBytes;
   }
 }
 
@@ -58,10 +84,3 @@
 function readId(event: Uint8Array): string | undefined {
   return ID_LINE.exec(decoder.decode(event))?.[1];
 }
-
-function join(left: Uint8Array, right: Uint8Array): Uint8Array {
-  const joined = new Uint8Array(left.length + right.length);
-  joined.set(left);
-  joined.set(right, left.length);
-  return joined;
-}
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -9,6 +9,7 @@
 export * from "./preferred_target_order.ts";
 export * from "./prompt.ts";
 export * from "./relay_tree.ts";
+export * from "./response_limits.ts";
 export * from "./response_wait.ts";
 export * from "./retry_after.ts";
 export * from "./retry_share.ts";
--- /dev/null
+++ b/packages/core/src/forwarding/response_limits.ts
@@ -0,0 +1,86 @@
+/** Largest body that is buffered of a successful response. */
+const MAX_BODY_BYTES = 1024 * 1024;
+/** Largest body that is read of any other response. */
+const MAX_ERROR_BODY_BYTES = 64 * 1024;
+/** Largest incomplete event of a stream. */
+const MAX_EVENT_BYTES = 256 * 1024;
+/** Largest stream in total. */
+const MAX_STREAM_BYTES = 16 * 1024 * 1024;
+/**
+ * Bytes of a response beside its body: heads, interim responses, trailers, and
+ * body bytes that were received but not read yet.
+ */
+const MAX_FRAMING_BYTES = 256 * 1024;
+/** Framing of a chunk that has a single byte of body, rounded up. */
+const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
+
+/** Events without a new id, such as comments, and events beyond the tokens. */
+const MAX_EXTRA_EVENTS = 256;
+
+/** What the body of a response is read as. */
+export type BodyKind = "success" | "error" | "stream";
+
+const BODY_LIMITS_BYTES: Readonly<Record<BodyKind, number>> = {
+  success: MAX_BODY_BYTES,
+  error: MAX_ERROR_BODY_BYTES,
+  stream: MAX_STREAM_BYTES,
+};
+
+/**
+ * Bounds the bytes that are read of one response, since a faulty target may
+ * send bytes without end as any part of it.
+ */
+export class ResponseLimits {
+  #receivedBytes = 0;
+  #bodyBytes = 0;
+  #bodyKind: BodyKind = "error";
+  #events = 0;
+  #repeatedEvents = 0;
+  #lastEventId: string | undefined;
+  readonly #maxEvents: number;
+
+  /** `maxOutputTokens` limits the events of a stream; 0 if it is unknown. */
+  constructor(maxOutputTokens: number) {
+    this.#maxEvents = maxOutputTokens > 0
+      ? maxOutputTokens + MAX_EXTRA_EVENTS
+      : Infinity;
+  }
+
+  /** Sets the limit on the body once the head has arrived. */
+  setBodyKind(kind: BodyKind): void {
+    this.#bodyKind = kind;
+  }
+
+  /** Counts bytes of the connection, framing included. */
+  recordReceived(bytes: number): void {
+    this.#receivedBytes += bytes;
+  }
+
+  /** Counts bytes of the body. */
+  recordBody(bytes: number): void {
+    this.#bodyBytes += bytes;
+  }
+
+  /** Counts an event of a stream. */
+  recordEvent(id: string | undefined): void {
+    this.#events += 1;
+    if (id === undefined || id === this.#lastEventId) this.#repeatedEvents += 1;
+    this.#lastEventId = id ?? this.#lastEventId;
+  }
+
+  /** Which limit the response exceeds, if any. */
+  findExcess(incompleteEventBytes = 0): string | undefined {
+    if (this.#bodyBytes > BODY_LIMITS_BYTES[this.#bodyKind]) {
+      return "answer too large";
+    }
+    if (
+      this.#events > this.#maxEvents || this.#repeatedEvents > MAX_EXTRA_EVENTS
+    ) return "too many events";
+    if (incompleteEventBytes > MAX_EVENT_BYTES) return "event too large";
+    const framingBytes = this.#receivedBytes - this.#bodyBytes;
+    const maxFramingBytes = MAX_FRAMING_BYTES +
+      this.#bodyBytes * MAX_FRAMING_BYTES_PER_BODY_BYTE;
+    if (framingBytes > maxFramingBytes) return "too many bytes beside the body";
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/forwarding/response_limits_test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from "@jest/globals";
+import { ResponseLimits } from "./response_limits.ts";
+
+const MEGABYTE = 1024 * 1024;
+
+describe("ResponseLimits", () => {
+  it("allows a large response in chunks of one byte", () => {
+    const limits = new ResponseLimits(0);
+    limits.setBodyKind("success");
+    limits.recordReceived(6 * MEGABYTE);
+    limits.recordBody(MEGABYTE);
+    expect(limits.findExcess()).toBeUndefined();
+  });
+
+  it("bounds the body of an error more than that of a success", () => {
+    const limits = new ResponseLimits(0);
+    limits.recordReceived(MEGABYTE);
+    limits.recordBody(MEGABYTE);
+    expect(limits.findExcess()).toBe("answer too large");
+    limits.setBodyKind("success");
+    expect(limits.findExcess()).toBeUndefined();
+  });
+
+  it("bounds bytes that belong to no body", () => {
+    const limits = new ResponseLimits(0);
+    limits.recordReceived(300 * 1024);
+    expect(limits.findExcess()).toBe("too many bytes beside the body");
+  });
+
+  it("bounds the events by the tokens that were requested", () => {
+    const limits = new ResponseLimits(1_000);
+    for (let id = 1; id <= 1_000; id++) limits.recordEvent(String(id));
+    expect(limits.findExcess()).toBeUndefined();
+    for (let id = 1_001; id <= 1_300; id++) limits.recordEvent(String(id));
+    expect(limits.findExcess()).toBe("too many events");
+  });
+});
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -192,6 +192,7 @@
         target,
         connectTimeoutMs: Math.min(MAX_CONNECT_MS, timeLeftMs * CONNECT_SHARE),
         isStream: accepted.route.kind === "stream",
+        maxOutputTokens: accepted.metadata.prompt.maxOutputTokens,
         inFlight,
       },
       dependencies.codec,
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -3,6 +3,7 @@
 import {
   EventFramer,
   type InFlightAttempt,
+  ResponseLimits,
   type TimerService,
 } from "@coltsfootford/core";
 import { findHeader } from "./http_headers.ts";
@@ -54,6 +55,8 @@
   readonly target: PooledTarget;
   readonly connectTimeoutMs: number;
   readonly isStream: boolean;
+  /** Most tokens that the response may have; 0 if unknown. */
+  readonly maxOutputTokens: number;
   readonly inFlight: InFlightAttempt;
 }
 
@@ -71,8 +74,8 @@
   onEnd(end: AttemptEnd): void;
 }
 
-/** Largest response that is buffered; a larger one fails the attempt. */
-const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024;
+/** Time in which the rest of a rejection must arrive. */
+const DISCARD_TIMEOUT_MS = 500;
 const STATUS_OK = 200;
 const STATUS_MULTIPLE_CHOICES = 300;
 
@@ -83,6 +86,7 @@
   readonly #timer: TimerService;
   readonly #listener: AttemptListener;
   readonly #request: ClientRequest;
+  readonly #limits: ResponseLimits;
   #response: IncomingMessage | undefined;
   #isConnected = false;
   #hasEnded = false;
@@ -98,6 +102,7 @@
     this.#codec = codec;
     this.#timer = timer;
     this.#listener = listener;
+    this.#limits = new ResponseLimits(plan.maxOutputTokens);
     this.#request = this.#send();
   }
 
@@ -140,6 +145,12 @@
   }
 
   #onSocket(socket: Socket): void {
+    const onData = (bytes: Buffer) => {
+      this.#limits.recordReceived(bytes.length);
+      this.#checkLimits();
+    };
+    socket.on("data", onData);
+    this.#request.once("close", () => socket.off("data", onData));
     if (!socket.connecting) {
       this.#isConnected = true;
       return;
@@ -173,10 +184,11 @@
     response.on("error", (error) => this.#fail(error.message));
     response.on("aborted", () => this.#fail("answer broken off"));
     if (metadata.wasNotExecuted) {
-      response.resume();
+      this.#discard(response);
       return this.#end({ kind: "refused", status });
     }
     const isGood = status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+    if (isGood) this.#limits.setBodyKind("success");
     const error = isGood ? findResponseError(metadata) : undefined;
     if (error !== undefined) return this.#fail(error);
     if (isGood && this.#plan.isStream && isEventStream(metadata)) {
@@ -202,11 +214,15 @@
   ): void {
     const framer = new EventFramer();
     const isStreamFramed = isFramed(response);
+    this.#limits.setBodyKind("stream");
     this.#listener.onStreamHead({ status, metadata, isFramed: isStreamFramed });
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
+      this.#limits.recordBody(chunk.length);
       const frames = framer.push(chunk);
+      for (const { id } of frames) this.#limits.recordEvent(id);
+      if (this.#checkLimits(framer.rest.length)) return;
       if (frames.length === 0) return;
       this.#plan.inFlight.unreadTokens = 0;
       const bytes = Buffer.concat(frames.map((frame) => frame.bytes));
@@ -233,14 +249,11 @@
     metadata: ResponseMetadata,
   ): void {
     const chunks: Buffer[] = [];
-    let sizeBytes = 0;
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
-      sizeBytes += chunk.length;
-      if (sizeBytes > MAX_BUFFERED_RESPONSE_BYTES) {
-        return this.#fail("answer too large");
-      }
+      this.#limits.recordBody(chunk.length);
+      if (this.#checkLimits()) return;
       chunks.push(chunk);
     });
     response.on("end", () => {
@@ -257,6 +270,28 @@
     });
   }
 
+  /** Reads the rest of a rejection, so that its connection can be reused. */
+  #discard(response: IncomingMessage): void {
+    const cancelTimer = this.#timer.after(
+      DISCARD_TIMEOUT_MS,
+      () => this.#request.destroy(),
+    );
+    response.once("close", cancelTimer);
+    response.on("data", (chunk: Buffer) => {
+      this.#limits.recordBody(chunk.length);
+      this.#checkLimits();
+    });
+  }
+
+  /** Closes the connection if the response exceeds a limit. */
+  #checkLimits(incompleteEventBytes = 0): boolean {
+    const excess = this.#limits.findExcess(incompleteEventBytes);
+    if (excess === undefined) return false;
+    this.#fail(excess);
+    this.#request.destroy();
+    return true;
+  }
+
   #recordReceived(): void {
     this.#plan.inFlight.lastByteAtMs = this.#timer.nowMs();
   }
