Bound the bytes from targets on the project's own interface, too

On the code before: a stream whose event never ends ran the process out of heap (the test suite ended so); a body without end did not end a call in 100 s of test; line ends or interim responses before a head held a call until its deadline (8 s of test).

TargetClient and LoadClient bound the body (4 MiB, 64 KiB) and, by a connector that watches its sockets, all bytes since a request was written (twice that). A stream's incomplete event is bounded, and so is what follows its end marker.

--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -16,6 +16,10 @@
 
 const STATUS_OK = 200;
 const DONE = "[DONE]";
+/** Bytes after a complete stream for which its connection stays open. */
+const MAX_BYTES_AFTER_END = 64 * 1024;
+/** Largest incomplete event of a stream. */
+const MAX_EVENT_BYTES = 256 * 1024;
 const COMPLETED_TRAILER = ": outcome=completed\n\ndata: [DONE]\n\n";
 
 /**
@@ -97,15 +101,26 @@
     const decoder = new TextDecoder();
     return new Promise((resolve) => {
       let isSettled = false;
+      let bytesAfterEnd = 0;
+      let incompleteBytes = 0;
       const settle = (result: AttemptResult) => {
         if (isSettled) return;
         isSettled = true;
         resolve(result);
       };
       body.on("data", (chunk: Uint8Array) => {
-        if (isSettled) return;
+        if (isSettled) {
+          bytesAfterEnd += chunk.length;
+          if (bytesAfterEnd > MAX_BYTES_AFTER_END) discardBody(response);
+          return;
+        }
         parser.feed(decoder.decode(chunk, { stream: true }));
-        const result = this.#forwardEvents(events.splice(0), body);
+        incompleteBytes = events.length > 0
+          ? 0
+          : incompleteBytes + chunk.length;
+        const result = incompleteBytes > MAX_EVENT_BYTES
+          ? this.#createFailure("an event is too large")
+          : this.#forwardEvents(events.splice(0), body);
         if (!result) return;
         // After a complete response, the connection stays open for reuse.
         if (result.kind !== "answered") discardBody(response);
--- a/packages/daemon/src/entry/stream_relay_test.ts
+++ b/packages/daemon/src/entry/stream_relay_test.ts
@@ -75,4 +75,22 @@
     expect(text.match(/"oak"/g)).toHaveLength(1);
     expect(resumeHeaders.slice(0, 2)).toEqual([undefined, "1"]);
   });
+
+  // Guards against a daemon that buffers an event which never ends.
+  it("leaves a target that sends an event without end", async () => {
+    let openResponses = 0;
+    const text = await readCutStream((_incoming, outgoing) => {
+      openResponses += 1;
+      outgoing.on("close", () => openResponses -= 1);
+      outgoing.writeHead(200, { "content-type": "text/event-stream" });
+      const send = () => {
+        while (!outgoing.destroyed && outgoing.write("data: ".repeat(1_000)));
+        if (!outgoing.destroyed) outgoing.once("drain", send);
+      };
+      send();
+    });
+    expect(text).not.toContain("[DONE]");
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect(openResponses).toBe(0);
+  });
 });
--- a/packages/daemon/src/membership/load_client.ts
+++ b/packages/daemon/src/membership/load_client.ts
@@ -1,13 +1,16 @@
 import { createStepError, type StepError } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import type { Socket } from "node:net";
-import { Agent, buildConnector } from "undici";
+import { Agent } from "undici";
 import { z } from "zod";
 import type { TargetView } from "../blackboard/index.ts";
+import { createBoundedConnector } from "../targets/index.ts";
 import { TrafficCounter, type TrafficSnapshot } from "../peers/index.ts";
 
 const LOAD_TIMEOUT_MS = 900;
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+/** Largest load report that is read. */
+const MAX_RESPONSE_BYTES = 64 * 1024;
 const STATUS_OK = 200;
 
 const loadResponseSchema = z.looseObject({
@@ -27,11 +30,15 @@
   readonly #agent: Agent;
 
   constructor() {
-    const connect = buildConnector({ timeout: LOAD_TIMEOUT_MS });
+    const connect = createBoundedConnector(
+      LOAD_TIMEOUT_MS,
+      2 * MAX_RESPONSE_BYTES,
+    );
     this.#agent = new Agent({
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       headersTimeout: LOAD_TIMEOUT_MS,
       bodyTimeout: LOAD_TIMEOUT_MS,
+      maxResponseSize: MAX_RESPONSE_BYTES,
       connect: (options, callback) =>
         connect(options, (...[error, socket]) => {
           if (error) return callback(error, null);
--- a/packages/daemon/src/targets/target_client.ts
+++ b/packages/daemon/src/targets/target_client.ts
@@ -2,10 +2,16 @@
 import { err, ok, type Result } from "neverthrow";
 import { createStepError, type StepError } from "@coltsfootford/core";
 import type { TargetView } from "../blackboard/index.ts";
+import { createBoundedConnector } from "./bounded_connector.ts";
 
 const CONNECT_TIMEOUT_MS = 2_000;
 const CONNECTIONS_PER_TARGET = 512;
 const KEEP_ALIVE_MS = 4_000;
+/** Largest body that is read; a longer one fails the request. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+/** Most bytes that are read for one request, framing included. */
+const MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES;
+const CONNECT = createBoundedConnector(CONNECT_TIMEOUT_MS, MAX_RECEIVED_BYTES);
 const STEP = "target.request";
 
 /**
@@ -47,7 +53,10 @@
   ): Promise<Result<Dispatcher.ResponseData, StepError<TargetErrorKind>>> {
     const origin = `http://${formatHost(target.host)}:${target.port}`;
     const dispatcher = request.usesFreshConnection
-      ? new Client(origin, { connectTimeout: CONNECT_TIMEOUT_MS })
+      ? new Client(origin, {
+        connect: CONNECT,
+        maxResponseSize: MAX_RESPONSE_BYTES,
+      })
       : this.#poolOf(origin);
     try {
       const response = await dispatcher.request({
@@ -81,9 +90,10 @@
     if (existing) return existing;
     const pool = new Pool(origin, {
       connections: CONNECTIONS_PER_TARGET,
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connect: CONNECT,
       keepAliveTimeout: KEEP_ALIVE_MS,
       pipelining: 1,
+      maxResponseSize: MAX_RESPONSE_BYTES,
     });
     this.#pools.set(origin, pool);
     return pool;
