Read the current entries after a lost watch and in a storm of changes

When the store is back, the watch goes on at revision 262: its response holds some 40 versions of the configuration and takes 1.1 s on a link of 7 Mbit/s; it applies revision 368 at 27.9 s. After the pause of a second, the next response holds 42 revisions and takes 0.9 s: revision 410 at 29.8 s, 0.2 s before the bound. Class of fault: work after a gap that grows with the history and not with the state.

Ruled out: peers (each sync took under 0.1 s), readiness of the store (regained 1.3 s after the cut).

Change: a watch by long polls begins with the current entries after it was lost, and after a delivery in which four or more changes were superseded. Watches by a stream (the project's own interface) go on as before.

--- a/packages/key-value/src/watch_loop.ts
+++ b/packages/key-value/src/watch_loop.ts
@@ -16,6 +16,12 @@
 /** Timeout until the service accepts a watch; a hung service never does. */
 const OPEN_TIMEOUT_MS = 5_000;
 
+/**
+ * Changes of keys that were changed again within one delivery, from which the
+ * current entries are read in place of the next part of the history.
+ */
+const MAX_SUPERSEDED_EVENTS = 4;
+
 /** Limits of a client that implements watches by long polling. */
 export interface LongPollLimits {
   /** Minimum time between a delivery and the next call. */
@@ -179,11 +185,23 @@
     if (this.#isRestoredStore(revision)) return this.#restartFromSnapshot();
     this.#nextRevision = revision + 1;
     this.#deliver({ kind: "events", events, revision });
+    const { longPoll } = this.#dependencies.options;
+    if (!longPoll) return;
+    if (countSuperseded(events) < MAX_SUPERSEDED_EVENTS) return;
+    this.#closeConnection();
+    this.#nextRevision = undefined;
+    this.#connectAfter(longPoll.minIntervalMs);
   }
 
   #onEnd(reason: WatchEndReason): void {
     this.#dependencies.options.onConnected?.(false);
-    if (reason === "compacted") this.#nextRevision = undefined;
+    // A long poll returns the history since the loss in one response, which may
+    // be many times as large as the current entries.
+    const hasLostLongPoll = reason === "lost" &&
+      this.#dependencies.options.longPoll !== undefined;
+    if (reason === "compacted" || hasLostLongPoll) {
+      this.#nextRevision = undefined;
+    }
     this.#reconnectLater();
   }
 
@@ -199,12 +217,16 @@
 
   /** Reconnects after an exponential backoff with jitter (50 to 100% of it). */
   #reconnectLater(): void {
-    this.#generation += 1;
-    this.#cancelTimer();
-    if (this.#isClosed) return;
     const delayMs = this.#backoffMs * (0.5 + 0.5 * this.#dependencies.random());
     const maxMs = this.#dependencies.options.maxBackoffMs ?? MAX_BACKOFF_MS;
     this.#backoffMs = Math.min(maxMs, this.#backoffMs * 2);
+    this.#connectAfter(delayMs);
+  }
+
+  #connectAfter(delayMs: number): void {
+    this.#generation += 1;
+    this.#cancelTimer();
+    if (this.#isClosed) return;
     this.#cancelTimer = this.#dependencies.timer.after(
       delayMs,
       () => void this.#connect(),
@@ -218,3 +240,11 @@
     });
   }
 }
+
+/** Counts the events whose key has a later event. */
+function countSuperseded(events: readonly WatchEvent[]): number {
+  const keys = new Set(
+    events.map((event) => event.kind === "put" ? event.entry.key : event.key),
+  );
+  return events.length - keys.size;
+}
