Allow long bodies of a stated length, and streams without ids

Found by reading the change: a success of more than 1 MiB failed also where its head states the length, which is no body without end; it may have 16 MiB again. A stream of more than 256 events without ids failed where the tokens are unknown; only repeated ids count now.

estimatePlacement takes its estimates as one object.

--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -118,16 +118,19 @@
   const averageFailureShare = meanFailureShare(query);
   let best: Omit<Placement, "loadBound"> | undefined;
   for (const candidate of withinBound.length > 0 ? withinBound : pool) {
+    const isPreferred = candidate === preferredTarget;
     const placement = estimatePlacement(
-      candidate,
-      // Every daemon sends to the preferred target, so it has all shared parts.
-      candidate === preferredTarget
-        ? sharedTokens
-        : cachedTokensByCandidate.get(candidate) ?? 0,
-      sources.sourceFor(candidate),
-      candidate === preferredTarget,
-      averageFailureShare,
-      loads.of(candidate.record),
+      {
+        candidate,
+        // Every daemon sends to the preferred target, so it has all shared parts.
+        cachedTokens: isPreferred
+          ? sharedTokens
+          : cachedTokensByCandidate.get(candidate) ?? 0,
+        source: sources.sourceFor(candidate),
+        isPreferred,
+        averageFailureShare,
+        estimatedLoad: loads.of(candidate.record),
+      },
       query,
       settings,
     );
@@ -200,16 +203,21 @@
   });
 }
 
+interface CandidateEstimates {
+  readonly candidate: Candidate;
+  readonly cachedTokens: number;
+  readonly source: CacheSource | undefined;
+  readonly isPreferred: boolean;
+  readonly averageFailureShare: number;
+  readonly estimatedLoad: number;
+}
+
 function estimatePlacement(
-  candidate: Candidate,
-  cachedTokens: number,
-  source: CacheSource | undefined,
-  isPreferred: boolean,
-  averageFailureShare: number,
-  estimatedLoad: number,
+  estimates: CandidateEstimates,
   query: PlacementQuery,
   settings: PlacementSettings,
 ): Omit<Placement, "loadBound"> {
+  const { candidate, cachedTokens, source, estimatedLoad } = estimates;
   const { prompt, nowMs } = query;
   const { target, record } = candidate;
   const missingTokens = prompt.promptTokens - cachedTokens;
@@ -224,14 +232,15 @@
       ? 0
       : OTHER_ZONE_COST_MS) +
     (target.coldLeftMs > 0 ? COLD_COST_MS : 0) +
-    record.delayMs(nowMs) + failureCostMs(record, averageFailureShare, query);
+    record.delayMs(nowMs) +
+    failureCostMs(record, estimates.averageFailureShare, query);
   return {
     candidate,
     costMs,
     missingTokens: Math.max(0, missingTokens),
     source,
     estimatedLoad,
-    reason: isPreferred ? "home" : "cheapest",
+    reason: estimates.isPreferred ? "home" : "cheapest",
   };
 }
 
--- a/packages/core/src/forwarding/response_limits.ts
+++ b/packages/core/src/forwarding/response_limits.ts
@@ -1,5 +1,7 @@
-/** Largest body that is buffered of a successful response. */
+/** Largest body of a success whose length the head does not state. */
 const MAX_BODY_BYTES = 1024 * 1024;
+/** Largest body of a success whose length the head states. */
+const MAX_STATED_BODY_BYTES = 16 * 1024 * 1024;
 /** Largest body that is read of any other response. */
 const MAX_ERROR_BODY_BYTES = 64 * 1024;
 /** Largest incomplete event of a stream. */
@@ -14,18 +16,9 @@
 /** Framing of a chunk that has a single byte of body, rounded up. */
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
 
-/** Events without a new id, such as comments, and events beyond the tokens. */
+/** Events beyond the tokens, or with the id of the event before. */
 const MAX_EXTRA_EVENTS = 256;
 
-/** What the body of a response is read as. */
-export type BodyKind = "success" | "error" | "stream";
-
-const BODY_LIMITS_BYTES: Readonly<Record<BodyKind, number>> = {
-  success: MAX_BODY_BYTES,
-  error: MAX_ERROR_BODY_BYTES,
-  stream: MAX_STREAM_BYTES,
-};
-
 /**
  * Bounds the bytes that are read of one response, since a faulty target may
  * send bytes without end as any part of it.
@@ -33,7 +26,7 @@
 export class ResponseLimits {
   #receivedBytes = 0;
   #bodyBytes = 0;
-  #bodyKind: BodyKind = "error";
+  #maxBodyBytes = MAX_ERROR_BODY_BYTES;
   #events = 0;
   #repeatedEvents = 0;
   #lastEventId: string | undefined;
@@ -46,9 +39,16 @@
       : Infinity;
   }
 
-  /** Sets the limit on the body once the head has arrived. */
-  setBodyKind(kind: BodyKind): void {
-    this.#bodyKind = kind;
+  /** Allows the body of a success; `statedBytes` is the length in its head. */
+  allowBody(statedBytes: number | undefined): void {
+    this.#maxBodyBytes = statedBytes === undefined
+      ? MAX_BODY_BYTES
+      : MAX_STATED_BODY_BYTES;
+  }
+
+  /** Allows a stream of events. */
+  allowStream(): void {
+    this.#maxBodyBytes = MAX_STREAM_BYTES;
   }
 
   /** Counts bytes of the connection, framing included. */
@@ -64,13 +64,13 @@
   /** Counts an event of a stream. */
   recordEvent(id: string | undefined): void {
     this.#events += 1;
-    if (id === undefined || id === this.#lastEventId) this.#repeatedEvents += 1;
+    if (id !== undefined && id === this.#lastEventId) this.#repeatedEvents += 1;
     this.#lastEventId = id ?? this.#lastEventId;
   }
 
   /** Which limit the response exceeds, if any. */
   findExcess(incompleteEventBytes = 0): string | undefined {
-    if (this.#bodyBytes > BODY_LIMITS_BYTES[this.#bodyKind]) {
+    if (this.#bodyBytes > this.#maxBodyBytes) {
       return "answer too large";
     }
     if (
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -188,7 +188,7 @@
       return this.#end({ kind: "refused", status });
     }
     const isGood = status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
-    if (isGood) this.#limits.setBodyKind("success");
+    if (isGood) this.#limits.allowBody(readContentLength(response));
     const error = isGood ? findResponseError(metadata) : undefined;
     if (error !== undefined) return this.#fail(error);
     if (isGood && this.#plan.isStream && isEventStream(metadata)) {
@@ -214,7 +214,7 @@
   ): void {
     const framer = new EventFramer();
     const isStreamFramed = isFramed(response);
-    this.#limits.setBodyKind("stream");
+    this.#limits.allowStream();
     this.#listener.onStreamHead({ status, metadata, isFramed: isStreamFramed });
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
@@ -330,6 +330,13 @@
   return type === undefined || type.startsWith("text/event-stream");
 }
 
+function readContentLength(
+  { headers }: IncomingMessage,
+): number | undefined {
+  const length = headers["content-length"];
+  return length === undefined ? undefined : Number(length);
+}
+
 function isFramed(response: IncomingMessage): boolean {
   const { headers } = response;
   return headers["transfer-encoding"] !== undefined ||
