Report a conflict where another operator published meanwhile

A publication of another operator in between shows as a daemon that is ahead of the platform, and the command ended with 9, platform-restored, in place of 4, conflict.

Change: where a daemon is ahead, the head is read again; a head that has moved on is a conflict. A platform that was really restored is reported as before.

--- a/packages/cli/src/publishing/publish_checks.ts
+++ b/packages/cli/src/publishing/publish_checks.ts
@@ -1,5 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import {
+  CONFIG_HEAD_KEY,
+  parseConfigHead,
   parseJson,
   publicationRecordKey,
   publicationRecordSchema,
@@ -64,16 +66,23 @@
   });
 }
 
+/** Inputs of the choice of a revision. */
+export interface RevisionQuery {
+  readonly client: KeyValueClient;
+  readonly admin: AdminClient;
+  readonly daemons: readonly string[];
+  /** The revision of the head that was read; 0 without a head. */
+  readonly currentRevision: number;
+  readonly isAfterRestore: boolean;
+}
+
 /**
  * Chooses the next revision. A daemon with a newer revision than the platform
  * means that the platform was restored to an older state. The daemons would
  * reject the platform's next revision.
  */
 export async function chooseRevision(
-  admin: AdminClient,
-  daemons: readonly string[],
-  currentRevision: number,
-  isAfterRestore: boolean,
+  { client, admin, daemons, currentRevision, isAfterRestore }: RevisionQuery,
 ): Promise<Result<number, CliError>> {
   const statuses = await Promise.all(
     daemons.map((url) => admin.getStatus(url)),
@@ -83,6 +92,12 @@
   );
   const fleetRevision = Math.max(0, ...revisions);
   if (fleetRevision <= currentRevision) return ok(currentRevision + 1);
+  // Another operator may have published since the head was read.
+  const latestRevision = await readHeadRevision(client);
+  if (latestRevision.isErr()) return err(latestRevision.error);
+  if (latestRevision.value > currentRevision) {
+    return err(await createConflictError(client, currentRevision));
+  }
   if (isAfterRestore) return ok(fleetRevision + 1);
   const message =
     `the daemons have revision ${fleetRevision} in force, but the platform has ` +
@@ -95,3 +110,14 @@
     }),
   );
 }
+
+async function readHeadRevision(
+  client: KeyValueClient,
+): Promise<Result<number, CliError>> {
+  const entry = await client.get(CONFIG_HEAD_KEY);
+  if (entry.isErr()) return err(createPlatformError(entry.error));
+  if (!entry.value) return ok(0);
+  return parseConfigHead(parseJson(entry.value.value))
+    .map(({ revision }) => revision)
+    .mapErr(createPlatformError);
+}
--- a/packages/cli/src/publishing/publish_run.ts
+++ b/packages/cli/src/publishing/publish_run.ts
@@ -122,12 +122,13 @@
   async #chooseRevision(
     current: PublishedSet | undefined,
   ): Promise<Result<number, CliError>> {
-    return await chooseRevision(
-      this.#admin,
-      this.#context.settings.daemons,
-      current?.head.revision ?? 0,
-      this.#options.isAfterRestore,
-    );
+    return await chooseRevision({
+      client: this.#client,
+      admin: this.#admin,
+      daemons: this.#context.settings.daemons,
+      currentRevision: current?.head.revision ?? 0,
+      isAfterRestore: this.#options.isAfterRestore,
+    });
   }
 
   #createMetadata(revision: number): PublicationMetadata {
