--- a/packages/bench/src/load_bound/main.ts
+++ b/packages/bench/src/load_bound/main.ts
@@ -5,7 +5,7 @@
   type LoadBoundResult,
   measureLoadBound,
 } from "./measure_load_bound.ts";
-import type { HotSubject } from "./workload.ts";
+import { type HotSubject, LARGE_MODEL_SERVICE } from "./workload.ts";
 
 const HELP = `node packages/bench/dist/load_bound/main.js [options]
 
@@ -25,6 +25,9 @@
 const HOT_FROM_MS = 8_000;
 const HOT_UNTIL_MS = 20_000;
 const MS_PER_S = 1_000;
+const KINDS = ["none", ...LARGE_MODEL_SERVICE.map(({ name }) => name)];
+const SIZE_PATTERN = /^[1-9]\d*\/[1-9]\d*$/;
+const USAGE_EXIT_CODE = 2;
 
 const { values } = parseArgs({
   options: {
@@ -37,17 +40,27 @@
     help: { type: "boolean", default: false },
   },
 });
+const kinds = values.hot.split(",");
+const sizes = values.sizes.split(",");
+const numbers = [values.share, values.seed, values.seconds].map(Number);
+const isValid = kinds.every((kind) => KINDS.includes(kind)) &&
+  sizes.every((size) => SIZE_PATTERN.test(size)) &&
+  numbers.every(Number.isFinite);
 if (values.help) console.log(HELP);
-else measureAll();
+else if (isValid) measureAll();
+else {
+  console.error(HELP);
+  process.exitCode = USAGE_EXIT_CODE;
+}
 
 function measureAll(): void {
   const rows: string[][] = [];
-  for (const kind of values.hot.split(",")) {
-    for (const size of values.sizes.split(",")) {
-      const [daemons, targets] = size.split("/").map(Number);
+  for (const kind of kinds) {
+    for (const size of sizes) {
+      const [daemons = 0, targets = 0] = size.split("/").map(Number);
       const result = measureLoadBound({
-        daemons: daemons!,
-        targets: targets!,
+        daemons,
+        targets,
         seed: Number(values.seed),
         durationMs: Number(values.seconds) * MS_PER_S,
         hot: kind === "none" ? [] : [createHotSubject(kind)],
