Use the existing decay for the weight of a reported load

Found by reading the change: reportWeight wrote the exponential decay again. Same values; core forwarding tests: 59 passed.

--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -171,8 +171,7 @@
 }
 
 function reportWeight(reportedAtMs: number, nowMs: number): number {
-  return 0.5 **
-    (Math.max(0, nowMs - reportedAtMs) / REPORTED_LOAD_HALF_LIFE_MS);
+  return decay(1, nowMs - reportedAtMs, REPORTED_LOAD_HALF_LIFE_MS);
 }
 
 /** Decays `value` exponentially; the shortcut is for zero, the usual value. */
