--- a/packages/bench/src/load_bound/fleet_model.ts
+++ b/packages/bench/src/load_bound/fleet_model.ts
@@ -145,6 +145,7 @@
       unreadTokens: placement.missingTokens,
       lastByteAtMs: sentAtMs,
       hasResponse: false,
+      eventsReceived: 0,
     };
     const reportAgeMs = record.reportedLoadAgeMs(sentAtMs);
     record.attempts.add(attempt);
--- a/packages/core/src/forwarding/choose_target_test.ts
+++ b/packages/core/src/forwarding/choose_target_test.ts
@@ -82,6 +82,7 @@
       unreadTokens: 0,
       lastByteAtMs: 1_000,
       hasResponse: true,
+      eventsReceived: 0,
     };
     record.attempts.add(attempt);
   }
@@ -171,6 +172,7 @@
       unreadTokens: 0,
       lastByteAtMs: 0,
       hasResponse: false,
+      eventsReceived: 0,
     });
     suspended!.record.suspend(1_000);
     const placement = choose([unresponsive!, suspended!, attempted!, good!], {
--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -21,6 +21,8 @@
   lastByteAtMs: number;
   /** Whether any byte of the response was received. */
   hasResponse: boolean;
+  /** Complete events of the response that were received. */
+  eventsReceived: number;
 }
 
 /** The outcome of an attempt, as far as it concerns the target's health. */
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -161,6 +161,7 @@
       unreadTokens: placement.missingTokens,
       lastByteAtMs: nowMs,
       hasResponse: false,
+      eventsReceived: 0,
     };
     logSent(dependencies, accepted, placement, {
       timeLeftMs,
@@ -303,6 +304,7 @@
     logAttemptFailed(this.#dependencies, this.#accepted, {
       target: current.target.target.incarnation,
       end,
+      eventsReceived: current.inFlight.eventsReceived,
       afterMs: this.#dependencies.timer.nowMs() - current.inFlight.startedAtMs,
       decision,
     });
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -1,4 +1,8 @@
-import type { Placement, RetryDecision } from "@coltsfootford/core";
+import {
+  type Placement,
+  type RetryDecision,
+  sharedParts,
+} from "@coltsfootford/core";
 import type {
   AcceptedRequest,
   ForwarderDependencies,
@@ -42,6 +46,7 @@
 export interface FailedAttempt {
   readonly target: string;
   readonly end: AttemptEnd;
+  readonly eventsReceived: number;
   readonly afterMs: number;
   readonly decision: RetryDecision;
 }
@@ -50,8 +55,9 @@
 export function logAttemptFailed(
   { log, metrics }: ForwarderDependencies,
   { metadata }: AcceptedRequest,
-  { target, end, afterMs, decision }: FailedAttempt,
+  { target, end, eventsReceived, afterMs, decision }: FailedAttempt,
 ): void {
+  const hasBrokenUnanswered = end.kind === "broken" && eventsReceived === 0;
   metrics.count(`tries_${end.kind}_total`);
   log.event("forwardingTryFailed", {
     request: metadata.requestId,
@@ -59,6 +65,10 @@
     ended: end.kind,
     cause: "cause" in end ? end.cause : undefined,
     status: end.kind === "whole" ? end.response.status : undefined,
+    events: end.kind === "broken" ? eventsReceived : undefined,
+    parts: hasBrokenUnanswered
+      ? sharedParts(metadata.prompt).map(({ id }) => id)
+      : undefined,
     afterMs: Math.round(afterMs),
     next: decision.kind,
     why: decision.kind === "stop" ? decision.reason : undefined,
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -225,6 +225,7 @@
       if (this.#checkLimits(framer.rest.length)) return;
       if (frames.length === 0) return;
       this.#plan.inFlight.unreadTokens = 0;
+      this.#plan.inFlight.eventsReceived += frames.length;
       const bytes = Buffer.concat(frames.map((frame) => frame.bytes));
       const lastEventId = frames.findLast((frame) => frame.id !== undefined)
         ?.id;
