Quarantine prompt parts that crash targets, over the whole fleet

Callers saw their chats broken off by crash after crash: requests that share one prompt part and nothing else crashed one engine after the other.

Cause: what crashes a target was known by the digest of the whole request only. No two of these requests are alike, so each counted one or two crashes of its own, and no daemon sees enough of them at 67 daemons. Ruled out: knowledge that does not reach the others (hypothesis 2: there was none), retries (3: they double the crashes only).

Now each daemon reports the shared parts of the requests that a crash interrupted before their first event; a response that gets events proves its parts sound and withdraws the evidence. All daemons hear all reports over the relay tree, which no longer needs the recipients to be up, and decide by the same ledger. Parts that crashes do not tell apart are rejected only together. Two daemons write the quarantine to the store; daemons that were away ask a peer.

--- a/packages/core/src/forwarding/prompt.ts
+++ b/packages/core/src/forwarding/prompt.ts
@@ -27,6 +27,16 @@
   return prompt.parts.slice(0, -1);
 }
 
+/** The first quarantined parts all of which the prompt shares, if any. */
+export function findQuarantinedParts(
+  prompt: PromptDescription,
+  quarantined: readonly (readonly string[])[],
+): readonly string[] | undefined {
+  if (quarantined.length === 0) return undefined;
+  const shared = new Set(sharedParts(prompt).map(({ id }) => id));
+  return quarantined.find((parts) => parts.every((part) => shared.has(part)));
+}
+
 /** Tokens of the parts that are shared with other requests. */
 export function countSharedTokens(prompt: PromptDescription): number {
   return sharedParts(prompt).reduce((sum, { tokens }) => sum + tokens, 0);
--- /dev/null
+++ b/packages/core/src/forwarding/prompt_part_ledger_test.ts
@@ -0,0 +1,159 @@
+import { beforeEach, describe, expect, it } from "@jest/globals";
+import { PromptPartLedger } from "./prompt_part_ledger.ts";
+
+/** Time between crashes that count separately. */
+const CRASH_PERIOD_MS = 500;
+
+let ledger: PromptPartLedger;
+let nowMs: number;
+let crashes: number;
+
+beforeEach(() => {
+  ledger = new PromptPartLedger();
+  nowMs = 0;
+  crashes = 0;
+});
+
+/** A target crashes while it begins to respond to a prompt with these parts. */
+function crash(...parts: string[]) {
+  nowMs += CRASH_PERIOD_MS;
+  return report(`target-${crashes++}`, parts, true);
+}
+
+function report(target: string, parts: string[], hasResponse: boolean) {
+  return ledger.recordCrash(
+    { crash: target, suspects: [{ parts, hasResponse }] },
+    nowMs,
+  );
+}
+
+const quarantinedParts = () =>
+  ledger.quarantined(nowMs).map(({ parts }) => parts);
+
+describe("PromptPartLedger", () => {
+  it("quarantines the part that three crashes have in common", () => {
+    crash("subject-1", "deadly");
+    crash("subject-2", "deadly");
+    expect(quarantinedParts()).toEqual([]);
+    expect(crash("subject-3", "deadly")?.parts).toEqual(["deadly"]);
+    expect(quarantinedParts()).toEqual([["deadly"]]);
+  });
+
+  // Guards against the quarantine of a part of many sound requests, some of
+  // which are pending whenever a target crashes.
+  it("does not quarantine a part while responses to it begin", () => {
+    for (let index = 0; index < 20; index++) {
+      crash("common", `subject-${index}`);
+      ledger.recordSound(["common"], nowMs + 100);
+    }
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  // Guards against the quarantine of a sound part that all requests with the
+  // deadly one share.
+  it("rejects only prompts with all parts that it can't tell apart", () => {
+    for (let index = 0; index < 3; index++) crash("subject", "deadly");
+    expect(quarantinedParts()).toEqual([["subject", "deadly"]]);
+    const [proof] = ledger.recordSound(["subject"], nowMs);
+    expect(proof?.part).toBe("subject");
+    expect(proof?.crashes).toHaveLength(3);
+    expect(quarantinedParts()).toEqual([["deadly"]]);
+  });
+
+  it("finds the part also where another one is always beside it", () => {
+    for (let index = 0; index < 3; index++) crash("subject", "deadly");
+    crash("other", "deadly");
+    crash("another", "deadly");
+    crash("third", "deadly");
+    expect(quarantinedParts()).toEqual([["deadly"]]);
+  });
+
+  it("finds two parts that crash targets by turns", () => {
+    for (let index = 0; index < 3; index++) {
+      crash(`subject-${index}`, "deadly-1");
+      crash(`subject-${index}`, "deadly-2");
+    }
+    expect(quarantinedParts()).toEqual([["deadly-1"], ["deadly-2"]]);
+  });
+
+  // Guards against a quarantine after the loss of a rack or a zone.
+  it("counts targets that crash together once", () => {
+    nowMs = 1_000;
+    for (let index = 0; index < 30; index++) {
+      report(`target-${index}`, ["common"], index % 2 === 0);
+    }
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  it("suspects pending requests less than one whose response had begun", () => {
+    for (let index = 0; index < 5; index++) {
+      nowMs += CRASH_PERIOD_MS;
+      report(`target-${index}`, ["pending"], false);
+    }
+    expect(quarantinedParts()).toEqual([]);
+    nowMs += CRASH_PERIOD_MS;
+    report("target-5", ["pending"], false);
+    expect(quarantinedParts()).toEqual([["pending"]]);
+  });
+
+  it("drops pending suspects beside one whose response had begun", () => {
+    for (let index = 0; index < 9; index++) {
+      nowMs += CRASH_PERIOD_MS;
+      report(`target-${index}`, [`begun-${index}`], true);
+      report(`target-${index}`, ["pending"], false);
+    }
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  it("does not suspect others of crashes that a quarantine explains", () => {
+    for (let index = 0; index < 12; index++) {
+      crash("deadly");
+      report(`target-${crashes - 1}`, ["pending"], false);
+    }
+    expect(quarantinedParts()).toEqual([["deadly"]]);
+  });
+
+  // Guards against daemons that decide differently by the order in which they
+  // hear of a crash and of a response that began after it.
+  it("ignores a report that arrives after the proof", () => {
+    nowMs = 1_000;
+    ledger.recordProof({ part: "common", crashes: ["a", "b", "c"] }, nowMs);
+    for (const target of ["a", "b", "c"]) {
+      nowMs += CRASH_PERIOD_MS;
+      report(target, ["common"], true);
+    }
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  it("contradicts a quarantine of a part that it knows to be sound", () => {
+    const quarantine = { parts: ["common"], crashes: ["a", "b", "c"] };
+    ledger.recordProof({ part: "common", crashes: ["a", "b", "c"] }, nowMs);
+    expect(ledger.recordQuarantine(quarantine, nowMs)).toEqual([
+      { part: "common", crashes: ["a", "b", "c"] },
+    ]);
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  it("ends a quarantine when a response to the part begins", () => {
+    for (let index = 0; index < 3; index++) crash("part");
+    expect(ledger.recordSound(["part"], nowMs)).toHaveLength(1);
+    expect(quarantinedParts()).toEqual([]);
+    const quarantine = { parts: ["part"], crashes: ["target-0", "target-1"] };
+    ledger.recordQuarantine(quarantine, nowMs);
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  it("ends a quarantine after ten minutes", () => {
+    for (let index = 0; index < 3; index++) crash("part");
+    nowMs += 600_000;
+    expect(quarantinedParts()).toEqual([]);
+  });
+
+  it("forgets the oldest crashes beyond its limits", () => {
+    for (let index = 0; index < 10_000; index++) {
+      crash(`part-${index}`);
+      ledger.recordSound([`sound-${index}`], nowMs);
+    }
+    expect(quarantinedParts()).toEqual([]);
+  });
+});
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -4,6 +4,7 @@
   chooseTarget,
   decideRetry,
   expectedFirstByteMs,
+  findQuarantinedParts,
   type InFlightAttempt,
   isWaitFutile,
   jitteredRetryAfterMs,
@@ -13,6 +14,7 @@
   sharedParts,
   totalRequests,
 } from "@coltsfootford/core";
+import { createAttemptPlan } from "./attempt_plan.ts";
 import {
   classifyFailure,
   classifyOutcome,
@@ -37,12 +39,10 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
-/** Share of the remaining time that one connect may take. */
-const CONNECT_SHARE = 0.3;
-/** Longest connect timeout; a lost SYN is retransmitted only after a second. */
-const MAX_CONNECT_MS = 500;
 /** Rejections by targets after which a request may still be retried. */
 const MAX_REJECTIONS = 3;
+/** Events after which a target has survived the beginning of its response. */
+const EVENTS_OF_BEGUN_RESPONSE = 2;
 
 interface CurrentAttempt {
   readonly attempt: TargetAttempt;
@@ -70,6 +70,8 @@
   /** The head of the latest stream; sent to the client with the first event. */
   #streamHead: StreamHead | undefined;
   #hasFinished = false;
+  /** Whether a target has gone on after the first event of its response. */
+  #hasBegun = false;
   /** Load that the target of the last attempt reported. */
   #reportedLoad: ReportedLoad | undefined;
 
@@ -136,6 +138,10 @@
 
   #startNextAttempt(): void {
     const { route, service, metadata } = this.#accepted;
+    const quarantinedParts = this.#dependencies.quarantinedParts();
+    if (findQuarantinedParts(metadata.prompt, quarantinedParts) !== undefined) {
+      return this.#fail("quarantined");
+    }
     const placement = chooseTarget({
       prompt: metadata.prompt,
       targetLatencyMs: route.targetLatencyMs,
@@ -175,27 +181,11 @@
       nowMs,
     );
     const attempt = new TargetAttempt(
-      {
-        requestId: accepted.metadata.requestId,
-        method: accepted.method,
-        path: accepted.path,
-        headers: dependencies.codec.encodeAttempt(accepted.metadata, {
-          targetId: target.target.id,
-          timeLeftMs,
-          team: accepted.team?.name,
-          rank: accepted.engine
-            ? accepted.team?.rank ?? accepted.route.rank
-            : undefined,
-          lastEventId: this.#lastEventId,
-          fetchFrom: placement.source?.candidate.target,
-        }),
-        body: accepted.body,
-        target,
-        connectTimeoutMs: Math.min(MAX_CONNECT_MS, timeLeftMs * CONNECT_SHARE),
-        isStream: accepted.route.kind === "stream",
-        maxOutputTokens: accepted.metadata.prompt.maxOutputTokens,
+      createAttemptPlan(accepted, placement, dependencies.codec, {
+        timeLeftMs,
+        lastEventId: this.#lastEventId,
         inFlight,
-      },
+      }),
       dependencies.codec,
       dependencies.timer,
       {
@@ -250,7 +240,12 @@
     lastEventId: string | undefined,
   ): void {
     if (lastEventId !== undefined) this.#lastEventId = lastEventId;
-    const { response } = this.#accepted;
+    const { response, metadata } = this.#accepted;
+    const { eventsReceived } = current.inFlight;
+    if (!this.#hasBegun && eventsReceived >= EVENTS_OF_BEGUN_RESPONSE) {
+      this.#hasBegun = true;
+      this.#dependencies.promptObserver.onResponseBegan(metadata.prompt);
+    }
     this.#startStream();
     if (response.write(bytes)) return;
     current.attempt.setPaused(true);
@@ -282,6 +277,11 @@
         this.#accepted,
         current.target.target,
       );
+      this.#dependencies.promptObserver.onAttemptBroken(
+        this.#accepted.metadata.prompt,
+        current.target.target,
+        current.inFlight,
+      );
     }
     this.#onFailure(current, end);
   }
@@ -320,6 +320,10 @@
   #finishStream(): void {
     this.#startStream();
     this.#accepted.response.end();
+    const { prompt } = this.#accepted.metadata;
+    if (!this.#hasBegun) {
+      this.#dependencies.promptObserver.onResponseBegan(prompt);
+    }
     this.#dependencies.crashObserver.onRequestServed(this.#accepted);
     this.#finish("served", 200);
   }
--- a/packages/daemon/src/forwarding/forwarding_blackboard.ts
+++ b/packages/daemon/src/forwarding/forwarding_blackboard.ts
@@ -31,6 +31,8 @@
   readonly limits: Field<ForwardingLimits>;
   /** Digests of requests that crash targets and are rejected. */
   readonly quarantine: Field<ReadonlySet<string>>;
+  /** Prompt parts that crash targets; requests with all of them are rejected. */
+  readonly quarantinedParts: Field<readonly (readonly string[])[]>;
 }
 
 /** Creates an empty blackboard. */
@@ -52,6 +54,10 @@
     lifecycle: new Field<LifecyclePhase>("lifecycle", "starting"),
     limits: new Field<ForwardingLimits>("limits", limits),
     quarantine: new Field<ReadonlySet<string>>("quarantine", new Set()),
+    quarantinedParts: new Field<readonly (readonly string[])[]>(
+      "quarantinedParts",
+      [],
+    ),
   };
 }
 
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -14,9 +14,12 @@
 import { Forwarder } from "./forwarder.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
+  CrashCheck,
+  FleetRelay,
   OverloadController,
   PeersController,
   PeerSyncController,
+  PromptQuarantineController,
   QuarantineController,
   RoutesController,
   StoreContactController,
@@ -90,21 +93,41 @@
       log,
     );
     const peers = new PeersController(self, blackboard, store, timer, log);
+    const seeds = settings.seeds
+      .map(({ host, port }) => ({ name: `${host}:${port}`, host, port }))
+      .filter(({ host }) => host !== self.host);
+    const relay = new FleetRelay({ self, blackboard, seeds, rpc, timer, log });
+    const crashCheck = new CrashCheck(timer);
     const quarantine = new QuarantineController({
       self,
       blackboard,
       store,
       rpc,
+      crashCheck,
       timer,
       log,
     });
+    const promptQuarantine = new PromptQuarantineController({
+      self,
+      blackboard,
+      store,
+      relay,
+      crashCheck,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const peerSync = new PeerSyncController({
       rpc,
       blackboard,
-      followed: [routes.followed, registry.followed, quarantine.followed],
-      seeds: settings.seeds
-        .map(({ host, port }) => ({ name: `${host}:${port}`, host, port }))
-        .filter(({ host }) => host !== self.host),
+      followed: [
+        routes.followed,
+        registry.followed,
+        quarantine.followed,
+        promptQuarantine.followed,
+      ],
+      retainedFacts: [promptQuarantine],
+      seeds,
       timer,
       log,
       random,
@@ -113,10 +136,8 @@
     const pool = new TargetPool(blackboard, timer);
     this.#pool = pool;
     const overload = new OverloadController({
-      self,
-      blackboard,
       pool,
-      rpc,
+      relay,
       timer,
       log,
       metrics: this.#metrics,
@@ -127,6 +148,7 @@
       registry,
       peers,
       quarantine,
+      promptQuarantine,
       peerSync,
       overload,
       new StoreFollowerController({
@@ -136,6 +158,7 @@
           registry.followed,
           peers.followed,
           quarantine.followed,
+          promptQuarantine.followed,
         ],
         timer,
         log,
@@ -161,6 +184,8 @@
         () => blackboard.peers.read().length + 1,
       ),
       crashObserver: quarantine,
+      promptObserver: promptQuarantine,
+      quarantinedParts: () => blackboard.quarantinedParts.read(),
       loadObserver: overload,
       random,
     });
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -7,6 +7,7 @@
 import type { Duplex } from "node:stream";
 import {
   type ClientLimits,
+  findQuarantinedParts,
   jitteredRetryAfterMs,
   pickService,
   type RouteTable,
@@ -39,6 +40,9 @@
 /** Assumed remaining time of clients that send no timeout. */
 const DEFAULT_CLIENT_TIMEOUT_MS = 3_000;
 
+/** The quarantine of a prompt part ends after ten minutes, or by an operator. */
+const PART_RETRY_AFTER_MS = 600_000;
+
 /** Dependencies of the client-facing server. */
 export interface ForwardingServerDependencies {
   readonly blackboard: ForwardingBlackboard;
@@ -193,6 +197,25 @@
       const reason = "requests like this one have crashed their targets";
       return this.#reject(response, metadata, 503, reason, configVersion);
     }
+    const parts = findQuarantinedParts(
+      accepted.metadata.prompt,
+      this.#dependencies.blackboard.quarantinedParts.read(),
+    );
+    if (parts !== undefined) {
+      const { response, metadata, configVersion } = accepted;
+      const reason = `prompt parts ${parts.join(",")} have crashed targets`;
+      const headers = this.#dependencies.codec.encodeRetryAfter(
+        PART_RETRY_AFTER_MS,
+      );
+      return this.#reject(
+        response,
+        metadata,
+        503,
+        reason,
+        configVersion,
+        headers,
+      );
+    }
     this.#dependencies.forwarder.forward(accepted);
   }
 
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -1,8 +1,10 @@
 import type {
   EngineProperties,
   ForwardingRoute,
+  InFlightAttempt,
   Placement,
   PlacementSettings,
+  PromptDescription,
   RegisteredTarget,
   ReportedLoad,
   RetryShares,
@@ -42,6 +44,18 @@
   onRequestServed(request: RequestContent): void;
 }
 
+/** Detects which prompt parts crash the targets that respond to them. */
+export interface PromptObserver {
+  /** An attempt failed after the target may have executed the request. */
+  onAttemptBroken(
+    prompt: PromptDescription,
+    target: RegisteredTarget,
+    attempt: InFlightAttempt,
+  ): void;
+  /** A response to the prompt has begun, and the target goes on with it. */
+  onResponseBegan(prompt: PromptDescription): void;
+}
+
 /** Receives the loads that targets report with their responses. */
 export interface LoadObserver {
   onReportedLoad(placement: Placement, load: ReportedLoad): void;
@@ -56,6 +70,9 @@
   readonly metrics: Metrics;
   readonly placement: () => PlacementSettings;
   readonly crashObserver: CrashObserver;
+  readonly promptObserver: PromptObserver;
+  /** Prompt parts with all of which no request is sent. */
+  readonly quarantinedParts: () => readonly (readonly string[])[];
   readonly loadObserver: LoadObserver;
   readonly retryShares: RetryShares;
   readonly random: () => number;
--- a/packages/daemon/src/forwarding/knowledge/overload_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/overload_controller.ts
@@ -1,29 +1,21 @@
 import {
   OverloadAnnouncements,
   type Placement,
-  relayRecipients,
   type ReportedLoad,
   type TimerService,
   totalRequests,
 } from "@coltsfootford/core";
-import type { JSONRPCServer } from "json-rpc-2.0";
 import { z } from "zod";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { Metrics } from "../../metrics/index.ts";
-import type {
-  ForwardingBlackboard,
-  PeerDaemon,
-} from "../forwarding_blackboard.ts";
 import type { LoadObserver } from "../forwarding_types.ts";
 import type { TargetPool } from "../target_pool.ts";
-import { callPeer } from "./call_peer.ts";
+import type { FleetRelay } from "./fleet_relay.ts";
 
-const ANNOUNCE_METHOD = "load.overloaded";
+const TOPIC = "target.overloaded";
 
 const AnnouncementSchema = z.object({
-  /** Name of the daemon that received the report. */
-  origin: z.string(),
   /** Incarnation of the target. */
   target: z.string(),
   requests: z.number().int().nonnegative(),
@@ -32,10 +24,8 @@
 
 /** Dependencies of an `OverloadController`. */
 export interface OverloadDependencies {
-  readonly self: PeerDaemon;
-  readonly blackboard: ForwardingBlackboard;
   readonly pool: TargetPool;
-  readonly rpc: JSONRPCServer;
+  readonly relay: FleetRelay;
   readonly timer: TimerService;
   readonly log: Logger;
   readonly metrics: Metrics;
@@ -43,8 +33,8 @@
 
 /**
  * Tells all daemons of targets whose reported load is far above the load bound.
- * Each daemon relays an announcement to a few others. A lost announcement needs
- * no repetition, since the next report of the target leads to another one.
+ * A lost announcement needs no repetition, since the next report of the target
+ * leads to another one.
  */
 export class OverloadController extends Controller implements LoadObserver {
   override readonly name = "overload";
@@ -56,10 +46,11 @@
   constructor(dependencies: OverloadDependencies) {
     super();
     this.#dependencies = dependencies;
-    dependencies.rpc.addMethod(ANNOUNCE_METHOD, (params: unknown) => {
-      this.#onAnnounced(AnnouncementSchema.parse(params));
-      return {};
-    });
+    dependencies.relay.subscribe(
+      TOPIC,
+      AnnouncementSchema,
+      (announcement, origin) => this.#onAnnounced(announcement, origin),
+    );
   }
 
   override start(): Promise<void> {
@@ -78,7 +69,7 @@
     { candidate, loadBound, reason }: Placement,
     load: ReportedLoad,
   ): void {
-    const { self, timer, log, metrics } = this.#dependencies;
+    const { relay, timer, log, metrics } = this.#dependencies;
     const requests = totalRequests(load);
     metrics.count("loads_reported_total");
     if (requests <= loadBound) return;
@@ -93,45 +84,16 @@
       loadBound: Math.round(loadBound),
     });
     announcements.recordAnnounced(incarnation, nowMs);
-    this.#relay({ origin: self.name, target: incarnation, requests });
+    this.#sent += 1;
+    relay.announce(TOPIC, { target: incarnation, requests });
   }
 
-  #onAnnounced(announcement: Announcement): void {
+  #onAnnounced({ target, requests }: Announcement, origin: string): void {
     const { pool, timer, log } = this.#dependencies;
-    const { origin, target, requests } = announcement;
     const nowMs = timer.nowMs();
-    // Daemons whose lists of peers differ may relay to one another.
-    if (this.#announcements.isRecent(target, nowMs)) return;
     this.#received += 1;
     this.#announcements.recordAnnounced(target, nowMs);
     pool.find(target)?.record.recordAnnouncedLoad(requests, nowMs);
     log.event("overloadLearned", { target, load: requests, peer: origin });
-    this.#relay(announcement);
-  }
-
-  #relay(announcement: Announcement): void {
-    const { self, blackboard } = this.#dependencies;
-    const peers = new Map(
-      blackboard.peers.read().map((peer) => [peer.name, peer]),
-    );
-    const names = [...peers.keys()];
-    const { origin } = announcement;
-    for (const name of relayRecipients(names, origin, self.name)) {
-      const peer = peers.get(name);
-      if (peer) void this.#send(peer, announcement);
-    }
-  }
-
-  async #send(peer: PeerDaemon, announcement: Announcement): Promise<void> {
-    this.#sent += 1;
-    try {
-      await callPeer(peer, ANNOUNCE_METHOD, announcement);
-    } catch (cause) {
-      const error = (cause as Error).message;
-      this.#dependencies.log.event("peerUnreachable", {
-        peer: peer.name,
-        error,
-      });
-    }
   }
 }
--- a/packages/daemon/src/forwarding/knowledge/peer_sync_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peer_sync_controller.ts
@@ -9,6 +9,7 @@
 } from "../forwarding_blackboard.ts";
 import { callPeer } from "./call_peer.ts";
 import type { FollowedPrefix, PrefixSnapshot } from "./followed_prefix.ts";
+import type { RetainedFacts } from "./retained_facts.ts";
 
 /** How often a daemon that can't reach the store sends a request to a peer. */
 const PEER_REQUEST_PERIOD_MS = 500;
@@ -28,6 +29,8 @@
 const SyncResponseSchema = z.object({
   isStoreReachable: z.boolean(),
   copies: z.record(z.string(), SnapshotSchema),
+  /** By topic. */
+  facts: z.record(z.string(), z.array(z.unknown())).default({}),
 });
 type SyncResponse = z.infer<typeof SyncResponseSchema>;
 const SyncRequestSchema = z.record(z.string(), z.number());
@@ -38,6 +41,8 @@
   readonly blackboard: ForwardingBlackboard;
   /** Prefixes whose snapshots daemons exchange. */
   readonly followed: readonly FollowedPrefix[];
+  /** Facts that daemons announce to each other, apart from the store. */
+  readonly retainedFacts: readonly RetainedFacts[];
   /** Daemons to contact while no peer is known. */
   readonly seeds: readonly PeerDaemon[];
   readonly timer: TimerService;
@@ -47,8 +52,9 @@
 
 /**
  * Writes `peerContactAtMs`, and exchanges snapshots of the followed prefixes
- * between daemons. A daemon that can't reach the store requests newer snapshots
- * from a random peer. A daemon that reaches the store sends no requests.
+ * and retained facts between daemons. A daemon that can't reach the store
+ * requests them from a random peer. A daemon that reaches the store sends one
+ * request, for the facts that were announced while it was away.
  */
 export class PeerSyncController extends Controller {
   override readonly name = "peer-knowledge";
@@ -56,6 +62,8 @@
   readonly #writer;
   #cancel: () => void = () => {};
   #isRequestPending = false;
+  /** Whether a peer's facts were received since the store was last lost. */
+  #hasCurrentFacts = false;
   #appliedSnapshots = 0;
 
   constructor(dependencies: PeerSyncDependencies) {
@@ -72,7 +80,7 @@
   override start(): Promise<void> {
     this.#cancel = this.#dependencies.timer.every(
       PEER_REQUEST_PERIOD_MS,
-      () => void this.#requestIfStoreUnreachable(),
+      () => void this.#requestIfBehind(),
     );
     return Promise.resolve();
   }
@@ -94,14 +102,19 @@
       if (followed.changeRevision <= knownRevision) continue;
       copies[followed.prefix] = followed.snapshot();
     }
-    return { isStoreReachable: isReachable, copies };
+    const facts = Object.fromEntries(
+      this.#dependencies.retainedFacts.map((
+        retained,
+      ) => [retained.topic, retained.listFacts()]),
+    );
+    return { isStoreReachable: isReachable, copies, facts };
   }
 
-  async #requestIfStoreUnreachable(): Promise<void> {
+  async #requestIfBehind(): Promise<void> {
     const { blackboard, log } = this.#dependencies;
-    if (blackboard.storeContact.read().isReachable || this.#isRequestPending) {
-      return;
-    }
+    const { isReachable } = blackboard.storeContact.read();
+    if (!isReachable) this.#hasCurrentFacts = false;
+    if (this.#hasCurrentFacts || this.#isRequestPending) return;
     const peer = this.#pickPeer();
     if (!peer) return;
     this.#isRequestPending = true;
@@ -110,6 +123,7 @@
         peer,
         SyncResponseSchema.parse(await this.#requestNewerSnapshots(peer)),
       );
+      this.#hasCurrentFacts = isReachable;
     } catch (cause) {
       const error = (cause as Error).message;
       log.event("peerUnreachable", { peer: peer.name, error });
@@ -129,8 +143,11 @@
 
   #applyResponse(
     peer: PeerDaemon,
-    { isStoreReachable, copies }: SyncResponse,
+    { isStoreReachable, copies, facts }: SyncResponse,
   ): void {
+    for (const retained of this.#dependencies.retainedFacts) {
+      for (const fact of facts[retained.topic] ?? []) retained.applyFact(fact);
+    }
     if (isStoreReachable) this.#writer.write(this.#dependencies.timer.nowMs());
     for (const followed of this.#dependencies.followed) {
       const snapshot = copies[followed.prefix];
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -19,7 +19,7 @@
 import type { CrashObserver } from "../forwarding_types.ts";
 import { digestRequest, type RequestContent } from "../request_digest.ts";
 import { callPeer } from "./call_peer.ts";
-import { CrashCheck } from "./crash_check.ts";
+import type { CrashCheck } from "./crash_check.ts";
 import { FollowingController } from "./following_controller.ts";
 
 const PREFIX = "coltsfootford/quarantine/";
@@ -55,6 +55,7 @@
   readonly blackboard: ForwardingBlackboard;
   readonly store: KeyValueClient;
   readonly rpc: JSONRPCServer;
+  readonly crashCheck: CrashCheck;
   readonly timer: TimerService;
   readonly log: Logger;
 }
@@ -70,14 +71,12 @@
   override readonly name = "quarantine";
   readonly #dependencies: QuarantineDependencies;
   readonly #ledger = new PoisonLedger(LEDGER_SETTINGS);
-  readonly #crashCheck: CrashCheck;
   readonly #servedAtMs = new Map<string, number>();
   readonly #writer;
 
   constructor(dependencies: QuarantineDependencies) {
     super(PREFIX);
     this.#dependencies = dependencies;
-    this.#crashCheck = new CrashCheck(dependencies.timer);
     this.#writer = dependencies.blackboard.quarantine.claimWriter(this.name);
     dependencies.rpc.addMethod(CRASHED_METHOD, async (params: unknown) => {
       await this.#recordCrash(CrashSchema.parse(params));
@@ -117,7 +116,7 @@
     target: RegisteredTarget,
   ): Promise<void> {
     if (this.#wasServedRecently(request)) return;
-    if (!await this.#crashCheck.isDown(target)) return;
+    if (!await this.#dependencies.crashCheck.isDown(target)) return;
     this.#report(digestRequest(request), target.incarnation);
   }
 
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -10,6 +10,7 @@
   type ForwardingBlackboard,
 } from "../forwarding_blackboard.ts";
 import { digestRequest } from "../request_digest.ts";
+import { CrashCheck } from "./crash_check.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
 
 const LIMITS = {
@@ -51,6 +52,7 @@
     blackboard,
     store,
     rpc: new JSONRPCServer(),
+    crashCheck: new CrashCheck(timer),
     timer,
     log: { event: () => {} },
   });
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -220,6 +220,21 @@
     level: "info",
     text: "another daemon announced an overloaded target",
   },
+  partsSuspected: {
+    number: 6115,
+    level: "warn",
+    text: "target crashed before it responded to requests with these parts",
+  },
+  partQuarantined: {
+    number: 6116,
+    level: "error",
+    text: "prompt part that crashes targets is quarantined",
+  },
+  partReleased: {
+    number: 6117,
+    level: "warn",
+    text: "prompt part proved sound and is no longer quarantined",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
