Take a stream that ends inside an event for broken off

Callers got a stream whose last event is torn, with an ending that looks complete. Cause: the rest of an event was forwarded where chunks or a length framed the stream, and a stream without either was ended by the end of its connection also where it had broken off, which a client cannot tell apart.

A stream that ends inside an event now counts as broken off, whatever frames it: it is resumed where the route allows it. Streams are sent to clients in chunks, so that a missing last chunk shows the break; a client of HTTP/1.0 sees a reset.

--- a/packages/core/src/forwarding/event_frames.ts
+++ b/packages/core/src/forwarding/event_frames.ts
@@ -38,6 +38,13 @@
     return this.#buffer.subarray(0, this.#restBytes);
   }
 
+  /** Whether an event has begun and is not complete. */
+  get hasIncompleteEvent(): boolean {
+    return this.rest.some((byte) =>
+      byte !== LINE_FEED && byte !== CARRIAGE_RETURN
+    );
+  }
+
   #takeEvents(all: Uint8Array, scanFrom: number): EventFrame[] {
     const frames: EventFrame[] = [];
     let startAt = 0;
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -54,13 +54,15 @@
     this.#sendBuffered(response.status, headers, response.body);
   }
 
-  /** Sends the head of a streamed response, unless one has been sent. */
-  startStream({ status, metadata, isFramed }: StreamHead): void {
+  /**
+   * Sends the head of a streamed response, unless one has been sent. The stream
+   * is sent in chunks, whatever framing the target uses, so that a client can
+   * tell a broken stream from a complete one.
+   */
+  startStream({ status, metadata }: StreamHead): void {
     if (this.#hasStarted) return;
     this.#hasStarted = true;
-    const headers = [...metadata.headers];
-    if (!isFramed) this.#delimitByConnectionClose(headers);
-    this.#outgoing.writeHead(status, headers);
+    this.#outgoing.writeHead(status, [...metadata.headers]);
   }
 
   /** Writes events; returns false if the client reads too slowly. */
@@ -78,8 +80,14 @@
     this.#outgoing.end();
   }
 
-  /** Closes the connection, so that the client detects a truncated stream. */
+  /**
+   * Ends the connection, so that the client detects a truncated stream. A client
+   * that does not understand chunks takes anything but a reset for the end.
+   */
   abort(): void {
+    if (!this.#outgoing.chunkedEncoding) {
+      this.#outgoing.socket?.resetAndDestroy();
+    }
     this.#outgoing.destroy();
   }
 
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -41,8 +41,6 @@
 export interface StreamHead {
   readonly status: number;
   readonly metadata: ResponseMetadata;
-  /** See `BufferedResponse.isFramed`. */
-  readonly isFramed: boolean;
 }
 
 /** Inputs of an attempt: the request to send, and its target. */
@@ -213,9 +211,8 @@
     metadata: ResponseMetadata,
   ): void {
     const framer = new EventFramer();
-    const isStreamFramed = isFramed(response);
     this.#limits.allowStream();
-    this.#listener.onStreamHead({ status, metadata, isFramed: isStreamFramed });
+    this.#listener.onStreamHead({ status, metadata });
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
@@ -234,7 +231,7 @@
     response.on("end", () => {
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("stream broken off");
-      if (framer.rest.length > 0 && !isStreamFramed) {
+      if (framer.hasIncompleteEvent) {
         return this.#fail("stream ended inside an event");
       }
       if (framer.rest.length > 0) {
