Do not suspect a request whose response had begun of a crash

Callers whose chats were interrupted three times by crashes of other origin could have been rejected for ten minutes.

A target that a request crashes does so when it begins to execute it.

--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -273,15 +273,11 @@
       this.#attemptsSent += 1;
     }
     if (end.kind === "broken" && outcome !== "silent") {
-      this.#dependencies.crashObserver.onAttemptBroken(
-        this.#accepted,
-        current.target.target,
-      );
-      this.#dependencies.promptObserver.onAttemptBroken(
-        this.#accepted.metadata.prompt,
-        current.target.target,
-        current.inFlight,
-      );
+      const { crashObserver, promptObserver } = this.#dependencies;
+      const { target, inFlight } = current;
+      const { prompt } = this.#accepted.metadata;
+      crashObserver.onAttemptBroken(this.#accepted, target.target, inFlight);
+      promptObserver.onAttemptBroken(prompt, target.target, inFlight);
     }
     this.#onFailure(current, end);
   }
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -39,7 +39,11 @@
 /** Detects which requests crash the targets that execute them. */
 export interface CrashObserver {
   /** An attempt failed after the target may have executed the request. */
-  onAttemptBroken(request: RequestContent, target: RegisteredTarget): void;
+  onAttemptBroken(
+    request: RequestContent,
+    target: RegisteredTarget,
+    attempt: InFlightAttempt,
+  ): void;
   /** The target's complete response to the request has arrived. */
   onRequestServed(request: RequestContent): void;
 }
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -1,5 +1,6 @@
 import {
   formatStepError,
+  type InFlightAttempt,
   orderByRendezvous,
   PoisonLedger,
   type PoisonSettings,
@@ -88,7 +89,12 @@
     return this.#ledger.list();
   }
 
-  onAttemptBroken(request: RequestContent, target: RegisteredTarget): void {
+  onAttemptBroken(
+    request: RequestContent,
+    target: RegisteredTarget,
+    { eventsReceived }: InFlightAttempt,
+  ): void {
+    if (eventsReceived > 0) return;
     void this.#reportIfCrashed(request, target);
   }
 
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from "node:net";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
-import type { RegisteredTarget } from "@coltsfootford/core";
+import type { InFlightAttempt, RegisteredTarget } from "@coltsfootford/core";
 import { SystemTimerService } from "@coltsfootford/key-value";
 import { FakeKeyValue } from "@coltsfootford/key-value/testing";
 import { JSONRPCServer } from "json-rpc-2.0";
@@ -69,9 +69,25 @@
 const target = (incarnation: string, port: number) =>
   ({ incarnation, host: "127.0.0.1", port }) as RegisteredTarget;
 
-async function breakAttempts(count: number, port: number): Promise<void> {
+const attempt = (eventsReceived: number): InFlightAttempt => ({
+  startedAtMs: 0,
+  unreadTokens: 0,
+  lastByteAtMs: 0,
+  hasResponse: eventsReceived > 0,
+  eventsReceived,
+});
+
+async function breakAttempts(
+  count: number,
+  port: number,
+  eventsReceived = 0,
+): Promise<void> {
   for (let index = 0; index < count; index++) {
-    controller.onAttemptBroken(REQUEST, target(`target-${index}`, port));
+    controller.onAttemptBroken(
+      REQUEST,
+      target(`target-${index}`, port),
+      attempt(eventsReceived),
+    );
   }
   await new Promise((resolve) => setTimeout(resolve, 200));
 }
@@ -92,11 +108,22 @@
     expect(await isPublished()).toBe(false);
   });
 
+  // Guards against the quarantine of streams that a crash of other origin
+  // interrupts, since their targets had survived their beginning.
+  it("ignores crashes during a response that had begun", async () => {
+    await breakAttempts(5, deadPort, 2);
+    expect(await isPublished()).toBe(false);
+  });
+
   it("ignores crashes of content that was served recently", async () => {
     const bodiless = { ...REQUEST, body: Buffer.alloc(0) };
     controller.onRequestServed(bodiless);
     for (let index = 0; index < 5; index++) {
-      controller.onAttemptBroken(bodiless, target(`target-${index}`, deadPort));
+      controller.onAttemptBroken(
+        bodiless,
+        target(`target-${index}`, deadPort),
+        attempt(0),
+      );
     }
     await new Promise((resolve) => setTimeout(resolve, 200));
     const key = `coltsfootford/quarantine/${digestRequest(bodiless)}`;
