Count repeated crashes of a target whose restart is not known

While the store is away, a target that crashes and starts again keeps its incarnation at the daemons, so all of its crashes counted as one, and a deadly part was not found before few targets: with five engines and the store away, not every daemon had quarantined the part after 15 s.

--- a/packages/bench/src/crash_evidence/crashing_fleet.ts
+++ b/packages/bench/src/crash_evidence/crashing_fleet.ts
@@ -213,7 +213,7 @@
     const nowMs = this.#heap.nowMs;
     const hasBegun = suspects.some(({ hasResponse }) => hasResponse);
     if (!daemon.reportLimit.mayReport(hasBegun, nowMs)) return;
-    const report: PromptCrashReport = { crash, suspects };
+    const report: PromptCrashReport = { target: crash, suspects };
     const record = (index: number) => {
       const other = this.daemons[index]!;
       other.reportLimit.recordReport(this.#heap.nowMs);
--- a/packages/core/src/forwarding/prompt_part_ledger.ts
+++ b/packages/core/src/forwarding/prompt_part_ledger.ts
@@ -10,7 +10,7 @@
 /** The suspects among the requests that one daemon had at a crashed target. */
 export interface PromptCrashReport {
   /** The incarnation of the target. */
-  readonly crash: string;
+  readonly target: string;
   readonly suspects: readonly SuspectPrompt[];
 }
 
@@ -40,7 +40,11 @@
 const SAME_CAUSE_WINDOW_MS = 200;
 /** How long a crash is evidence. */
 const EVIDENCE_TTL_MS = 120_000;
-/** Within this time of a crash, all daemons have reported their suspects. */
+/**
+ * Within this time of a crash, all daemons have reported their suspects. A later
+ * report is of another crash: while the store is away, a target that starts
+ * again is not known as another incarnation.
+ */
 const REPORT_DELAY_MS = 1_000;
 /** How long a response proves that its parts do not crash targets. */
 const SOUND_TTL_MS = 2_000;
@@ -67,8 +71,10 @@
  * order, so daemons that exchange them reach the same conclusion.
  */
 export class PromptPartLedger {
-  /** By incarnation of the target, the oldest first. */
+  /** By name of the crash, the oldest first. */
   readonly #crashes = new Map<string, CrashRecord>();
+  /** The name of the latest crash of a target. */
+  readonly #latestCrash = new Map<string, string>();
   #quarantined: Quarantine[] = [];
   readonly #soundAtMs = new Map<string, number>();
 
@@ -88,10 +94,10 @@
 
   /** Records a report and returns the parts that it quarantines, if any. */
   recordCrash(
-    { crash, suspects }: PromptCrashReport,
+    { target, suspects }: PromptCrashReport,
     nowMs: number,
   ): QuarantinedParts | undefined {
-    const record = this.#recordOf(crash, nowMs);
+    const record = this.#recordOf(this.#nameCrash(target, nowMs), nowMs);
     if (record.isExplained) return undefined;
     if (suspects.some(({ parts }) => this.#isQuarantined(parts))) {
       record.explain();
@@ -237,6 +243,17 @@
       .slice(-MAX_QUARANTINED);
   }
 
+  /** All daemons name the crashes of a target by their order. */
+  #nameCrash(target: string, nowMs: number): string {
+    const latest = this.#latestCrash.get(target) ?? target;
+    const record = this.#crashes.get(latest);
+    if (!record || nowMs - record.atMs < REPORT_DELAY_MS) return latest;
+    const next = `${target}#${Number(latest.split("#")[1] ?? 1) + 1}`;
+    this.#latestCrash.set(target, next);
+    evictOldest(this.#latestCrash, MAX_CRASHES);
+    return next;
+  }
+
   #recordOf(crash: string, nowMs: number): CrashRecord {
     const existing = this.#crashes.get(crash);
     if (existing) return existing;
--- a/packages/core/src/forwarding/prompt_part_ledger_test.ts
+++ b/packages/core/src/forwarding/prompt_part_ledger_test.ts
@@ -22,7 +22,7 @@
 
 function report(target: string, parts: string[], hasResponse: boolean) {
   return ledger.recordCrash(
-    { crash: target, suspects: [{ parts, hasResponse }] },
+    { target, suspects: [{ parts, hasResponse }] },
     nowMs,
   );
 }
@@ -143,6 +143,18 @@
     expect(quarantinedParts()).toEqual([]);
   });
 
+  // Guards against crashes that count once, since the store is away and a target
+  // that starts again is not known as another incarnation.
+  it("counts the crashes of one target that lie apart", () => {
+    for (let index = 0; index < 3; index++) {
+      nowMs += 3_000;
+      report("target", ["deadly"], true);
+      nowMs += 500;
+      report("target", ["deadly"], true);
+    }
+    expect(quarantinedParts()).toEqual([["deadly"]]);
+  });
+
   it("ends a quarantine after ten minutes", () => {
     for (let index = 0; index < 3; index++) crash("part");
     nowMs += 600_000;
--- a/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
@@ -1,11 +1,9 @@
 import {
   CrashReportLimit,
-  formatStepError,
   hash32,
   haveSameParts,
   type InFlightAttempt,
   MAX_PART_ID_LENGTH,
-  orderByRendezvous,
   type PromptCrashReport,
   type PromptDescription,
   PromptPartLedger,
@@ -15,12 +13,7 @@
   type SuspectPrompt,
   type TimerService,
 } from "@coltsfootford/core";
-import type {
-  KeyValueClient,
-  KeyValueEntry,
-  KeyValueError,
-} from "@coltsfootford/key-value";
-import { ResultAsync } from "neverthrow";
+import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
 import { z } from "zod";
 import type { Logger } from "../../log/index.ts";
 import type { Metrics } from "../../metrics/index.ts";
@@ -32,18 +25,15 @@
 import type { CrashCheck } from "./crash_check.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
 import { FollowingController } from "./following_controller.ts";
+import { RecordPublisher } from "./record_publisher.ts";
 import type { RetainedFacts } from "./retained_facts.ts";
 
 const PREFIX = "coltsfootford/prompt-quarantine/";
 const CRASHED_TOPIC = "prompt-part.crashed";
 const QUARANTINED_TOPIC = "prompt-part.quarantined";
 const SOUND_TOPIC = "prompt-part.sound";
-/** The platform grants leases of at most ten minutes. */
-const QUARANTINE_TTL_MS = 600_000;
 /** How often the daemons that publish a part check that it is in the store. */
 const PUBLISH_PERIOD_MS = 1_000;
-/** Daemons that publish each part, so that one may be unavailable. */
-const PUBLISHERS = 2;
 
 const PartSchema = z.string().max(MAX_PART_ID_LENGTH);
 const QuarantinedPartsSchema = z.object({
@@ -55,7 +45,7 @@
   crashes: z.array(z.string()),
 });
 const CrashReportSchema = z.object({
-  crash: z.string(),
+  target: z.string(),
   suspects: z.array(z.object({
     parts: z.array(PartSchema),
     hasResponse: z.boolean(),
@@ -87,6 +77,7 @@
   readonly #dependencies: PromptQuarantineDependencies;
   readonly #ledger = new PromptPartLedger();
   readonly #reportLimit = new CrashReportLimit();
+  readonly #publisher: RecordPublisher;
   readonly #writer;
   /** Suspects of crashes that are being confirmed, by incarnation. */
   readonly #unconfirmed = new Map<string, SuspectPrompt[]>();
@@ -97,6 +88,7 @@
   constructor(dependencies: PromptQuarantineDependencies) {
     super(PREFIX);
     this.#dependencies = dependencies;
+    this.#publisher = new RecordPublisher(dependencies);
     this.#writer = dependencies.blackboard.quarantinedParts.claimWriter(
       this.name,
     );
@@ -116,7 +108,7 @@
   override start(): Promise<void> {
     this.#cancel = this.#dependencies.timer.every(
       PUBLISH_PERIOD_MS,
-      () => void this.#updateStore(),
+      () => this.#updateStore(),
     );
     return Promise.resolve();
   }
@@ -200,18 +192,18 @@
   async #reportIfCrashed(target: RegisteredTarget): Promise<void> {
     const { crashCheck, relay, log } = this.#dependencies;
     const isDown = await crashCheck.isDown(target);
-    const crash = target.incarnation;
-    const suspects = this.#unconfirmed.get(crash) ?? [];
-    this.#unconfirmed.delete(crash);
+    const { incarnation } = target;
+    const suspects = this.#unconfirmed.get(incarnation) ?? [];
+    this.#unconfirmed.delete(incarnation);
     if (!isDown) return;
     const hasBegun = suspects.some(({ hasResponse }) => hasResponse);
     if (!this.#reportLimit.mayReport(hasBegun, this.#nowMs())) return;
     log.event("partsSuspected", {
-      target: crash,
+      target: incarnation,
       parts: [...new Set(suspects.flatMap(({ parts }) => parts))],
       hasBegun,
     });
-    const report = { crash, suspects };
+    const report = { target: incarnation, suspects };
     relay.announce(CRASHED_TOPIC, report);
     const quarantined = this.#recordCrash(report);
     if (quarantined) relay.announce(QUARANTINED_TOPIC, quarantined);
@@ -250,46 +242,21 @@
     this.#writer.write(after);
   }
 
-  #isPublisher(key: string): boolean {
-    const { self, blackboard } = this.#dependencies;
-    const peers = blackboard.peers.read().map(({ name }) => name);
-    return orderByRendezvous(key, [...peers, self.name])
-      .slice(0, PUBLISHERS).includes(self.name);
-  }
-
   /**
    * Makes the store's records match the quarantine, which may have changed while
    * the store was away.
    */
-  async #updateStore(): Promise<void> {
+  #updateStore(): void {
     this.#write();
-    const { blackboard, store } = this.#dependencies;
     const quarantined = this.#ledger.quarantined(this.#nowMs());
     if (quarantined.length === 0 && this.#published.size === 0) return;
-    if (!blackboard.storeContact.read().isReachable) return;
+    if (!this.#dependencies.blackboard.storeContact.read().isReachable) return;
     const wanted = new Map(
-      quarantined.map((one) => [keyOf(one.parts), one] as const),
+      quarantined.map((one) => [keyOf(one.parts), JSON.stringify(one)]),
     );
-    for (const [key, value] of wanted) {
-      if (this.#published.has(key) || !this.#isPublisher(key)) continue;
-      const lease = await store.grantLease(QUARANTINE_TTL_MS);
-      const put = await lease.asyncAndThen(({ leaseId }) =>
-        new ResultAsync(store.put(key, JSON.stringify(value), leaseId))
-      );
-      if (put.isErr()) this.#logFailure(value.parts, put.error);
-    }
-    for (const [key, parts] of this.#published) {
-      if (wanted.has(key) || !this.#isPublisher(key)) continue;
-      const deletion = await store.delete(key);
-      if (deletion.isErr()) this.#logFailure(parts, deletion.error);
-    }
-  }
-
-  #logFailure(parts: readonly string[], error: KeyValueError): void {
-    this.#dependencies.log.event("quarantineFailed", {
-      parts,
-      error: formatStepError(error),
-    });
+    const published = new Set(this.#published.keys());
+    const obsolete = [...published].filter((key) => !wanted.has(key));
+    void this.#publisher.update(wanted, published, obsolete);
   }
 }
 
