Quarantine a request at all daemons while the store is away

A request that crashes its targets and comes again was rejected only where the store took the record; without it the digest was released and crashed on: 17 requests reached targets later than 3 s after the third crash (3 allowed; deadly_request_test.ts, failed before, passes now).

The daemon that finds the digest announces it to all others, as prompt parts are; daemons that start ask a peer; the record follows when the store is back. Reports go to the next recipient where one can't be reached.

--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -1,5 +1,4 @@
 import {
-  formatStepError,
   type InFlightAttempt,
   orderByRendezvous,
   PoisonLedger,
@@ -10,7 +9,6 @@
 } from "@coltsfootford/core";
 import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
 import type { JSONRPCServer } from "json-rpc-2.0";
-import { ResultAsync } from "neverthrow";
 import { z } from "zod";
 import type { Logger } from "../../log/index.ts";
 import type {
@@ -21,14 +19,22 @@
 import { digestRequest, type RequestContent } from "../request_digest.ts";
 import { callPeer } from "./call_peer.ts";
 import type { CrashCheck } from "./crash_check.ts";
+import type { FleetRelay } from "./fleet_relay.ts";
 import { FollowingController } from "./following_controller.ts";
+import { QUARANTINE_TTL_MS, RecordPublisher } from "./record_publisher.ts";
+import type { RetainedFacts } from "./retained_facts.ts";
 
 const PREFIX = "coltsfootford/quarantine/";
+const QUARANTINED_TOPIC = "request.quarantined";
 const CRASHED_METHOD = "quarantine.crashed";
-/** The platform grants leases of at most ten minutes. */
-const QUARANTINE_TTL_MS = 600_000;
+/** How often records are written that are missing in the store. */
+const PUBLISH_PERIOD_MS = 1_000;
 /** Daemons that receive each crash report, so that one may be unavailable. */
 const REPORT_RECIPIENTS = 2;
+/** Daemons in place of a recipient that can't be reached, itself included. */
+const MAX_REPORT_ATTEMPTS = 4;
+/** Limit of quarantined digests; the oldest are evicted first. */
+const MAX_QUARANTINED = 1_000;
 /** Maximum number of recently served requests without a body to track. */
 const MAX_SERVED_ENTRIES = 2_000;
 
@@ -50,12 +56,16 @@
 });
 type Crash = z.infer<typeof CrashSchema>;
 
+const QuarantinedSchema = z.object({ digest: requestDigestSchema });
+type Quarantined = z.infer<typeof QuarantinedSchema>;
+
 /** Dependencies of a `QuarantineController`. */
 export interface QuarantineDependencies {
   readonly self: PeerDaemon;
   readonly blackboard: ForwardingBlackboard;
   readonly store: KeyValueClient;
   readonly rpc: JSONRPCServer;
+  readonly relay: FleetRelay;
   readonly crashCheck: CrashCheck;
   readonly timer: TimerService;
   readonly log: Logger;
@@ -64,29 +74,67 @@
 /**
  * Writes `quarantine`: digests of requests that crash the targets that execute
  * them. Rendezvous hashing of the digest selects the few daemons that receive
- * its crash reports. A daemon that has received enough of them writes the
- * digest to the store, from which all daemons read it.
+ * its crash reports. A daemon that has received enough of them announces the
+ * digest to all others, and two write it to the store for daemons that start
+ * later.
  */
 export class QuarantineController extends FollowingController
-  implements CrashObserver {
+  implements CrashObserver, RetainedFacts {
   override readonly name = "quarantine";
+  readonly topic = QUARANTINED_TOPIC;
   readonly #dependencies: QuarantineDependencies;
   readonly #ledger = new PoisonLedger(LEDGER_SETTINGS);
   readonly #servedAtMs = new Map<string, number>();
+  readonly #publisher: RecordPublisher;
   readonly #writer;
+  /** By digest: when the quarantine ends. */
+  readonly #quarantinedUntilMs = new Map<string, number>();
+  #published: ReadonlySet<string> = new Set();
+  #cancel: () => void = () => {};
 
   constructor(dependencies: QuarantineDependencies) {
     super(PREFIX);
     this.#dependencies = dependencies;
+    this.#publisher = new RecordPublisher(dependencies);
     this.#writer = dependencies.blackboard.quarantine.claimWriter(this.name);
     dependencies.rpc.addMethod(CRASHED_METHOD, async (params: unknown) => {
       await this.#recordCrash(CrashSchema.parse(params));
       return {};
     });
+    dependencies.relay.subscribe(
+      QUARANTINED_TOPIC,
+      QuarantinedSchema,
+      (body) => this.#quarantine(body.digest),
+    );
+  }
+
+  override start(): Promise<void> {
+    this.#cancel = this.#dependencies.timer.every(
+      PUBLISH_PERIOD_MS,
+      () => this.#updateStore(),
+    );
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#cancel();
+    return Promise.resolve();
   }
 
   override dumpState(): unknown {
-    return this.#ledger.list();
+    return {
+      ...this.#ledger.list(),
+      rejected: [...this.#quarantinedUntilMs.keys()],
+    };
+  }
+
+  /** The quarantined digests, for daemons that missed the announcements. */
+  listFacts(): readonly Quarantined[] {
+    return [...this.#quarantinedUntilMs.keys()].map((digest) => ({ digest }));
+  }
+
+  applyFact(fact: unknown): void {
+    this.#quarantine(QuarantinedSchema.parse(fact).digest);
   }
 
   onAttemptBroken(
@@ -133,26 +181,93 @@
     );
     const crash = { digest, target: targetIncarnation, reporter: self.name };
     const order = orderByRendezvous(digest, [...daemons.keys()]);
-    for (const name of order.slice(0, REPORT_RECIPIENTS)) {
-      if (name === self.name) void this.#recordCrash(crash);
-      else void this.#sendReport(daemons.get(name)!, crash);
+    for (let index = 0; index < REPORT_RECIPIENTS; index++) {
+      const recipients = order.filter((_, position) =>
+        position % REPORT_RECIPIENTS === index
+      ).slice(0, MAX_REPORT_ATTEMPTS);
+      void this.#reportToFirst(
+        recipients.map((name) => daemons.get(name)!),
+        crash,
+      );
+    }
+  }
+
+  /** Reports to the first of the recipients that can be reached. */
+  async #reportToFirst(
+    recipients: readonly PeerDaemon[],
+    crash: Crash,
+  ): Promise<void> {
+    for (const recipient of recipients) {
+      if (recipient.name === this.#dependencies.self.name) {
+        return await this.#recordCrash(crash);
+      }
+      if (await this.#sendReport(recipient, crash)) return;
     }
   }
 
   protected override applyEntries(entries: readonly KeyValueEntry[]): void {
     const digests = entries.map(({ key }) => key.slice(PREFIX.length));
-    this.#writer.write(new Set(digests));
+    for (const digest of this.#published) {
+      if (!digests.includes(digest)) this.#release(digest);
+    }
+    this.#published = new Set(digests);
+    for (const digest of digests) this.#quarantine(digest);
+    this.#write();
   }
 
-  async #sendReport(peer: PeerDaemon, crash: Crash): Promise<void> {
+  #quarantine(digest: string): void {
+    if (this.#quarantinedUntilMs.has(digest)) return;
+    const untilMs = this.#dependencies.timer.nowMs() + QUARANTINE_TTL_MS;
+    this.#quarantinedUntilMs.set(digest, untilMs);
+    for (const oldest of this.#quarantinedUntilMs.keys()) {
+      if (this.#quarantinedUntilMs.size <= MAX_QUARANTINED) break;
+      this.#quarantinedUntilMs.delete(oldest);
+    }
+    this.#write();
+  }
+
+  #release(digest: string): void {
+    this.#quarantinedUntilMs.delete(digest);
+    this.#ledger.release(digest);
+  }
+
+  #write(): void {
+    this.#writer.write(new Set(this.#quarantinedUntilMs.keys()));
+  }
+
+  /** Writes the digests that were quarantined while the store was away. */
+  #updateStore(): void {
+    const { blackboard, timer } = this.#dependencies;
+    const nowMs = timer.nowMs();
+    const ended = [...this.#quarantinedUntilMs].filter(([, untilMs]) =>
+      nowMs >= untilMs
+    );
+    for (const [digest] of ended) this.#release(digest);
+    if (ended.length > 0) this.#write();
+    if (!blackboard.storeContact.read().isReachable) return;
+    void this.#publishMissing();
+  }
+
+  #publishMissing(): Promise<void> {
+    const digests = [...this.#quarantinedUntilMs.keys()];
+    const published = [...this.#published].map((digest) => PREFIX + digest);
+    return this.#publisher.update(
+      new Map(digests.map((digest) => [PREFIX + digest, "{}"])),
+      new Set(published),
+    );
+  }
+
+  async #sendReport(peer: PeerDaemon, crash: Crash): Promise<boolean> {
     try {
       await callPeer(peer, CRASHED_METHOD, crash);
+      return true;
     } catch (cause) {
       const error = (cause as Error).message;
       this.#dependencies.log.event("peerUnreachable", {
         peer: peer.name,
         error,
       });
+      return false;
     }
   }
 
@@ -164,21 +279,8 @@
     if (quarantined.length === 0) return;
     const crashes = this.#ledger.crashes(digest, timer.nowMs());
     log.event("requestQuarantined", { digest, crashes });
-    await this.#publish(digest);
-  }
-
-  async #publish(digest: string): Promise<void> {
-    const { store, log } = this.#dependencies;
-    const lease = await store.grantLease(QUARANTINE_TTL_MS);
-    const put = await lease.asyncAndThen(({ leaseId }) =>
-      new ResultAsync(store.put(PREFIX + digest, "{}", leaseId))
-    );
-    if (put.isOk()) return;
-    // The crash count stays, so the next crash triggers another publication.
-    this.#ledger.release(digest);
-    log.event("quarantineFailed", {
-      digest,
-      error: formatStepError(put.error),
-    });
+    this.#dependencies.relay.announce(QUARANTINED_TOPIC, { digest });
+    this.#quarantine(digest);
+    await this.#publishMissing();
   }
 }
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -11,6 +11,7 @@
 } from "../forwarding_blackboard.ts";
 import { digestRequest } from "../request_digest.ts";
 import { CrashCheck } from "./crash_check.ts";
+import { FleetRelay } from "./fleet_relay.ts";
 import { QuarantineController } from "./quarantine_controller.ts";
 
 const LIMITS = {
@@ -47,14 +48,18 @@
   const timer = new SystemTimerService();
   blackboard = createForwardingBlackboard(LIMITS);
   store = new FakeKeyValue(timer);
+  const self = { name: "daemon-1", host: "127.0.0.1", port: 1 };
+  const rpc = new JSONRPCServer();
+  const log = { event: () => {} };
   controller = new QuarantineController({
-    self: { name: "daemon-1", host: "127.0.0.1", port: 1 },
+    self,
     blackboard,
     store,
-    rpc: new JSONRPCServer(),
+    rpc,
+    relay: new FleetRelay({ self, blackboard, seeds: [], rpc, timer, log }),
     crashCheck: new CrashCheck(timer),
     timer,
-    log: { event: () => {} },
+    log,
   });
   [liveServer, livePort] = await listen();
   const [stopped, port] = await listen();
