--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -9,7 +9,6 @@
   isWaitFutile,
   jitteredRetryAfterMs,
   type Placement,
-  type ReportedLoad,
   type RetryStopReason,
   sharedParts,
   totalRequests,
@@ -72,8 +71,8 @@
   #hasFinished = false;
   /** Whether a target has gone on after the first event of its response. */
   #hasBegun = false;
-  /** Load that the target of the last attempt reported. */
-  #reportedLoad: ReportedLoad | undefined;
+  /** What the target of the last attempt reported about itself. */
+  #lastReport: Pick<ResponseMetadata, "load" | "limitPerSecond"> | undefined;
 
   constructor(
     accepted: AcceptedRequest,
@@ -218,9 +217,9 @@
     const { record } = current.target;
     if (metadata.load) {
       record.recordReportedLoad(metadata.load, nowMs);
-      this.#reportedLoad = metadata.load;
       loadObserver.onReportedLoad(current.placement, metadata.load);
     }
+    this.#lastReport = metadata;
     if (metadata.wasNotExecuted) return;
     record.recordFirstByte(
       tookMs,
@@ -385,12 +384,14 @@
   #finish(outcome: string, status: number): void {
     this.#hasFinished = true;
     this.#cancelDeadline();
+    const { load, limitPerSecond } = this.#lastReport ?? {};
     logEnded(this.#dependencies, this.#accepted, {
       outcome,
       status,
       tries: this.#attemptedIncarnations.size,
       mayHaveRun: this.#mayHaveExecuted,
-      reportedLoad: this.#reportedLoad && totalRequests(this.#reportedLoad),
+      reportedLoad: load && totalRequests(load),
+      namedLimit: limitPerSecond,
     });
     this.#onFinished();
   }
--- a/packages/daemon/src/forwarding/request_codec.ts
+++ b/packages/daemon/src/forwarding/request_codec.ts
@@ -44,6 +44,11 @@
   /** Whether the target states that it did not execute the request. */
   readonly wasNotExecuted: boolean;
   readonly load: ReportedLoad | undefined;
+  /**
+   * Requests a second that the target takes from all daemons together; undefined
+   * where it names no limit.
+   */
+  readonly limitPerSecond: number | undefined;
   /** The headers to forward to the client. */
   readonly headers: RawHeaders;
 }
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -83,6 +83,8 @@
   readonly mayHaveRun: boolean;
   /** Load that the target of the last attempt reported, if any. */
   readonly reportedLoad: number | undefined;
+  /** Requests a second that it takes from all daemons, if it names a limit. */
+  readonly namedLimit: number | undefined;
 }
 
 /** Logs the end of a request, and counts it. */
