--- a/packages/bench/src/load_bound/fleet_model.ts
+++ b/packages/bench/src/load_bound/fleet_model.ts
@@ -23,6 +23,12 @@
   readonly targets: number;
 }
 
+/** The requests a second that a target names as its limit at a moment. */
+export type LimitPlan = (
+  targetIndex: number,
+  nowMs: number,
+) => number | undefined;
+
 /** A request that has arrived at a target. */
 export interface Arrival {
   readonly placement: Placement;
@@ -43,6 +49,8 @@
   onAnnouncement(): void;
   /** Processor time of a placement, in ms. */
   onPlacement(durationMs: number): void;
+  /** A request found no target. */
+  onRejected?(): void;
 }
 
 const ZONES = 4;
@@ -90,8 +98,12 @@
   readonly #heap: EventHeap;
   readonly #random: RandomSource;
   readonly #observer: FleetObserver;
-  readonly #daemons: readonly ModelDaemon[];
+  readonly #daemons: ModelDaemon[];
+  readonly #size: FleetSize;
+  readonly #maxLoadFactor: number;
   readonly #engines: readonly FakeBatchEngine[];
+  /** Messages between daemons about limits. */
+  limitMessages = 0;
 
   constructor(
     size: FleetSize,
@@ -99,10 +111,13 @@
     heap: EventHeap,
     random: RandomSource,
     observer: FleetObserver,
+    _limits: LimitPlan = () => undefined,
   ) {
     this.#heap = heap;
     this.#random = random;
     this.#observer = observer;
+    this.#size = size;
+    this.#maxLoadFactor = maxLoadFactor;
     this.#daemons = Array.from(
       { length: size.daemons },
       (_, index) => new ModelDaemon(index, size.targets, maxLoadFactor),
@@ -113,6 +128,15 @@
     );
   }
 
+  /** Restarts a daemon, which forgets what it knew. */
+  restart(daemonIndex: number): void {
+    this.#daemons[daemonIndex] = new ModelDaemon(
+      daemonIndex,
+      this.#size.targets,
+      this.#maxLoadFactor,
+    );
+  }
+
   /** Places a request at a daemon and sends it. */
   send(daemonIndex: number, request: WorkloadRequest): void {
     const daemon = this.#daemons[daemonIndex]!;
--- a/packages/bench/src/load_bound/measure_load_bound.ts
+++ b/packages/bench/src/load_bound/measure_load_bound.ts
@@ -106,7 +106,8 @@
   };
 }
 
-function scaleTraffic(factor: number): WorkloadKind[] {
+/** The workload of the sheet for another number of targets. */
+export function scaleTraffic(factor: number): WorkloadKind[] {
   return LARGE_MODEL_SERVICE.map((kind) => ({
     ...kind,
     requestsPerSecond: kind.requestsPerSecond * factor,
@@ -114,8 +115,11 @@
   }));
 }
 
-/** Each client uses one random daemon, so daemons get uneven shares. */
-function startClients(
+/**
+ * Starts the clients of a fleet. Each client uses one random daemon, so daemons
+ * get uneven shares.
+ */
+export function startClients(
   daemons: number,
   workload: Workload,
   heap: EventHeap,
