Compare costs of engines that have no link for fetches

Every cost was NaN where a service states no link between its engines, so the first target won whatever its load. Found when permits for limited targets asked for a wait of NaN ms.

--- a/packages/core/src/forwarding/cache_source.ts
+++ b/packages/core/src/forwarding/cache_source.ts
@@ -61,6 +61,8 @@
 
 /** Time that a fetch of tokens takes on an idle link, in ms. */
 export function fetchMs(tokens: number, engine: EngineProperties): number {
+  // Engines without a link fetch nothing, which takes no time.
+  if (tokens === 0) return 0;
   const bits = tokens * engine.cacheBytesPerToken * BITS_PER_BYTE;
   return bits / (engine.linkMbps * BITS_PER_MEGABIT) * MS_PER_S;
 }
