Keep to the limits that targets name, over all daemons

A target in need got two to seven times the requests a second that it named in its responses, and was slow for its callers.

Equal shares of 67 daemons would starve a target: one request in 22 s for each at three a second, so the requests have to add up over all daemons.

A change of a limit is announced to all daemons over the relay tree, and daemons that were away ask a peer. A request to a limited target needs a permit of the owner of the limit, a daemon of the target's zone found by rendezvous hashing, which hands them out at the pace of the limit. The wait for a permit is part of a target's cost in ms: a request waits as long as the next best target costs more, and is rejected with the time to come back where every target of its service has a limit that is used up. Daemons without the store take the list of peers from a peer, too.

--- a/packages/bench/src/load_bound/fleet_model.ts
+++ b/packages/bench/src/load_bound/fleet_model.ts
@@ -2,12 +2,15 @@
   CacheEstimates,
   type Candidate,
   chooseTarget,
+  excludeAfterDenial,
   expectedFirstByteMs,
   hash32,
   type InFlightAttempt,
+  NamedLimits,
   OverloadAnnouncements,
   type Placement,
   type PlacementSettings,
+  type RegisteredTarget,
   sharedParts,
   TargetRecord,
   totalRequests,
@@ -15,7 +18,9 @@
 import type { RandomSource } from "../load/index.ts";
 import type { EventHeap } from "../replay/index.ts";
 import { ENGINE_SLOTS, FakeBatchEngine } from "./fake_batch_engine.ts";
+import { ModelPermits } from "./model_permits.ts";
 import type { WorkloadRequest } from "./workload.ts";
+import { delayBetween, zoneOf } from "./zones.ts";
 
 /** Size of a fleet. */
 export interface FleetSize {
@@ -53,11 +58,8 @@
   onRejected?(): void;
 }
 
-const ZONES = 4;
 /** Objective of the time to the first byte. */
 const TARGET_LATENCY_MS = 400;
-const IN_ZONE_DELAY_MS = 0.2;
-const CROSS_ZONE_DELAY_MS = 3.9;
 /** Time until an announcement has been relayed to all daemons. */
 const ANNOUNCEMENT_DELAY_MS = 30;
 /** Age of the load that a response reports. */
@@ -74,9 +76,12 @@
   readonly candidates: readonly Candidate[];
   readonly cacheEstimates = new CacheEstimates();
   readonly announcements = new OverloadAnnouncements();
+  readonly limits = new NamedLimits();
   readonly settings: PlacementSettings;
+  readonly index: number;
 
   constructor(index: number, targets: number, maxLoadFactor: number) {
+    this.index = index;
     this.candidates = Array.from(
       { length: targets },
       (_, target) => createCandidate(target),
@@ -101,9 +106,10 @@
   readonly #daemons: ModelDaemon[];
   readonly #size: FleetSize;
   readonly #maxLoadFactor: number;
+  readonly #limits: LimitPlan;
   readonly #engines: readonly FakeBatchEngine[];
-  /** Messages between daemons about limits. */
-  limitMessages = 0;
+  readonly #permits: ModelPermits;
+  #relayedMessages = 0;
 
   constructor(
     size: FleetSize,
@@ -111,23 +117,30 @@
     heap: EventHeap,
     random: RandomSource,
     observer: FleetObserver,
-    _limits: LimitPlan = () => undefined,
+    limits: LimitPlan = () => undefined,
   ) {
     this.#heap = heap;
     this.#random = random;
     this.#observer = observer;
     this.#size = size;
     this.#maxLoadFactor = maxLoadFactor;
+    this.#limits = limits;
     this.#daemons = Array.from(
       { length: size.daemons },
       (_, index) => new ModelDaemon(index, size.targets, maxLoadFactor),
     );
+    this.#permits = new ModelPermits(heap, size.daemons);
     this.#engines = Array.from(
       { length: size.targets },
       () => new FakeBatchEngine(heap, REPORT_LAG_MS),
     );
   }
 
+  /** Messages between daemons about limits. */
+  get limitMessages(): number {
+    return this.#permits.messages + this.#relayedMessages;
+  }
+
   /** Restarts a daemon, which forgets what it knew. */
   restart(daemonIndex: number): void {
     this.#daemons[daemonIndex] = new ModelDaemon(
@@ -135,17 +148,27 @@
       this.#size.targets,
       this.#maxLoadFactor,
     );
+    this.#permits.restart(daemonIndex);
   }
 
   /** Places a request at a daemon and sends it. */
   send(daemonIndex: number, request: WorkloadRequest): void {
-    const daemon = this.#daemons[daemonIndex]!;
+    this.#select(this.#daemons[daemonIndex]!, request, new Set());
+  }
+
+  /** Selects a target, as the production `TargetSelection` does. */
+  #select(
+    daemon: ModelDaemon,
+    request: WorkloadRequest,
+    excluded: ReadonlySet<string>,
+    denials = 0,
+  ): void {
     const sentAtMs = this.#heap.nowMs;
     const startedAtMs = performance.now();
     const placement = chooseTarget({
       prompt: request.prompt,
       targetLatencyMs: TARGET_LATENCY_MS,
-      attemptedIncarnations: new Set(),
+      attemptedIncarnations: excluded,
       candidates: daemon.candidates,
       departed: [],
       engine: ENGINE,
@@ -153,8 +176,30 @@
       nowMs: sentAtMs,
     }, daemon.settings);
     this.#observer.onPlacement(performance.now() - startedAtMs);
-    if (!placement) throw new Error("no target was chosen");
-    this.#forward(daemon, placement, request);
+    if (!placement) {
+      this.#observer.onRejected?.();
+      return;
+    }
+    const { incarnation } = placement.candidate.target;
+    const limit = daemon.limits.requestsPerSecondOf(incarnation);
+    if (limit === undefined) return this.#forward(daemon, placement, request);
+    this.#permits.request(daemon.index, placement, limit, (permit) => {
+      if (permit.kind === "denied") {
+        const remaining = excludeAfterDenial({
+          candidates: daemon.candidates,
+          isLimited: ({ target }) =>
+            daemon.limits.requestsPerSecondOf(target.incarnation) !== undefined,
+          excluded: new Set([...excluded, incarnation]),
+          denials: denials + 1,
+        });
+        if (!remaining) return this.#observer.onRejected?.();
+        return this.#select(daemon, request, remaining, denials + 1);
+      }
+      this.#heap.after(
+        permit.waitMs,
+        () => this.#forward(daemon, placement, request),
+      );
+    });
   }
 
   #forward(
@@ -178,9 +223,8 @@
       sharedParts(request.prompt),
       sentAtMs,
     );
-    const delayMs = target.availabilityZone === daemon.settings.availabilityZone
-      ? IN_ZONE_DELAY_MS
-      : CROSS_ZONE_DELAY_MS;
+    const { settings: { availabilityZone } } = daemon;
+    const delayMs = delayBetween(availabilityZone, target.availabilityZone);
     const engine = this.#engines[target.port]!;
     this.#heap.after(delayMs, () => {
       this.#observer.onArrival({
@@ -201,6 +245,7 @@
             attempt.unreadTokens = 0;
             attempt.lastByteAtMs = nowMs;
             record.recordReportedLoad(load, nowMs);
+            this.#recordLimit(daemon, target, sentAtMs);
             this.#announce(daemon, placement, totalRequests(load));
             const expectedMs = TARGET_LATENCY_MS / 2 +
               expectedFirstByteMs(placement.missingTokens, daemon.settings);
@@ -216,6 +261,24 @@
     });
   }
 
+  /** Records the limit that a response names, and announces a change. */
+  #recordLimit(
+    daemon: ModelDaemon,
+    { incarnation, port }: RegisteredTarget,
+    sentAtMs: number,
+  ): void {
+    const nowMs = this.#heap.nowMs;
+    const requestsPerSecond = this.#limits(port, nowMs);
+    const limit = { target: incarnation, requestsPerSecond };
+    if (!daemon.limits.recordNamed(limit, sentAtMs, nowMs)) return;
+    this.#relayedMessages += this.#daemons.length - 1;
+    this.#heap.after(ANNOUNCEMENT_DELAY_MS, () => {
+      for (const other of this.#daemons) {
+        other.limits.recordAnnounced(limit, this.#heap.nowMs);
+      }
+    });
+  }
+
   /** Announces an overloaded target to all other daemons. */
   #announce(
     daemon: ModelDaemon,
@@ -266,7 +329,3 @@
     incarnationHash: hash32(incarnation),
   };
 }
-
-function zoneOf(index: number): string {
-  return `zone-${index % ZONES}`;
-}
--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -51,6 +51,10 @@
 export interface Placement {
   readonly candidate: Candidate;
   readonly costMs: number;
+  /** Cost of the next best target; infinite if there is none. */
+  readonly runnerUpCostMs: number;
+  /** The part of the cost that is the wait for a permit. */
+  readonly permitWaitMs: number;
   /** Prompt tokens that the target has to read or to fetch. */
   readonly missingTokens: number;
   /** Source from which the target fetches cached parts first, if any. */
@@ -116,7 +120,8 @@
   const sharedTokens = countSharedTokens(query.prompt);
   const sources = findSources(query, order, cachedTokensByCandidate);
   const averageFailureShare = meanFailureShare(query);
-  let best: Omit<Placement, "loadBound"> | undefined;
+  let best: Estimate | undefined;
+  let runnerUpCostMs = Infinity;
   for (const candidate of withinBound.length > 0 ? withinBound : pool) {
     const isPreferred = candidate === preferredTarget;
     const placement = estimatePlacement(
@@ -134,10 +139,13 @@
       query,
       settings,
     );
-    if (!best || isBetter(placement, best, settings)) best = placement;
+    if (!best || isBetter(placement, best, settings)) {
+      runnerUpCostMs = best?.costMs ?? Infinity;
+      best = placement;
+    } else runnerUpCostMs = Math.min(runnerUpCostMs, placement.costMs);
   }
   if (!best) return undefined;
-  const placement = { ...best, loadBound };
+  const placement = { ...best, loadBound, runnerUpCostMs };
   if (healthy.length === 0) return { ...placement, reason: "all-distrusted" };
   if (withinBound.length === 0) return { ...placement, reason: "all-full" };
   return placement;
@@ -203,6 +211,9 @@
   });
 }
 
+/** What is estimated for one candidate alone. */
+type Estimate = Omit<Placement, "loadBound" | "runnerUpCostMs">;
+
 interface CandidateEstimates {
   readonly candidate: Candidate;
   readonly cachedTokens: number;
@@ -216,7 +227,7 @@
   estimates: CandidateEstimates,
   query: PlacementQuery,
   settings: PlacementSettings,
-): Omit<Placement, "loadBound"> {
+): Estimate {
   const { candidate, cachedTokens, source, estimatedLoad } = estimates;
   const { prompt, nowMs } = query;
   const { target, record } = candidate;
@@ -226,17 +237,19 @@
     ? fetchMs(fetchedTokens, query.engine) * FETCH_COST_FACTOR
     : 0;
   const readTokens = missingTokens - fetchedTokens + record.unreadTokens;
+  const permitWaitMs = Math.max(0, record.permitFromMs - nowMs);
   const costMs = readTokens / settings.promptTokensPerMs + transferMs +
     loadCostMs(target, estimatedLoad) +
     (target.availabilityZone === settings.availabilityZone
       ? 0
       : OTHER_ZONE_COST_MS) +
     (target.coldLeftMs > 0 ? COLD_COST_MS : 0) +
-    record.delayMs(nowMs) +
+    record.delayMs(nowMs) + permitWaitMs +
     failureCostMs(record, estimates.averageFailureShare, query);
   return {
     candidate,
     costMs,
+    permitWaitMs,
     missingTokens: Math.max(0, missingTokens),
     source,
     estimatedLoad,
@@ -249,8 +262,8 @@
  * since daemons that know nothing of some targets would all choose the same.
  */
 function isBetter(
-  left: Omit<Placement, "loadBound">,
-  right: Omit<Placement, "loadBound">,
+  left: Estimate,
+  right: Estimate,
   { daemonHash }: PlacementSettings,
 ): boolean {
   if (left.costMs !== right.costMs) return left.costMs < right.costMs;
--- a/packages/core/src/forwarding/choose_target_test.ts
+++ b/packages/core/src/forwarding/choose_target_test.ts
@@ -218,4 +218,22 @@
   it("returns undefined without targets", () => {
     expect(choose([])).toBeUndefined();
   });
+
+  // Guards against costs that are no numbers, by which the first target wins.
+  it("compares targets whose engines have no link for fetches", () => {
+    const [first, second] = [candidate("first"), candidate("second")];
+    addAttempts(first, 30);
+    const engine = { ...ENGINE, linkMbps: 0, cacheBytesPerToken: 0 };
+    const placement = choose([first, second], { engine, prompt: NO_PROMPT });
+    expect(placement?.candidate).toBe(second);
+    expect(placement?.costMs).toBeGreaterThanOrEqual(0);
+  });
+
+  it("adds the wait for a permit to the cost of a target", () => {
+    const [limited, other] = [candidate("limited"), candidate("other")];
+    limited.record.permitFromMs = 1_300;
+    const placement = choose([limited, other], { prompt: NO_PROMPT });
+    expect(placement?.candidate).toBe(other);
+    expect(placement?.runnerUpCostMs).toBe(placement!.costMs + 300);
+  });
 });
--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -54,6 +54,8 @@
   #delayAtMs = 0;
   #suspendedUntilMs = 0;
   #suspensionMs = 0;
+  /** When a permit may be had, if the target names a limit. */
+  permitFromMs = -Infinity;
 
   /** In-flight requests of this daemon at the target. */
   get ownRequests(): number {
--- /dev/null
+++ b/packages/daemon/src/forwarding/can_retry_after_abort.ts
@@ -0,0 +1,20 @@
+import { canExecuteTwice } from "@coltsfootford/core";
+import type {
+  AcceptedRequest,
+  ForwarderDependencies,
+} from "./forwarding_types.ts";
+
+/** Whether a request can be sent to another target once its attempt is aborted. */
+export function canRetryAfterAbort(
+  { route, service }: AcceptedRequest,
+  { retryShares, pool }: ForwarderDependencies,
+  attemptsSent: number,
+  attemptedIncarnations: ReadonlySet<string>,
+): boolean {
+  if (!canExecuteTwice(route)) return false;
+  if (attemptsSent + 1 >= route.maxTargets) return false;
+  if (retryShares.budgetOf(service).savedRetries < 1) return false;
+  return pool.ofService(service).some(({ target }) =>
+    !attemptedIncarnations.has(target.incarnation)
+  );
+}
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -1,7 +1,6 @@
 import {
   type CancelTimer,
   canExecuteTwice,
-  chooseTarget,
   decideRetry,
   expectedFirstByteMs,
   findQuarantinedParts,
@@ -14,6 +13,7 @@
   totalRequests,
 } from "@coltsfootford/core";
 import { createAttemptPlan } from "./attempt_plan.ts";
+import { canRetryAfterAbort } from "./can_retry_after_abort.ts";
 import {
   classifyFailure,
   classifyOutcome,
@@ -27,6 +27,7 @@
 import type { ResponseMetadata } from "./request_codec.ts";
 import { logAttemptFailed, logEnded, logSent } from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
+import { TargetSelection } from "./target_selection.ts";
 import {
   type AttemptEnd,
   type BufferedResponse,
@@ -59,6 +60,7 @@
   readonly #deadlineMs: number;
   readonly #attemptedIncarnations = new Set<string>();
   #current: CurrentAttempt | undefined;
+  #selection: TargetSelection | undefined;
   #cancelDeadline: CancelTimer = () => {};
   #attemptsSent = 0;
   #attemptsUnsent = 0;
@@ -106,7 +108,12 @@
     const nowMs = this.#dependencies.timer.nowMs();
     const { route } = this.#accepted;
     const isFutile = isWaitFutile({
-      isRetryable: canExecuteTwice(route) && this.#canRetryAfterAbort(),
+      isRetryable: canRetryAfterAbort(
+        this.#accepted,
+        this.#dependencies,
+        this.#attemptsSent,
+        this.#attemptedIncarnations,
+      ),
       hasResponse: current.inFlight.hasResponse,
       isStream: route.kind === "stream",
       targetLatencyMs: route.targetLatencyMs,
@@ -120,44 +127,31 @@
     this.#onAttemptEnd(current, { kind: "broken", cause: "silent" });
   }
 
-  #canRetryAfterAbort(): boolean {
-    const { route, service } = this.#accepted;
-    if (this.#attemptsSent + 1 >= route.maxTargets) return false;
-    if (this.#dependencies.retryShares.budgetOf(service).savedRetries < 1) {
-      return false;
-    }
-    return this.#dependencies.pool.ofService(service).some(({ target }) =>
-      !this.#attemptedIncarnations.has(target.incarnation)
-    );
-  }
-
   #timeLeftMs(): number {
     return this.#deadlineMs - this.#dependencies.timer.nowMs();
   }
 
   #startNextAttempt(): void {
-    const { route, service, metadata } = this.#accepted;
-    const quarantinedParts = this.#dependencies.quarantinedParts();
-    if (findQuarantinedParts(metadata.prompt, quarantinedParts) !== undefined) {
-      return this.#fail("quarantined");
-    }
-    const placement = chooseTarget({
-      prompt: metadata.prompt,
-      targetLatencyMs: route.targetLatencyMs,
-      attemptedIncarnations: this.#attemptedIncarnations,
-      candidates: this.#dependencies.pool.ofService(service),
-      departed: this.#dependencies.pool.departedOf(service),
-      engine: this.#accepted.engine,
-      cacheEstimates: this.#dependencies.pool.cacheEstimates,
-      nowMs: this.#dependencies.timer.nowMs(),
-    }, this.#dependencies.placement());
-    if (!placement) return this.#fail("no target");
-    this.#sendAttempt(placement);
+    this.#selection = new TargetSelection(
+      this.#accepted,
+      this.#dependencies,
+      this.#attemptedIncarnations,
+      () => this.#timeLeftMs(),
+      {
+        onSelected: (placement) => this.#sendAttempt(placement),
+        onNone: (reason, retryAfterMs) => this.#fail(reason, retryAfterMs),
+      },
+    );
+    this.#selection.start();
   }
 
   #sendAttempt(placement: Placement): void {
     const accepted = this.#accepted;
     const dependencies = this.#dependencies;
+    const { prompt } = accepted.metadata;
+    if (findQuarantinedParts(prompt, dependencies.quarantinedParts())) {
+      return this.#fail("quarantined");
+    }
     const target = placement.candidate as PooledTarget;
     const nowMs = dependencies.timer.nowMs();
     const timeLeftMs = this.#timeLeftMs();
@@ -176,7 +170,7 @@
     target.record.attempts.add(inFlight);
     dependencies.pool.cacheEstimates.recordRead(
       target.target.incarnation,
-      sharedParts(accepted.metadata.prompt),
+      sharedParts(prompt),
       nowMs,
     );
     const attempt = new TargetAttempt(
@@ -210,7 +204,7 @@
   }
 
   #onFirstByte(current: CurrentAttempt, metadata: ResponseMetadata): void {
-    const { timer, metrics, loadObserver } = this.#dependencies;
+    const { timer, metrics, loadObserver, limits } = this.#dependencies;
     const nowMs = timer.nowMs();
     const tookMs = nowMs - current.inFlight.startedAtMs;
     metrics.recordMs("target_first_byte_ms", tookMs);
@@ -220,6 +214,11 @@
       loadObserver.onReportedLoad(current.placement, metadata.load);
     }
     this.#lastReport = metadata;
+    limits.onResponse(
+      current.target.target,
+      metadata.limitPerSecond,
+      current.inFlight.startedAtMs,
+    );
     if (metadata.wasNotExecuted) return;
     record.recordFirstByte(
       tookMs,
@@ -329,7 +328,7 @@
     this.#finish("served", response.status);
   }
 
-  #fail(reason: string): void {
+  #fail(reason: string, retryAfterMs = 0): void {
     const { response } = this.#accepted;
     if (response.hasStarted) {
       response.abort();
@@ -343,7 +342,9 @@
       this.#timeLeftMs(),
       this.#dependencies.random(),
     );
-    const headers = this.#dependencies.codec.encodeRetryAfter(afterMs);
+    const headers = this.#dependencies.codec.encodeRetryAfter(
+      Math.max(afterMs, retryAfterMs),
+    );
     response.reject(STATUS_UNAVAILABLE, reason, headers);
     this.#finish(reason, STATUS_UNAVAILABLE);
   }
@@ -383,6 +384,7 @@
 
   #finish(outcome: string, status: number): void {
     this.#hasFinished = true;
+    this.#selection?.cancel();
     this.#cancelDeadline();
     const { load, limitPerSecond } = this.#lastReport ?? {};
     logEnded(this.#dependencies, this.#accepted, {
--- a/packages/daemon/src/forwarding/forwarding_blackboard.ts
+++ b/packages/daemon/src/forwarding/forwarding_blackboard.ts
@@ -7,6 +7,8 @@
   readonly name: string;
   readonly host: string;
   readonly port: number;
+  /** Undefined where the daemon has not stated it. */
+  readonly availabilityZone?: string | undefined;
 }
 
 /** The state of this daemon's connection to the store. */
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -16,6 +16,7 @@
 import {
   CrashCheck,
   FleetRelay,
+  LimitController,
   OverloadController,
   PeersController,
   PeerSyncController,
@@ -118,24 +119,35 @@
       log,
       metrics: this.#metrics,
     });
+    const daemonHash = hash32(settings.vm);
+    const pool = new TargetPool(blackboard, timer);
+    this.#pool = pool;
+    const limits = new LimitController({
+      self,
+      blackboard,
+      pool,
+      relay,
+      rpc,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const peerSync = new PeerSyncController({
       rpc,
       blackboard,
       followed: [
         routes.followed,
         registry.followed,
+        peers.followed,
         quarantine.followed,
         promptQuarantine.followed,
       ],
-      retainedFacts: [quarantine, promptQuarantine],
+      retainedFacts: [quarantine, promptQuarantine, limits],
       seeds,
       timer,
       log,
       random,
     });
-    const daemonHash = hash32(settings.vm);
-    const pool = new TargetPool(blackboard, timer);
-    this.#pool = pool;
     const overload = new OverloadController({
       pool,
       relay,
@@ -150,6 +162,7 @@
       peers,
       quarantine,
       promptQuarantine,
+      limits,
       peerSync,
       overload,
       new StoreFollowerController({
@@ -188,6 +201,7 @@
       promptObserver: promptQuarantine,
       quarantinedParts: () => blackboard.quarantinedParts.read(),
       loadObserver: overload,
+      limits,
       random,
     });
     this.#server = new ForwardingServer({
@@ -279,9 +293,11 @@
   }
 }
 
-function describeSelf({ vm, listen }: ForwardingSettings): PeerDaemon {
+function describeSelf(
+  { vm, listen, availabilityZone }: ForwardingSettings,
+): PeerDaemon {
   const { host, port } = listen.peers ?? listen.readiness;
-  return { name: vm, host, port };
+  return { name: vm, host, port, availabilityZone };
 }
 
 function listen(server: Server, { host, port }: Address): Promise<void> {
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -1,7 +1,9 @@
 import type {
+  Candidate,
   EngineProperties,
   ForwardingRoute,
   InFlightAttempt,
+  Permit,
   Placement,
   PlacementSettings,
   PromptDescription,
@@ -65,6 +67,23 @@
   onReportedLoad(placement: Placement, load: ReportedLoad): void;
 }
 
+/** Keeps to the limits that targets name, together with all other daemons. */
+export interface TargetLimits {
+  /** A response has arrived; `limitPerSecond` is undefined if it names none. */
+  onResponse(
+    target: RegisteredTarget,
+    limitPerSecond: number | undefined,
+    sentAtMs: number,
+  ): void;
+  /** Whether a request to the target needs a permit. */
+  isLimited(target: RegisteredTarget): boolean;
+  /** Reserves a request at a target; a granted one may have to wait. */
+  requestPermit(
+    candidate: Candidate,
+    maxWaitMs: number,
+  ): Promise<Permit>;
+}
+
 /** Dependencies of the request forwarder. */
 export interface ForwarderDependencies {
   readonly codec: RequestCodec;
@@ -78,6 +97,7 @@
   /** Prompt parts with all of which no request is sent. */
   readonly quarantinedParts: () => readonly (readonly string[])[];
   readonly loadObserver: LoadObserver;
+  readonly limits: TargetLimits;
   readonly retryShares: RetryShares;
   readonly random: () => number;
 }
--- a/packages/daemon/src/forwarding/knowledge/call_peer.ts
+++ b/packages/daemon/src/forwarding/knowledge/call_peer.ts
@@ -13,13 +13,14 @@
   { host, port }: PeerDaemon,
   method: string,
   params: object,
+  timeoutMs = CALL_TIMEOUT_MS,
 ): PromiseLike<unknown> {
   const client = new JSONRPCClient(async (call) => {
     const response = await request(`http://${host}:${port}${PEER_RPC_PATH}`, {
       method: "POST",
       headers: { "content-type": "application/json" },
       body: JSON.stringify(call),
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      signal: AbortSignal.timeout(timeoutMs),
     });
     client.receive(await response.body.json() as never);
   });
--- a/packages/daemon/src/forwarding/knowledge/index.ts
+++ b/packages/daemon/src/forwarding/knowledge/index.ts
@@ -4,6 +4,7 @@
 export * from "./fleet_relay.ts";
 export * from "./followed_prefix.ts";
 export * from "./store_record_codec.ts";
+export * from "./limit_controller.ts";
 export * from "./overload_controller.ts";
 export * from "./peer_sync_controller.ts";
 export * from "./peers_controller.ts";
--- a/packages/daemon/src/forwarding/knowledge/peers_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -19,6 +19,7 @@
   name: z.string(),
   host: z.string(),
   port: z.number().int(),
+  availabilityZone: z.string().optional(),
 });
 
 /** Writes `peers`, and registers this daemon in the store under a lease. */
--- /dev/null
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -0,0 +1,141 @@
+import {
+  chooseTarget,
+  excludeAfterDenial,
+  type Placement,
+} from "@coltsfootford/core";
+import type {
+  AcceptedRequest,
+  ForwarderDependencies,
+} from "./forwarding_types.ts";
+
+/** Longest wait for a permit; longer than the cost of most other targets. */
+const MAX_PERMIT_WAIT_MS = 1_000;
+/** Share of the remaining time that a request waits for a permit. */
+const MAX_WAIT_SHARE = 1 / 3;
+
+/** Receives the result of a `TargetSelection`. */
+export interface SelectionListener {
+  /** The request may be sent to the target now. */
+  onSelected(placement: Placement): void;
+  /** No target may take the request; one might after `retryAfterMs`. */
+  onNone(reason: string, retryAfterMs: number): void;
+}
+
+/**
+ * Selects the target of one attempt. Where the cheapest target names a limit,
+ * the request needs a permit. It waits for it as long as the next best target
+ * costs more.
+ */
+export class TargetSelection {
+  readonly #accepted: AcceptedRequest;
+  readonly #dependencies: ForwarderDependencies;
+  readonly #listener: SelectionListener;
+  readonly #timeLeftMs: () => number;
+  /** Targets that are not considered. */
+  #excluded: ReadonlySet<string>;
+  #denials = 0;
+  #isCancelled = false;
+  #cancelWait: () => void = () => {};
+
+  constructor(
+    accepted: AcceptedRequest,
+    dependencies: ForwarderDependencies,
+    attemptedIncarnations: ReadonlySet<string>,
+    timeLeftMs: () => number,
+    listener: SelectionListener,
+  ) {
+    this.#accepted = accepted;
+    this.#dependencies = dependencies;
+    this.#excluded = attemptedIncarnations;
+    this.#timeLeftMs = timeLeftMs;
+    this.#listener = listener;
+  }
+
+  /** Calls the listener at once, unless the target needs a permit. */
+  start(): void {
+    const placement = this.#choose();
+    if (!placement) return this.#end();
+    const { target } = placement.candidate;
+    if (!this.#dependencies.limits.isLimited(target)) {
+      return this.#listener.onSelected(placement);
+    }
+    void this.#requestPermit(placement);
+  }
+
+  /** Ends the selection without a result. */
+  cancel(): void {
+    this.#isCancelled = true;
+    this.#cancelWait();
+  }
+
+  #choose(): Placement | undefined {
+    const { metadata, route, service, engine } = this.#accepted;
+    const { pool, timer, placement } = this.#dependencies;
+    return chooseTarget({
+      prompt: metadata.prompt,
+      targetLatencyMs: route.targetLatencyMs,
+      attemptedIncarnations: this.#excluded,
+      candidates: pool.ofService(service),
+      departed: pool.departedOf(service),
+      engine,
+      cacheEstimates: pool.cacheEstimates,
+      nowMs: timer.nowMs(),
+    }, placement());
+  }
+
+  async #requestPermit(placement: Placement): Promise<void> {
+    const { limits, timer, log } = this.#dependencies;
+    const { candidate, costMs, permitWaitMs, runnerUpCostMs } = placement;
+    const maxWaitMs = Math.min(
+      MAX_PERMIT_WAIT_MS,
+      this.#timeLeftMs() * MAX_WAIT_SHARE,
+      Math.max(0, runnerUpCostMs - costMs + permitWaitMs),
+    );
+    const permit = await limits.requestPermit(candidate, maxWaitMs);
+    if (this.#isCancelled) return;
+    if (permit.kind === "granted") {
+      this.#cancelWait = timer.after(
+        permit.waitMs,
+        () => this.#onPermitDue(placement),
+      );
+      return;
+    }
+    const { incarnation } = candidate.target;
+    log.event("permitDenied", {
+      request: this.#accepted.metadata.requestId,
+      target: incarnation,
+      maxWaitMs: Math.round(maxWaitMs),
+    });
+    this.#denials += 1;
+    const excluded = excludeAfterDenial({
+      candidates: this.#dependencies.pool.ofService(this.#accepted.service),
+      isLimited: ({ target }) => limits.isLimited(target),
+      excluded: new Set([...this.#excluded, incarnation]),
+      denials: this.#denials,
+    });
+    if (!excluded) return this.#end();
+    this.#excluded = excluded;
+    this.start();
+  }
+
+  /** The target may have left while the request waited for the permit. */
+  #onPermitDue(placement: Placement): void {
+    if (this.#isCancelled) return;
+    const { incarnation } = placement.candidate.target;
+    if (this.#dependencies.pool.find(incarnation)) {
+      return this.#listener.onSelected(placement);
+    }
+    this.start();
+  }
+
+  #end(): void {
+    if (this.#denials === 0) {
+      return this.#listener.onNone("no target", 0);
+    }
+    const { pool, timer } = this.#dependencies;
+    const nowMs = timer.nowMs();
+    const waitsMs = pool.ofService(this.#accepted.service)
+      .map(({ record }) => Math.max(0, record.permitFromMs - nowMs));
+    this.#listener.onNone("limits used up", Math.min(...waitsMs));
+  }
+}
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -235,6 +235,21 @@
     level: "warn",
     text: "prompt part proved sound and is no longer quarantined",
   },
+  limitNamed: {
+    number: 6118,
+    level: "info",
+    text: "target names another limit of its requests, or none",
+  },
+  limitLearned: {
+    number: 6119,
+    level: "info",
+    text: "another daemon announced the limit of a target",
+  },
+  permitDenied: {
+    number: 6120,
+    level: "info",
+    text: "request does not go to a target, whose limit is used up",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
