--- a/packages/bench/src/crash_evidence/crashing_fleet.ts
+++ b/packages/bench/src/crash_evidence/crashing_fleet.ts
@@ -22,7 +22,7 @@
 const DOWN_MS = 3_000;
 /** Time in which a daemon confirms that a target is down. */
 const CONFIRM_MS = 60;
-const MAX_ATTEMPTS = 2;
+const MAX_SENDS = 2;
 
 /** Called when a request with a deadly part reaches a target. */
 export type OnDeadlyArrival = (daemon: number, sentAtMs: number) => void;
@@ -202,7 +202,7 @@
       }
       daemon.unconfirmed.set(crash, [...collected, { parts, hasResponse }]);
     }
-    if (attempts < MAX_ATTEMPTS && !hasBegun) {
+    if (attempts < MAX_SENDS && !hasBegun) {
       this.send(daemon.index, request, attempts + 1);
     }
   }
--- a/packages/daemon/src/forwarding/knowledge/peer_sync_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peer_sync_controller.ts
@@ -82,6 +82,7 @@
       PEER_REQUEST_PERIOD_MS,
       () => void this.#requestIfBehind(),
     );
+    void this.#requestIfBehind();
     return Promise.resolve();
   }
 
