Reject what limits keep away from targets before it piles up elsewhere

Callers of requests that several limited targets had denied a permit waited at the few targets without a limit until their deadlines passed. Such a request goes to a target without a limit while half of its slots or fewer are waited for.

--- a/packages/bench/src/load_bound/fleet_model.ts
+++ b/packages/bench/src/load_bound/fleet_model.ts
@@ -6,6 +6,7 @@
   expectedFirstByteMs,
   hash32,
   type InFlightAttempt,
+  isOverloadedAlternative,
   NamedLimits,
   OverloadAnnouncements,
   type Placement,
@@ -182,7 +183,12 @@
     }
     const { incarnation } = placement.candidate.target;
     const limit = daemon.limits.requestsPerSecondOf(incarnation);
-    if (limit === undefined) return this.#forward(daemon, placement, request);
+    if (limit === undefined) {
+      if (denials > 0 && isOverloadedAlternative(placement)) {
+        return this.#observer.onRejected?.();
+      }
+      return this.#forward(daemon, placement, request);
+    }
     this.#permits.request(daemon.index, placement, limit, (permit) => {
       if (permit.kind === "denied") {
         const remaining = excludeAfterDenial({
--- a/packages/core/src/forwarding/permit_denials.ts
+++ b/packages/core/src/forwarding/permit_denials.ts
@@ -1,10 +1,17 @@
-import type { Candidate } from "./choose_target.ts";
+import type { Candidate, Placement } from "./choose_target.ts";
 
 /** Denials after which a request goes to a target without a limit. */
 const MAX_DENIALS_BESIDE_UNLIMITED = 2;
 /** Denials after which a request is rejected, if all targets have limits. */
 const MAX_DENIALS = 4;
 
+/**
+ * Requests in flight at a target without a limit, as a multiple of its slots,
+ * from which it takes no request that others denied a permit: it would wait for
+ * half of an execution or more.
+ */
+const MAX_LOAD_OF_ALTERNATIVE = 1.5;
+
 /** The targets of a service, and what is known of their limits. */
 export interface PermitDenialQuery {
   readonly candidates: readonly Candidate[];
@@ -32,3 +39,14 @@
   const names = limited.map(({ target }) => target.incarnation);
   return new Set([...excluded, ...names]);
 }
+
+/**
+ * Whether a target is too loaded for a request that others denied a permit. What
+ * their limits keep away from them would else pile up at the few targets without
+ * one, until no request there meets its deadline.
+ */
+export function isOverloadedAlternative(
+  { candidate, estimatedLoad }: Placement,
+): boolean {
+  return estimatedLoad + 1 > candidate.target.slots * MAX_LOAD_OF_ALTERNATIVE;
+}
--- a/packages/core/src/forwarding/permit_denials_test.ts
+++ b/packages/core/src/forwarding/permit_denials_test.ts
@@ -1,6 +1,9 @@
 import { describe, expect, it } from "@jest/globals";
-import type { Candidate } from "./choose_target.ts";
-import { excludeAfterDenial } from "./permit_denials.ts";
+import type { Candidate, Placement } from "./choose_target.ts";
+import {
+  excludeAfterDenial,
+  isOverloadedAlternative,
+} from "./permit_denials.ts";
 
 const candidates = ["a", "b", "c", "d", "e", "f"].map((incarnation) =>
   ({ target: { incarnation } }) as Candidate
@@ -33,3 +36,16 @@
     expect(exclude("abcdef", "abcdef", 2)).toBeUndefined();
   });
 });
+
+describe("isOverloadedAlternative", () => {
+  // Guards against requests that pile up at the few targets without a limit and
+  // wait there until their deadlines.
+  it("holds for a target with half of its slots waited for", () => {
+    const at = (estimatedLoad: number) =>
+      isOverloadedAlternative({
+        candidate: { target: { slots: 12 } },
+        estimatedLoad,
+      } as Placement);
+    expect([at(3), at(17), at(18)]).toEqual([false, false, true]);
+  });
+});
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -1,6 +1,7 @@
 import {
   chooseTarget,
   excludeAfterDenial,
+  isOverloadedAlternative,
   type Placement,
 } from "@coltsfootford/core";
 import type {
@@ -57,6 +58,9 @@
     if (!placement) return this.#end();
     const { target } = placement.candidate;
     if (!this.#dependencies.limits.isLimited(target)) {
+      if (this.#denials > 0 && isOverloadedAlternative(placement)) {
+        return this.#end();
+      }
       return this.#listener.onSelected(placement);
     }
     void this.#requestPermit(placement);
@@ -88,7 +92,8 @@
     const { candidate, costMs, permitWaitMs, runnerUpCostMs } = placement;
     const maxWaitMs = Math.min(
       MAX_PERMIT_WAIT_MS,
-      this.#timeLeftMs() * MAX_WAIT_SHARE,
+      // Negative where the deadline has passed and its timer is due.
+      Math.max(0, this.#timeLeftMs()) * MAX_WAIT_SHARE,
       Math.max(0, runnerUpCostMs - costMs + permitWaitMs),
     );
     const permit = await limits.requestPermit(candidate, maxWaitMs);
