--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -214,11 +214,7 @@
       loadObserver.onReportedLoad(current.placement, metadata.load);
     }
     this.#lastReport = metadata;
-    limits.onResponse(
-      current.target.target,
-      metadata.limitPerSecond,
-      current.inFlight.startedAtMs,
-    );
+    limits.onResponse(current.target.target, metadata, current.inFlight);
     if (metadata.wasNotExecuted) return;
     record.recordFirstByte(
       tookMs,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -84,7 +84,10 @@
     this.#blackboard = blackboard;
     this.#lifecycle = blackboard.lifecycle.claimWriter("daemon");
     this.#limits = blackboard.limits.claimWriter("daemon");
-    const rpc = new JSONRPCServer();
+    const rpc = new JSONRPCServer({
+      errorListener: (message, data) =>
+        log.event("internalFault", { error: `${message}: ${data}` }),
+    });
     const self = describeSelf(settings);
     const routes = new RoutesController(blackboard, recordCodec, log);
     const registry = new TargetRegistryController(
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -16,7 +16,11 @@
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ClientResponse } from "./client_response.ts";
-import type { RequestCodec, RequestMetadata } from "./request_codec.ts";
+import type {
+  RequestCodec,
+  RequestMetadata,
+  ResponseMetadata,
+} from "./request_codec.ts";
 import type { RequestContent } from "./request_digest.ts";
 import type { TargetPool } from "./target_pool.ts";
 
@@ -69,11 +73,11 @@
 
 /** Keeps to the limits that targets name, together with all other daemons. */
 export interface TargetLimits {
-  /** A response has arrived; `limitPerSecond` is undefined if it names none. */
+  /** The head of a response has arrived, which may name a limit. */
   onResponse(
     target: RegisteredTarget,
-    limitPerSecond: number | undefined,
-    sentAtMs: number,
+    response: ResponseMetadata,
+    attempt: InFlightAttempt,
   ): void;
   /** Whether a request to the target needs a permit. */
   isLimited(target: RegisteredTarget): boolean;
--- a/packages/daemon/src/forwarding/knowledge/limit_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/limit_controller.ts
@@ -1,5 +1,6 @@
 import {
   type Candidate,
+  type InFlightAttempt,
   limitOwners,
   type LimitRole,
   type NamedLimit,
@@ -21,6 +22,7 @@
   PeerDaemon,
 } from "../forwarding_blackboard.ts";
 import type { TargetLimits } from "../forwarding_types.ts";
+import type { ResponseMetadata } from "../request_codec.ts";
 import type { TargetPool } from "../target_pool.ts";
 import { callPeer } from "./call_peer.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
@@ -126,14 +128,16 @@
     this.#limits.recordAnnounced({ target, requestsPerSecond }, this.#nowMs());
   }
 
+  /** A rejection that names no limit does not end one. */
   onResponse(
     { incarnation }: RegisteredTarget,
-    limitPerSecond: number | undefined,
-    sentAtMs: number,
+    { limitPerSecond, wasNotExecuted }: ResponseMetadata,
+    { startedAtMs }: InFlightAttempt,
   ): void {
+    if (wasNotExecuted && limitPerSecond === undefined) return;
     const { relay, log } = this.#dependencies;
     const limit = { target: incarnation, requestsPerSecond: limitPerSecond };
-    if (!this.#limits.recordNamed(limit, sentAtMs, this.#nowMs())) return;
+    if (!this.#limits.recordNamed(limit, startedAtMs, this.#nowMs())) return;
     if (limitPerSecond === undefined) this.#forgetWait(incarnation);
     log.event("limitNamed", { ...limit });
     relay.announce(TOPIC, {
