Bound crash reports; a Retry-After where all limited targets have left

Read again: a report named every interrupted request of a daemon, some hundreds at a large target, and goes to all daemons; it names 32, those whose response had begun first. A request that was denied permits and then found no target got 'Retry-After: Infinity' (target_selection_test.ts).

--- a/packages/core/src/forwarding/prompt_part_ledger.ts
+++ b/packages/core/src/forwarding/prompt_part_ledger.ts
@@ -54,6 +54,8 @@
 const MAX_CRASHES = 128;
 const MAX_QUARANTINED = 64;
 const MAX_SOUND_PARTS = 4_000;
+/** Suspects that one report names. */
+const MAX_REPORTED_SUSPECTS = 32;
 /** Longer ids are not tracked, since clients choose them. */
 export const MAX_PART_ID_LENGTH = 64;
 
@@ -277,6 +279,28 @@
     left.every((part, index) => part === right[index]);
 }
 
+/**
+ * The suspects that are worth reporting, each combination of parts once; those
+ * whose response had begun come first.
+ */
+export function selectSuspects(
+  suspects: readonly SuspectPrompt[],
+): SuspectPrompt[] {
+  const selected: SuspectPrompt[] = [];
+  const begunFirst = [
+    ...suspects.filter(({ hasResponse }) => hasResponse),
+    ...suspects.filter(({ hasResponse }) => !hasResponse),
+  ];
+  for (const suspect of begunFirst) {
+    if (selected.length >= MAX_REPORTED_SUSPECTS) break;
+    const isKnown = selected.some(({ parts }) =>
+      haveSameParts(parts, suspect.parts)
+    );
+    if (!isKnown) selected.push(suspect);
+  }
+  return selected;
+}
+
 function evictOldest(entries: Map<string, unknown>, maxEntries: number): void {
   for (const key of entries.keys()) {
     if (entries.size <= maxEntries) return;
--- a/packages/core/src/forwarding/prompt_part_ledger_test.ts
+++ b/packages/core/src/forwarding/prompt_part_ledger_test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, it } from "@jest/globals";
-import { PromptPartLedger } from "./prompt_part_ledger.ts";
+import { PromptPartLedger, selectSuspects } from "./prompt_part_ledger.ts";
 
 /** Time between crashes that count separately. */
 const CRASH_PERIOD_MS = 500;
@@ -169,3 +169,17 @@
     expect(quarantinedParts()).toEqual([]);
   });
 });
+
+describe("selectSuspects", () => {
+  it("bounds a report and prefers requests whose response had begun", () => {
+    const pending = Array.from({ length: 200 }, (_, index) => ({
+      parts: [`part-${index % 100}`],
+      hasResponse: false,
+    }));
+    const begun = { parts: ["deadly"], hasResponse: true };
+    const selected = selectSuspects([...pending, begun, begun]);
+    expect(selected).toHaveLength(32);
+    expect(selected[0]).toEqual(begun);
+    expect(new Set(selected.map(({ parts }) => parts[0])).size).toBe(32);
+  });
+});
--- a/packages/daemon/src/forwarding/knowledge/limit_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/limit_controller.ts
@@ -183,13 +183,16 @@
     const candidates = [...peers.values()].map(
       ({ name, availabilityZone }) => ({ name, availabilityZone }),
     );
-    const roles: readonly LimitRole[] = ["owner", "substitute"];
-    const owners = limitOwners(target, candidates);
-    for (const [index, name] of owners.entries()) {
-      const asked = { ...request, role: roles[index] as "owner" };
-      const reservation = name === self.name
-        ? this.#reserveHere(asked, asked.role)
-        : await this.#askPeer(peers.get(name)!, asked);
+    const [owner, substitute] = limitOwners(target, candidates);
+    const roles = [
+      { name: owner, role: "owner" },
+      { name: substitute, role: "substitute" },
+    ] as const;
+    for (const { name, role } of roles) {
+      if (name === self.name) return this.#reserveHere(request, role);
+      const peer = name === undefined ? undefined : peers.get(name);
+      const reservation = peer &&
+        await this.#askPeer(peer, { ...request, role });
       if (reservation) return reservation;
     }
     const own = this.#reserveHere(request, "own");
--- a/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
@@ -9,6 +9,7 @@
   PromptPartLedger,
   type QuarantinedParts,
   type RegisteredTarget,
+  selectSuspects,
   sharedParts,
   type SuspectPrompt,
   type TimerService,
@@ -193,7 +194,7 @@
     const { crashCheck, relay, log } = this.#dependencies;
     const isDown = await crashCheck.isDown(target);
     const { incarnation } = target;
-    const suspects = this.#unconfirmed.get(incarnation) ?? [];
+    const suspects = selectSuspects(this.#unconfirmed.get(incarnation) ?? []);
     this.#unconfirmed.delete(incarnation);
     if (!isDown) return;
     const hasBegun = suspects.some(({ hasResponse }) => hasResponse);
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -141,6 +141,7 @@
     const nowMs = timer.nowMs();
     const waitsMs = pool.ofService(this.#accepted.service)
       .map(({ record }) => Math.max(0, record.permitFromMs - nowMs));
-    this.#listener.onNone("limits used up", Math.min(...waitsMs));
+    const retryAfterMs = waitsMs.length > 0 ? Math.min(...waitsMs) : 0;
+    this.#listener.onNone("limits used up", retryAfterMs);
   }
 }
--- a/packages/daemon/src/forwarding/target_selection_test.ts
+++ b/packages/daemon/src/forwarding/target_selection_test.ts
@@ -31,6 +31,7 @@
 let limited: Set<string>;
 let selected: string[];
 let rejected: string[];
+let retryAfterMs: number[];
 
 function createTarget(id: string): RegisteredTarget {
   return {
@@ -59,6 +60,7 @@
   limited = new Set(["a", "b"]);
   selected = [];
   rejected = [];
+  retryAfterMs = [];
 });
 
 function select(timeLeftMs: number): TargetSelection {
@@ -94,7 +96,10 @@
     {
       onSelected: ({ candidate }: Placement) =>
         selected.push(candidate.target.id),
-      onNone: (reason) => rejected.push(reason),
+      onNone: (reason, afterMs) => {
+        rejected.push(reason);
+        retryAfterMs.push(afterMs);
+      },
     },
   );
   selection.start();
@@ -137,6 +142,14 @@
     expect(rejected).toEqual(["limits used up"]);
   });
 
+  // Guards against a Retry-After that is no number.
+  it("names a time to return also where all targets have left", async () => {
+    select(1_000);
+    targets.write([]);
+    await settle();
+    expect(retryAfterMs).toEqual([0]);
+  });
+
   // Guards against permits that owners reject as malformed, so that they count
   // as unreachable.
   it("asks for no negative wait after the deadline", async () => {
