--- a/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
@@ -14,19 +14,17 @@
   type SuspectPrompt,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type { KeyValueEntry } from "@coltsfootford/key-value";
 import { z } from "zod";
-import type { Logger } from "../../log/index.ts";
 import type { Metrics } from "../../metrics/index.ts";
-import type {
-  ForwardingBlackboard,
-  PeerDaemon,
-} from "../forwarding_blackboard.ts";
 import type { PromptObserver } from "../forwarding_types.ts";
 import type { CrashCheck } from "./crash_check.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
 import { FollowingController } from "./following_controller.ts";
-import { RecordPublisher } from "./record_publisher.ts";
+import {
+  RecordPublisher,
+  type RecordPublisherDependencies,
+} from "./record_publisher.ts";
 import type { RetainedFacts } from "./retained_facts.ts";
 
 const PREFIX = "coltsfootford/prompt-quarantine/";
@@ -54,14 +52,11 @@
 });
 
 /** Dependencies of a `PromptQuarantineController`. */
-export interface PromptQuarantineDependencies {
-  readonly self: PeerDaemon;
-  readonly blackboard: ForwardingBlackboard;
-  readonly store: KeyValueClient;
+export interface PromptQuarantineDependencies
+  extends RecordPublisherDependencies {
   readonly relay: FleetRelay;
   readonly crashCheck: CrashCheck;
   readonly timer: TimerService;
-  readonly log: Logger;
   readonly metrics: Metrics;
 }
 
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -7,21 +7,21 @@
   requestDigestSchema,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type { KeyValueEntry } from "@coltsfootford/key-value";
 import type { JSONRPCServer } from "json-rpc-2.0";
 import { z } from "zod";
-import type { Logger } from "../../log/index.ts";
-import type {
-  ForwardingBlackboard,
-  PeerDaemon,
-} from "../forwarding_blackboard.ts";
+import type { PeerDaemon } from "../forwarding_blackboard.ts";
 import type { CrashObserver } from "../forwarding_types.ts";
 import { digestRequest, type RequestContent } from "../request_digest.ts";
 import { callPeer } from "./call_peer.ts";
 import type { CrashCheck } from "./crash_check.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
 import { FollowingController } from "./following_controller.ts";
-import { QUARANTINE_TTL_MS, RecordPublisher } from "./record_publisher.ts";
+import {
+  QUARANTINE_TTL_MS,
+  RecordPublisher,
+  type RecordPublisherDependencies,
+} from "./record_publisher.ts";
 import type { RetainedFacts } from "./retained_facts.ts";
 
 const PREFIX = "coltsfootford/quarantine/";
@@ -60,15 +60,11 @@
 type Quarantined = z.infer<typeof QuarantinedSchema>;
 
 /** Dependencies of a `QuarantineController`. */
-export interface QuarantineDependencies {
-  readonly self: PeerDaemon;
-  readonly blackboard: ForwardingBlackboard;
-  readonly store: KeyValueClient;
+export interface QuarantineDependencies extends RecordPublisherDependencies {
   readonly rpc: JSONRPCServer;
   readonly relay: FleetRelay;
   readonly crashCheck: CrashCheck;
   readonly timer: TimerService;
-  readonly log: Logger;
 }
 
 /**
