Log what marks the end of a response, at the target and for the client

The hypotheses on answers that are framed as complete and aren't differ in the framing on either side, which no event held.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,5 +15,6 @@
 export * from "./outcome/index.ts";
 export * from "./placement/index.ts";
 export * from "./poison/index.ts";
+export * from "./response/index.ts";
 export * from "./retry/index.ts";
 export * from "./timer/index.ts";
--- /dev/null
+++ b/packages/core/src/response/index.ts
@@ -0,0 +1,2 @@
+/** What proves that a response is complete. */
+export * from "./body_delimiter.ts";
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from "node:http";
+import { type BodyDelimiter, findBodyDelimiter } from "@coltsfootford/core";
+import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
-import type { BufferedResponse, StreamHead } from "./target_attempt.ts";
+import type { BufferedResponse, ResponseHead } from "./target_attempt.ts";
 
 const BODILESS_STATUSES = new Set([204, 304]);
 
@@ -9,12 +11,18 @@
   readonly #outgoing: ServerResponse;
   readonly #method: string;
   #hasStarted = false;
+  #delimiter: BodyDelimiter | undefined;
 
   constructor(outgoing: ServerResponse, method: string) {
     this.#outgoing = outgoing;
     this.#method = method;
   }
 
+  /** What marks the end of the response; undefined before its start. */
+  get delimiter(): BodyDelimiter | undefined {
+    return this.#delimiter;
+  }
+
   /** Whether a part of the response has been written. */
   get hasStarted(): boolean {
     return this.#hasStarted;
@@ -59,10 +67,9 @@
    * is sent in chunks, whatever framing the target uses, so that a client can
    * tell a broken stream from a complete one.
    */
-  startStream({ status, metadata }: StreamHead): void {
+  startStream({ status, metadata }: ResponseHead): void {
     if (this.#hasStarted) return;
-    this.#hasStarted = true;
-    this.#outgoing.writeHead(status, [...metadata.headers]);
+    this.#writeHead(status, [...metadata.headers]);
   }
 
   /** Writes events; returns false if the client reads too slowly. */
@@ -103,8 +110,18 @@
 
   #sendBuffered(status: number, headers: string[], body: Buffer): void {
     if (this.#hasStarted) return;
+    this.#writeHead(status, headers);
+    this.#outgoing.end(body);
+  }
+
+  #writeHead(status: number, headers: string[]): void {
     this.#hasStarted = true;
     this.#outgoing.writeHead(status, headers);
-    this.#outgoing.end(body);
+    this.#delimiter = findBodyDelimiter({
+      method: this.#method,
+      status,
+      transferEncoding: this.#outgoing.chunkedEncoding ? "chunked" : undefined,
+      contentLength: findHeader(headers, "content-length"),
+    });
   }
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -24,14 +24,13 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import type { ResponseMetadata } from "./request_codec.ts";
 import { logAttemptFailed, logEnded, logSent } from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
 import { TargetSelection } from "./target_selection.ts";
 import {
   type AttemptEnd,
   type BufferedResponse,
-  type StreamHead,
+  type ResponseHead,
   TargetAttempt,
 } from "./target_attempt.ts";
 
@@ -69,12 +68,12 @@
   #mayHaveExecuted = false;
   #lastEventId: string | undefined;
   /** The head of the latest stream; sent to the client with the first event. */
-  #streamHead: StreamHead | undefined;
+  #streamHead: ResponseHead | undefined;
   #hasFinished = false;
   /** Whether a target has gone on after the first event of its response. */
   #hasBegun = false;
-  /** What the target of the last attempt reported about itself. */
-  #lastReport: Pick<ResponseMetadata, "load" | "limitPerSecond"> | undefined;
+  /** The head of the last response of a target. */
+  #lastHead: ResponseHead | undefined;
 
   constructor(
     accepted: AcceptedRequest,
@@ -182,7 +181,7 @@
       dependencies.codec,
       dependencies.timer,
       {
-        onFirstByte: (metadata) => this.#onFirstByte(current, metadata),
+        onFirstByte: (head) => this.#onFirstByte(current, head),
         onStreamHead: (head) => {
           this.#streamHead = head;
         },
@@ -203,7 +202,8 @@
     this.#current = current;
   }
 
-  #onFirstByte(current: CurrentAttempt, metadata: ResponseMetadata): void {
+  #onFirstByte(current: CurrentAttempt, head: ResponseHead): void {
+    const { metadata } = head;
     const { timer, metrics, loadObserver, limits } = this.#dependencies;
     const nowMs = timer.nowMs();
     const tookMs = nowMs - current.inFlight.startedAtMs;
@@ -213,7 +213,7 @@
       record.recordReportedLoad(metadata.load, nowMs);
       loadObserver.onReportedLoad(current.placement, metadata.load);
     }
-    this.#lastReport = metadata;
+    this.#lastHead = head;
     limits.onResponse(current.target.target, metadata, current.inFlight);
     if (metadata.wasNotExecuted) return;
     record.recordFirstByte(
@@ -382,7 +382,7 @@
     this.#hasFinished = true;
     this.#selection?.cancel();
     this.#cancelDeadline();
-    const { load, limitPerSecond } = this.#lastReport ?? {};
+    const { load, limitPerSecond } = this.#lastHead?.metadata ?? {};
     logEnded(this.#dependencies, this.#accepted, {
       outcome,
       status,
@@ -390,6 +390,8 @@
       mayHaveRun: this.#mayHaveExecuted,
       reportedLoad: load && totalRequests(load),
       namedLimit: limitPerSecond,
+      endMarkedBy: this.#lastHead?.delimiter,
+      clientEndMarkedBy: this.#accepted.response.delimiter,
     });
     this.#onFinished();
   }
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -1,4 +1,5 @@
 import {
+  type BodyDelimiter,
   type Placement,
   type RetryDecision,
   sharedParts,
@@ -85,6 +86,10 @@
   readonly reportedLoad: number | undefined;
   /** Requests a second that it takes from all daemons, if it names a limit. */
   readonly namedLimit: number | undefined;
+  /** What marks the end of the last response of a target, if there was one. */
+  readonly endMarkedBy: BodyDelimiter | undefined;
+  /** What marks the end of the response to the client, if it has begun. */
+  readonly clientEndMarkedBy: BodyDelimiter | undefined;
 }
 
 /** Logs the end of a request, and counts it. */
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -1,7 +1,9 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import {
+  type BodyDelimiter,
   EventFramer,
+  findBodyDelimiter,
   type InFlightAttempt,
   ResponseLimits,
   type TimerService,
@@ -37,10 +39,11 @@
   | { readonly kind: "whole"; readonly response: BufferedResponse }
   | { readonly kind: "streamed" };
 
-/** The head of a streamed response. */
-export interface StreamHead {
+/** The head of a response. */
+export interface ResponseHead {
   readonly status: number;
   readonly metadata: ResponseMetadata;
+  readonly delimiter: BodyDelimiter;
 }
 
 /** Inputs of an attempt: the request to send, and its target. */
@@ -61,14 +64,14 @@
 /** Receives the events of an attempt. */
 export interface AttemptListener {
   /** The head of a streamed response has arrived. */
-  onStreamHead(head: StreamHead): void;
+  onStreamHead(head: ResponseHead): void;
   /**
    * Complete events of a stream have arrived, in order. `lastEventId` is
    * undefined if none of them has an id.
    */
   onEvents(bytes: Buffer, lastEventId: string | undefined): void;
   /** The head of the target's response has arrived. */
-  onFirstByte(metadata: ResponseMetadata): void;
+  onFirstByte(head: ResponseHead): void;
   onEnd(end: AttemptEnd): void;
 }
 
@@ -178,7 +181,8 @@
       findHeader(response.rawHeaders, "keep-alive"),
     );
     this.#plan.inFlight.hasResponse = true;
-    this.#listener.onFirstByte(metadata);
+    const head = { status, metadata, delimiter: this.#delimiterOf(response) };
+    this.#listener.onFirstByte(head);
     response.on("error", (error) => this.#fail(error.message));
     response.on("aborted", () => this.#fail("answer broken off"));
     if (metadata.wasNotExecuted) {
@@ -190,9 +194,9 @@
     const error = isGood ? findResponseError(metadata) : undefined;
     if (error !== undefined) return this.#fail(error);
     if (isGood && this.#plan.isStream && isEventStream(metadata)) {
-      return this.#relayEvents(response, status, metadata);
+      return this.#relayEvents(response, head);
     }
-    this.#bufferBody(response, status, metadata);
+    this.#bufferBody(response, head);
   }
 
   /**
@@ -205,14 +209,19 @@
     return metadata.requestId === undefined && metadata.wasNotExecuted;
   }
 
-  #relayEvents(
-    response: IncomingMessage,
-    status: number,
-    metadata: ResponseMetadata,
-  ): void {
+  #delimiterOf({ statusCode = 0, headers }: IncomingMessage): BodyDelimiter {
+    return findBodyDelimiter({
+      method: this.#plan.method,
+      status: statusCode,
+      transferEncoding: headers["transfer-encoding"],
+      contentLength: headers["content-length"],
+    });
+  }
+
+  #relayEvents(response: IncomingMessage, head: ResponseHead): void {
     const framer = new EventFramer();
     this.#limits.allowStream();
-    this.#listener.onStreamHead({ status, metadata });
+    this.#listener.onStreamHead(head);
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
@@ -241,11 +250,7 @@
     });
   }
 
-  #bufferBody(
-    response: IncomingMessage,
-    status: number,
-    metadata: ResponseMetadata,
-  ): void {
+  #bufferBody(response: IncomingMessage, head: ResponseHead): void {
     const chunks: Buffer[] = [];
     response.on("data", (chunk: Buffer) => {
       if (this.#hasEnded) return;
@@ -258,8 +263,8 @@
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("answer broken off");
       const buffered: BufferedResponse = {
-        status,
-        metadata,
+        status: head.status,
+        metadata: head.metadata,
         contentLength: response.headers["content-length"],
         isFramed: isFramed(response),
         body: Buffer.concat(chunks),
