Declare no more complete to a client than the target proved

Callers saw a stream that had been broken off as complete: it came in chunks with a proper last chunk. Cause: the client's framing was chosen apart from the target's. A stream with neither a length nor chunks ends with its connection, after a part as after the whole, and was passed on in chunks.

What marks the end of a body is now found in one place (findBodyDelimiter, RFC 9112), and the client's framing follows from it: an end that proves nothing is passed on as such, by the end of the connection. Where the response has begun in chunks, or holds no event, such an end counts as broken off, so it is resumed or aborted.

--- a/packages/daemon/src/forwarding/classify_attempt_end.ts
+++ b/packages/daemon/src/forwarding/classify_attempt_end.ts
@@ -1,4 +1,5 @@
 import type { AttemptFailure, AttemptOutcome } from "@coltsfootford/core";
+import type { ClientResponse } from "./client_response.ts";
 import type { AttemptEnd, BufferedResponse } from "./target_attempt.ts";
 
 /** Statuses that guarantee the client that its request was not executed. */
@@ -15,6 +16,18 @@
   return status >= FIRST_SERVER_ERROR || NOT_EXECUTED_STATUSES.has(status);
 }
 
+/**
+ * The end of an attempt as the client may take it: a stream whose end the target
+ * has not proved counts as broken where the client would take it for complete.
+ */
+export function requireProvenEnd(
+  end: AttemptEnd,
+  client: ClientResponse,
+): AttemptEnd {
+  if (end.kind !== "streamed" || client.canEndAfter(end.delimiter)) return end;
+  return { kind: "broken", cause: "nothing proves the end of the stream" };
+}
+
 /** What the end of an attempt says about the target's health. */
 export function classifyOutcome(end: AttemptEnd): AttemptOutcome {
   if (end.kind === "streamed") return "good";
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -1,11 +1,13 @@
 import type { ServerResponse } from "node:http";
-import { type BodyDelimiter, findBodyDelimiter } from "@coltsfootford/core";
+import {
+  type BodyDelimiter,
+  findBodyDelimiter,
+  provesCompleteBody,
+} from "@coltsfootford/core";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
 import type { BufferedResponse, ResponseHead } from "./target_attempt.ts";
 
-const BODILESS_STATUSES = new Set([204, 304]);
-
 /** The response to one client. Only the first response is written. */
 export class ClientResponse {
   readonly #outgoing: ServerResponse;
@@ -48,28 +50,37 @@
     ], body);
   }
 
+  /**
+   * Whether the end of a stream that the target delimited this way may end the
+   * response, which declares no more than the target proved.
+   */
+  canEndAfter(delimiter: BodyDelimiter): boolean {
+    return provesCompleteBody(delimiter) || this.#delimiter === "close";
+  }
+
   /** Relays a target's buffered response. */
   relayResponse(response: BufferedResponse): void {
+    const { status, delimiter, contentLength, body } = response;
     const headers = [...response.metadata.headers];
-    if (this.#method === "HEAD") {
-      if (response.contentLength !== undefined) {
-        headers.push("Content-Length", response.contentLength);
-      }
-    } else if (!response.isFramed) this.#delimitByConnectionClose(headers);
-    else if (!BODILESS_STATUSES.has(response.status)) {
-      headers.push("Content-Length", String(response.body.length));
+    if (!provesCompleteBody(delimiter)) this.#delimitByConnectionClose(headers);
+    else if (delimiter !== "none") {
+      headers.push("Content-Length", String(body.length));
+    } else if (this.#method === "HEAD" && contentLength !== undefined) {
+      headers.push("Content-Length", contentLength);
     }
-    this.#sendBuffered(response.status, headers, response.body);
+    this.#sendBuffered(status, headers, body);
   }
 
   /**
    * Sends the head of a streamed response, unless one has been sent. The stream
-   * is sent in chunks, whatever framing the target uses, so that a client can
-   * tell a broken stream from a complete one.
+   * is sent in chunks, so that a client can tell a broken stream from a complete
+   * one, unless the target's own framing can't tell them apart.
    */
-  startStream({ status, metadata }: ResponseHead): void {
+  startStream({ status, metadata, delimiter }: ResponseHead): void {
     if (this.#hasStarted) return;
-    this.#writeHead(status, [...metadata.headers]);
+    const headers = [...metadata.headers];
+    if (!provesCompleteBody(delimiter)) this.#delimitByConnectionClose(headers);
+    this.#writeHead(status, headers);
   }
 
   /** Writes events; returns false if the client reads too slowly. */
@@ -100,8 +111,8 @@
 
   /**
    * Marks the end of the body by closing the connection. A target's body that
-   * was delimited this way may be truncated undetected; adding a
-   * Content-Length would declare it complete.
+   * was delimited this way may be truncated undetected; a length or a last chunk
+   * would declare it complete.
    */
   #delimitByConnectionClose(headers: string[]): void {
     this.#outgoing.useChunkedEncodingByDefault = false;
--- /dev/null
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -0,0 +1,40 @@
+import type { InFlightAttempt, Placement } from "@coltsfootford/core";
+import type {
+  AcceptedRequest,
+  ForwarderDependencies,
+} from "./forwarding_types.ts";
+import type { ResponseHead, TargetAttempt } from "./target_attempt.ts";
+import type { PooledTarget } from "./target_pool.ts";
+
+/** The attempt of a request that is in flight. */
+export interface CurrentAttempt {
+  readonly attempt: TargetAttempt;
+  readonly inFlight: InFlightAttempt;
+  readonly target: PooledTarget;
+  readonly placement: Placement;
+  readonly expectedFirstByteMs: number;
+}
+
+/** Records what the head of a response says about its target. */
+export function recordFirstByte(
+  { timer, metrics, loadObserver, limits }: ForwarderDependencies,
+  { route }: AcceptedRequest,
+  { inFlight, target, placement, expectedFirstByteMs }: CurrentAttempt,
+  { metadata }: ResponseHead,
+): void {
+  const nowMs = timer.nowMs();
+  const tookMs = nowMs - inFlight.startedAtMs;
+  metrics.recordMs("target_first_byte_ms", tookMs);
+  const { record } = target;
+  if (metadata.load) {
+    record.recordReportedLoad(metadata.load, nowMs);
+    loadObserver.onReportedLoad(placement, metadata.load);
+  }
+  limits.onResponse(target.target, metadata, inFlight);
+  if (metadata.wasNotExecuted) return;
+  record.recordFirstByte(
+    tookMs,
+    expectedFirstByteMs + route.targetLatencyMs / 2,
+    nowMs,
+  );
+}
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -12,6 +12,7 @@
   sharedParts,
   totalRequests,
 } from "@coltsfootford/core";
+import { type CurrentAttempt, recordFirstByte } from "./current_attempt.ts";
 import { createAttemptPlan } from "./attempt_plan.ts";
 import { canRetryAfterAbort } from "./can_retry_after_abort.ts";
 import {
@@ -19,6 +20,7 @@
   classifyOutcome,
   isFailureResponse,
   NOT_EXECUTED_STATUSES,
+  requireProvenEnd,
 } from "./classify_attempt_end.ts";
 import type {
   AcceptedRequest,
@@ -43,14 +45,6 @@
 /** Events after which a target has survived the beginning of its response. */
 const EVENTS_OF_BEGUN_RESPONSE = 2;
 
-interface CurrentAttempt {
-  readonly attempt: TargetAttempt;
-  readonly inFlight: InFlightAttempt;
-  readonly target: PooledTarget;
-  readonly placement: Placement;
-  readonly expectedFirstByteMs: number;
-}
-
 /** Forwards one request: one attempt at a time, one timer for its deadline. */
 export class ForwardedRequest {
   readonly #accepted: AcceptedRequest;
@@ -203,24 +197,8 @@
   }
 
   #onFirstByte(current: CurrentAttempt, head: ResponseHead): void {
-    const { metadata } = head;
-    const { timer, metrics, loadObserver, limits } = this.#dependencies;
-    const nowMs = timer.nowMs();
-    const tookMs = nowMs - current.inFlight.startedAtMs;
-    metrics.recordMs("target_first_byte_ms", tookMs);
-    const { record } = current.target;
-    if (metadata.load) {
-      record.recordReportedLoad(metadata.load, nowMs);
-      loadObserver.onReportedLoad(current.placement, metadata.load);
-    }
     this.#lastHead = head;
-    limits.onResponse(current.target.target, metadata, current.inFlight);
-    if (metadata.wasNotExecuted) return;
-    record.recordFirstByte(
-      tookMs,
-      current.expectedFirstByteMs + this.#accepted.route.targetLatencyMs / 2,
-      nowMs,
-    );
+    recordFirstByte(this.#dependencies, this.#accepted, current, head);
   }
 
   /** Starts the client's response with the latest head, unless it has started. */
@@ -246,10 +224,11 @@
     response.onDrain(() => current.attempt.setPaused(false));
   }
 
-  #onAttemptEnd(current: CurrentAttempt, end: AttemptEnd): void {
+  #onAttemptEnd(current: CurrentAttempt, reportedEnd: AttemptEnd): void {
     this.#current = undefined;
     current.target.record.attempts.delete(current.inFlight);
     if (this.#hasFinished) return;
+    const end = requireProvenEnd(reportedEnd, this.#accepted.response);
     const nowMs = this.#dependencies.timer.nowMs();
     const outcome = classifyOutcome(end);
     current.target.record.recordOutcome(outcome, nowMs);
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -21,8 +21,7 @@
   readonly status: number;
   readonly metadata: ResponseMetadata;
   readonly contentLength: string | undefined;
-  /** Whether headers delimit the body, and not the close of the connection. */
-  readonly isFramed: boolean;
+  readonly delimiter: BodyDelimiter;
   readonly body: Buffer;
 }
 
@@ -30,14 +29,15 @@
  * How an attempt ended. `unsent`: no byte was written. `refused`: the target
  * states that it did not execute the request. `broken`: the request may have
  * been executed, and no usable response arrived. `whole`: the complete response
- * is buffered. `streamed`: all events of the stream were relayed.
+ * is buffered. `streamed`: the stream ended between two events, and all of them
+ * were relayed; `delimiter` tells whether that proves the stream complete.
  */
 export type AttemptEnd =
   | { readonly kind: "unsent"; readonly cause: string }
   | { readonly kind: "refused"; readonly status: number }
   | { readonly kind: "broken"; readonly cause: string }
   | { readonly kind: "whole"; readonly response: BufferedResponse }
-  | { readonly kind: "streamed" };
+  | { readonly kind: "streamed"; readonly delimiter: BodyDelimiter };
 
 /** The head of a response. */
 export interface ResponseHead {
@@ -193,7 +193,8 @@
     if (isGood) this.#limits.allowBody(readContentLength(response));
     const error = isGood ? findResponseError(metadata) : undefined;
     if (error !== undefined) return this.#fail(error);
-    if (isGood && this.#plan.isStream && isEventStream(metadata)) {
+    const isStream = this.#plan.isStream && isStreamed(metadata);
+    if (isGood && isStream) {
       return this.#relayEvents(response, head);
     }
     this.#bufferBody(response, head);
@@ -246,7 +247,7 @@
       if (framer.rest.length > 0) {
         this.#listener.onEvents(Buffer.from(framer.rest), undefined);
       }
-      this.#end({ kind: "streamed" });
+      this.#end({ kind: "streamed", delimiter: head.delimiter });
     });
   }
 
@@ -262,12 +263,16 @@
     response.on("end", () => {
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("answer broken off");
+      const body = Buffer.concat(chunks);
+      if (isEventStream(head.metadata) && endsInsideEvent(body)) {
+        return this.#fail("stream ended inside an event");
+      }
       const buffered: BufferedResponse = {
         status: head.status,
         metadata: head.metadata,
         contentLength: response.headers["content-length"],
-        isFramed: isFramed(response),
-        body: Buffer.concat(chunks),
+        delimiter: head.delimiter,
+        body,
       };
       this.#end({ kind: "whole", response: buffered });
     });
@@ -328,9 +333,21 @@
   return undefined;
 }
 
-function isEventStream(metadata: ResponseMetadata): boolean {
+/** Whether a route for streams gets one; the content type may be missing. */
+function isStreamed(metadata: ResponseMetadata): boolean {
   const type = findHeader(metadata.headers, "content-type");
-  return type === undefined || type.startsWith("text/event-stream");
+  return type === undefined || isEventStream(metadata);
+}
+
+function isEventStream({ headers }: ResponseMetadata): boolean {
+  const type = findHeader(headers, "content-type")?.split(";", 1)[0];
+  return type?.trim().toLowerCase() === "text/event-stream";
+}
+
+function endsInsideEvent(body: Buffer): boolean {
+  const framer = new EventFramer();
+  framer.push(body);
+  return framer.hasIncompleteEvent;
 }
 
 function readContentLength(
@@ -340,12 +357,6 @@
   return length === undefined ? undefined : Number(length);
 }
 
-function isFramed(response: IncomingMessage): boolean {
-  const { headers } = response;
-  return headers["transfer-encoding"] !== undefined ||
-    headers["content-length"] !== undefined;
-}
-
 const BODILESS_METHODS = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
 
 function withContentLength(
