Own interface: no length and no record for a body that may be truncated

Callers of a plain service got a body that ends with the target's connection with a length of our own and outcome completed, and a repeat of the call with its key was answered from the record of it. Cause: the same as at the users' platform; undici reports the end of the connection as the end of the body.

Evidence: buffered_relay_test.ts, 4 of its 5 new cases failed before (two heads without framing, HEAD, the record of a key). The framing now follows from findBodyDelimiter here too; whole JSON of a chat is proof of its own. A call whose response may be truncated is known to have run and is never replayed.

--- a/packages/daemon/src/claims/claimed_calls.ts
+++ b/packages/daemon/src/claims/claimed_calls.ts
@@ -114,7 +114,9 @@
     bodyDigest: digest(body),
     sizeBytes: body.length,
   };
-  if (!relayed || body.length > MAX_RECORDED_BODY_BYTES) {
+  const isRecordable = relayed?.isProvenComplete === true &&
+    body.length <= MAX_RECORDED_BODY_BYTES;
+  if (!isRecordable) {
     return { kind: "done", summary, response: undefined };
   }
   const text = body.toString("utf8");
--- a/packages/daemon/src/entry/buffered_relay.ts
+++ b/packages/daemon/src/entry/buffered_relay.ts
@@ -1,9 +1,14 @@
 import type { ServerResponse } from "node:http";
-import type { RecordedResponse } from "@coltsfootford/core";
+import {
+  type Outcome,
+  provesCompleteBody,
+  type RecordedResponse,
+} from "@coltsfootford/core";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
 import {
   type AttemptResult,
+  delimiterOf,
   discardBody,
   isForeignResponse,
   isRejectedByTarget,
@@ -82,7 +87,7 @@
         message: "the answer is not the request's own",
       };
     }
-    this.#send(response, body);
+    this.#send(response, body, context);
     return { kind: "answered" };
   }
 
@@ -100,9 +105,21 @@
     this.#outgoing.end(body);
   }
 
-  #send(response: Dispatcher.ResponseData, body: Buffer): void {
+  /**
+   * Sends a response whose end proves it complete with a length. Any other one
+   * ends with the connection, as it did at the target, and may be truncated.
+   */
+  #send(
+    response: Dispatcher.ResponseData,
+    body: Buffer,
+    context: RequestContext,
+  ): void {
     const contentType = response.headers["content-type"];
+    const delimiter = delimiterOf(response, context.method);
+    const isProvenComplete = provesCompleteBody(delimiter) ||
+      isCheckedChat(response, context);
     this.#relayed = {
+      isProvenComplete,
       status: response.statusCode,
       contentType: typeof contentType === "string"
         ? contentType
@@ -113,21 +130,39 @@
       if (value === undefined || HOP_HEADERS.has(name)) continue;
       this.#outgoing.setHeader(name, value);
     }
-    this.#outgoing.setHeader("x-coltsfoot-outcome", "completed");
-    this.#outgoing.setHeader("content-length", body.length);
+    const outcome: Outcome = isProvenComplete ? "completed" : "unknown";
+    this.#outgoing.setHeader("x-coltsfoot-outcome", outcome);
+    if (!isProvenComplete) {
+      this.#outgoing.useChunkedEncodingByDefault = false;
+      this.#outgoing.setHeader("connection", "close");
+    } else if (delimiter !== "none") {
+      this.#outgoing.setHeader("content-length", body.length);
+    } else if (context.method === "HEAD") {
+      const length = response.headers["content-length"];
+      if (length !== undefined) {
+        this.#outgoing.setHeader("content-length", length);
+      }
+    }
     this.#outgoing.writeHead(response.statusCode);
     this.#outgoing.end(body);
   }
 }
 
+/** Whether the response is a chat whose body was checked to be whole JSON. */
+function isCheckedChat(
+  { statusCode }: Dispatcher.ResponseData,
+  { route }: RequestContext,
+): boolean {
+  return route.protocol === "chat" && statusCode < FIRST_CLIENT_ERROR;
+}
+
 /** Whether a chat response is complete JSON and carries the request's id. */
 function isBodyOfRequest(
   response: Dispatcher.ResponseData,
   body: Buffer,
   context: RequestContext,
 ): boolean {
-  if (context.route.protocol !== "chat") return true;
-  if (response.statusCode >= FIRST_CLIENT_ERROR) return true;
+  if (!isCheckedChat(response, context)) return true;
   let value: unknown;
   try {
     value = JSON.parse(body.toString("utf8"));
--- a/packages/daemon/src/entry/buffered_relay_test.ts
+++ b/packages/daemon/src/entry/buffered_relay_test.ts
@@ -79,4 +79,71 @@
       expect(openSockets).toBe(0);
     },
   );
+
+  /** Calls a service that sends these bytes and closes its connection. */
+  async function callService(
+    headerLines: readonly string[],
+    body: string,
+    method = "POST",
+  ): Promise<Response> {
+    fixture = await startEntryFixture(({ socket }) => {
+      const head = ["HTTP/1.1 200 OK", ...headerLines, "", ""].join("\r\n");
+      socket.end(head + body);
+    });
+    return await fetch(`${fixture.baseUrl}/services/bids/1`, {
+      method,
+      headers: { "x-coltsfoot-team": "open" },
+    });
+  }
+
+  // Guards against a body that may be truncated, declared complete by a length
+  // and by the outcome.
+  it.each([
+    [[]],
+    [["Transfer-Encoding: identity"]],
+  ])("proves no more than the target with the headers %j", async (lines) => {
+    const response = await callService(lines, "a part");
+    expect(await response.text()).toBe("a part");
+    expect(response.headers.get("x-coltsfoot-outcome")).toBe("unknown");
+    expect(response.headers.get("content-length")).toBeNull();
+    expect(response.headers.get("transfer-encoding")).toBeNull();
+    expect(response.headers.get("connection")).toBe("close");
+  });
+
+  it("reports a body with a length as completed", async () => {
+    const response = await callService(["Content-Length: 5"], "whole");
+    expect(await response.text()).toBe("whole");
+    expect(response.headers.get("x-coltsfoot-outcome")).toBe("completed");
+    expect(response.headers.get("content-length")).toBe("5");
+  });
+
+  it("relays the length that a response to HEAD states", async () => {
+    const response = await callService(["Content-Length: 5"], "", "HEAD");
+    expect(response.headers.get("content-length")).toBe("5");
+    expect(response.headers.get("x-coltsfoot-outcome")).toBe("completed");
+  });
+
+  // Guards against a truncated body that is replayed as the response of a call.
+  it("does not record a body that may be truncated for its key", async () => {
+    let calls = 0;
+    fixture = await startEntryFixture(({ method, socket }) => {
+      if (method === "POST") calls += 1;
+      socket.end("HTTP/1.1 200 OK\r\n\r\na part");
+    });
+    const date = new Date().toISOString().slice(0, 10);
+    const send = () =>
+      fetch(`${fixture.baseUrl}/services/bids/1`, {
+        method: "POST",
+        headers: {
+          "x-coltsfoot-team": "open",
+          "idempotency-key": `${date}/call-1`,
+        },
+      });
+    const first = await send();
+    expect(await first.text()).toBe("a part");
+    const second = await send();
+    expect(second.status).toBe(409);
+    expect(await second.text()).toContain("already_completed");
+    expect(calls).toBe(1);
+  });
 });
--- a/packages/daemon/src/entry/response_relay.ts
+++ b/packages/daemon/src/entry/response_relay.ts
@@ -1,4 +1,8 @@
-import type { RecordedResponse } from "@coltsfootford/core";
+import {
+  type BodyDelimiter,
+  findBodyDelimiter,
+  type RecordedResponse,
+} from "@coltsfootford/core";
 import type { Dispatcher } from "undici";
 import type { RequestContext } from "./request_context.ts";
 
@@ -21,8 +25,10 @@
 /** The header that carries the request id to targets and back. */
 export const REQUEST_ID_HEADER = "x-request-id";
 
-/** A complete relayed response, to be recorded for an idempotency key. */
+/** A relayed response, to be recorded for an idempotency key if it is whole. */
 export interface RelayedResponse {
+  /** Whether the target proved that the body is complete. */
+  readonly isProvenComplete: boolean;
   readonly status: number;
   readonly contentType: string;
   readonly body: Buffer;
@@ -63,6 +69,19 @@
   return responseId !== undefined && responseId !== requestId;
 }
 
+/** What marks the end of the response's body. */
+export function delimiterOf(
+  { statusCode, headers }: Dispatcher.ResponseData,
+  method: string,
+): BodyDelimiter {
+  return findBodyDelimiter({
+    method,
+    status: statusCode,
+    transferEncoding: headers["transfer-encoding"]?.toString(),
+    contentLength: headers["content-length"]?.toString(),
+  });
+}
+
 /** Discards a response that is not relayed, and closes its connection. */
 export function discardBody(response: Dispatcher.ResponseData): void {
   response.body.on("error", () => undefined);
