Check what entries of targets and daemons hold before anything uses it

Other operators saw processes end again and again, or stop following the list of workers, for one odd entry of another writer. Here a port of 65536 ended the process at its start and each time the entry arrived, and so did an id that no header may have: both reached http.request, which throws.

An entry with a deeply nested field that nobody knows is valid otherwise and names a target; nothing ends for it.

A registration is checked as a whole (TargetRegistrationSchema), where it comes from the store and where it comes from another daemon: an IP number, a port from 1 on, whole bounded numbers, an id of printable ASCII.

--- a/packages/core/src/forwarding/target_registry.ts
+++ b/packages/core/src/forwarding/target_registry.ts
@@ -1,20 +1,27 @@
 import { z } from "zod";
 
-/** The registration that a target writes for itself. */
+/** Most concurrent requests and longest start that a target can report. */
+const MAX_SLOTS = 1_000_000;
+const MAX_COLD_MS = 86_400_000;
+
+/**
+ * The registration that a target writes for itself. Daemons connect to its
+ * address and send its id in headers, so no other values are accepted.
+ */
 export const TargetRegistrationSchema = z.object({
-  id: z.string(),
+  id: z.string().regex(/^[\x21-\x7e]+$/, "must be printable ASCII"),
   /** When this incarnation started, in ms since 1970; 0 where not reported. */
-  bornAtMs: z.number(),
+  bornAtMs: z.int().nonnegative(),
   /** Increases with each registration of one incarnation. */
-  sequence: z.number(),
-  service: z.string(),
-  host: z.string(),
-  port: z.number(),
+  sequence: z.int().nonnegative(),
+  service: z.string().min(1),
+  host: z.union([z.ipv4(), z.ipv6()]),
+  port: z.int().min(1).max(65_535),
   availabilityZone: z.string(),
-  slots: z.number(),
+  slots: z.int().nonnegative().max(MAX_SLOTS),
   isLeaving: z.boolean(),
   /** Remaining time for which the target is slow after its start. */
-  coldLeftMs: z.number(),
+  coldLeftMs: z.number().nonnegative().max(MAX_COLD_MS),
 }).readonly();
 export type TargetRegistration = z.infer<typeof TargetRegistrationSchema>;
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -166,7 +166,7 @@
       sharedParts(prompt),
       nowMs,
     );
-    const attempt = new TargetAttempt(
+    const attempt = TargetAttempt.start(
       createAttemptPlan(accepted, placement, dependencies.codec, {
         timeLeftMs,
         lastEventId: this.#lastEventId,
@@ -183,8 +183,12 @@
         onEnd: (end) => this.#onAttemptEnd(current, end),
       },
     );
+    if (attempt.isErr()) {
+      target.record.attempts.delete(inFlight);
+      return this.#fail(`request can't be sent: ${attempt.error.message}`);
+    }
     const current: CurrentAttempt = {
-      attempt,
+      attempt: attempt.value,
       inFlight,
       target,
       placement,
--- a/packages/daemon/src/forwarding/knowledge/peer_sync_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peer_sync_controller.ts
@@ -173,7 +173,9 @@
     { isStoreReachable, copies, facts }: SyncResponse,
   ): void {
     for (const retained of this.#dependencies.retainedFacts) {
-      for (const fact of facts[retained.topic] ?? []) retained.applyFact(fact);
+      for (const fact of facts[retained.topic] ?? []) {
+        this.#applyFact(retained, fact, peer);
+      }
     }
     if (isStoreReachable) this.#writer.write(this.#dependencies.timer.nowMs());
     for (const followed of this.#dependencies.followed) {
@@ -189,6 +191,19 @@
     }
   }
 
+  /** A malformed fact does not keep the others from being applied. */
+  #applyFact(retained: RetainedFacts, fact: unknown, peer: PeerDaemon): void {
+    try {
+      retained.applyFact(fact);
+    } catch (cause) {
+      this.#dependencies.log.event("knowledgeRefused", {
+        key: retained.topic,
+        peer: peer.name,
+        error: (cause as Error).message,
+      });
+    }
+  }
+
   #pickPeer(): PeerDaemon | undefined {
     const { blackboard, seeds, random } = this.#dependencies;
     const known = blackboard.peers.read();
--- a/packages/daemon/src/forwarding/knowledge/peers_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -11,6 +11,7 @@
   ForwardingBlackboard,
   PeerDaemon,
 } from "../forwarding_blackboard.ts";
+import { DecodedEntries } from "./decoded_entries.ts";
 import { FollowedPrefix, type PrefixChange } from "./followed_prefix.ts";
 
 const PREFIX = "coltsfootford/daemons/";
@@ -21,17 +22,11 @@
 
 const PeerSchema = z.object({
   name: z.string(),
-  host: z.string(),
-  port: z.number().int(),
+  host: z.string().min(1),
+  port: z.int().min(1).max(65_535),
   availabilityZone: z.string().optional(),
 });
 
-interface DecodedEntry {
-  readonly value: string;
-  /** Undefined where the value is no daemon's entry. */
-  readonly peer: PeerDaemon | undefined;
-}
-
 /** The lease of this daemon's entry; its id means nothing in another era. */
 interface OwnLease {
   readonly id: string;
@@ -47,8 +42,9 @@
   readonly #log: Logger;
   readonly #writer;
   readonly followed: FollowedPrefix;
-  /** The decoded entries by key, since most of them stay as they are. */
-  #decoded: ReadonlyMap<string, DecodedEntry> = new Map();
+  readonly #entries = new DecodedEntries((key, text) =>
+    this.#decodeEntry(key, text)
+  );
   readonly #listed = new ListedPeers<PeerDaemon>(LEASE_TTL_MS);
   #lease: OwnLease | undefined;
   #cancelExpiry: () => void = () => {};
@@ -126,7 +122,9 @@
     { isRestored }: PrefixChange,
   ): void {
     const nowMs = this.#timer.nowMs();
-    this.#listed.update(this.#decode(entries), nowMs, isRestored);
+    const peers = this.#entries.update(entries)
+      .filter(({ name }) => name !== this.#self.name);
+    this.#listed.update(peers, nowMs, isRestored);
     this.#write();
     if (!isRestored) return;
     this.#cancelExpiry();
@@ -138,23 +136,6 @@
     this.#writer.write(this.#listed.list(this.#timer.nowMs()));
   }
 
-  #decode(entries: readonly KeyValueEntry[]): PeerDaemon[] {
-    const decoded = new Map<string, DecodedEntry>();
-    for (const { key, value } of entries) {
-      const known = this.#decoded.get(key);
-      const peer = known?.value === value
-        ? known.peer
-        : this.#decodeEntry(key, value);
-      decoded.set(key, { value, peer });
-    }
-    this.#decoded = decoded;
-    const peers: PeerDaemon[] = [];
-    for (const { peer } of decoded.values()) {
-      if (peer && peer.name !== this.#self.name) peers.push(peer);
-    }
-    return peers;
-  }
-
   #decodeEntry(key: string, value: string): PeerDaemon | undefined {
     const peer = PeerSchema.safeParse(parseJson(value));
     if (peer.success) return peer.data;
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -207,7 +207,7 @@
     entries: readonly KeyValueEntry[],
     { isRestored }: PrefixChange,
   ): void {
-    const keys = entries.map(({ key }) => key);
+    const keys = entries.map(({ key }) => key).filter(isDigestKey);
     const deleted = this.#published.update(keys, isRestored);
     for (const key of deleted) this.#release(key.slice(PREFIX.length));
     for (const key of this.#published.keys) {
@@ -286,3 +286,8 @@
     await this.#publishMissing();
   }
 }
+
+/** Whether the key names a digest; other daemons refuse anything else. */
+function isDigestKey(key: string): boolean {
+  return requestDigestSchema.safeParse(key.slice(PREFIX.length)).success;
+}
--- a/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
@@ -8,6 +8,7 @@
 import type { KeyValueEntry } from "@coltsfootford/key-value";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBlackboard } from "../forwarding_blackboard.ts";
+import { DecodedEntries } from "./decoded_entries.ts";
 import { FollowingController } from "./following_controller.ts";
 import type { PrefixChange } from "./followed_prefix.ts";
 import type { RetainedFacts } from "./retained_facts.ts";
@@ -36,7 +37,9 @@
   readonly #timer: TimerService;
   readonly #log: Logger;
   readonly #writer;
-  readonly #rejectedKeys = new Set<string>();
+  readonly #entries = new DecodedEntries((key, text) =>
+    this.#decode(key, text)
+  );
   #states: ReadonlyMap<string, string> = new Map();
   #lastUnreachableAtMs = -Infinity;
   #lastWritten = "";
@@ -88,7 +91,11 @@
     const nowMs = this.#timer.nowMs();
     const isAfterOutage = isRestored ||
       (!isFromPeer && this.#hasStoreRecovered(nowMs));
-    this.#registry.update(this.#decode(entries), nowMs, isAfterOutage);
+    this.#registry.update(
+      this.#entries.update(entries),
+      nowMs,
+      isAfterOutage,
+    );
     this.#publish();
   }
 
@@ -102,21 +109,12 @@
       PEER_CONTACT_TTL_MS;
   }
 
-  #decode(entries: readonly KeyValueEntry[]): TargetRegistration[] {
-    const registrations: TargetRegistration[] = [];
-    for (const { key, value, modRevision } of entries) {
-      const registration = this.#codec.decodeRegistration(key, value);
-      if (registration.isOk()) {
-        registrations.push(registration.value);
-        continue;
-      }
-      const versionedKey = `${key}@${modRevision}`;
-      if (this.#rejectedKeys.has(versionedKey)) continue;
-      this.#rejectedKeys.add(versionedKey);
-      const error = formatStepError(registration.error);
-      this.#log.event("knowledgeRefused", { key, error });
-    }
-    return registrations;
+  #decode(key: string, text: string): TargetRegistration | undefined {
+    const registration = this.#codec.decodeRegistration(key, text);
+    if (registration.isOk()) return registration.value;
+    const error = formatStepError(registration.error);
+    this.#log.event("knowledgeRefused", { key, error });
+    return undefined;
   }
 
   #publish(): void {
--- a/packages/daemon/src/forwarding/knowledge/testing/knowledge_fleet.ts
+++ b/packages/daemon/src/forwarding/knowledge/testing/knowledge_fleet.ts
@@ -23,6 +23,7 @@
 /** Turns of the event loop in which all promises of a step settle. */
 const TURNS_PER_STEP = 3;
 const ZONES = 3;
+const FIRST_PORT = 1;
 const SEEDS = 3;
 const LIMITS = {
   shutdownLimitMs: 8_000,
@@ -232,7 +233,7 @@
     method: string,
     params: object,
   ): Promise<unknown> {
-    const peer = this.daemons[port]!;
+    const peer = this.daemons[port - FIRST_PORT]!;
     const areSeparated = peer.zone !== from.zone &&
       (this.isCut(peer) || this.isCut(from));
     if (peer.isFrozen || areSeparated) throw new Error("no response");
@@ -258,7 +259,11 @@
   }
 }
 
-/** The port of a daemon is its index. */
+/** The port of a daemon tells its index. */
 function describeDaemon(index: number): PeerDaemon {
-  return { name: `daemon-${index}`, host: "127.0.0.1", port: index };
+  return {
+    name: `daemon-${index}`,
+    host: "127.0.0.1",
+    port: FIRST_PORT + index,
+  };
 }
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -8,6 +8,7 @@
   ResponseLimits,
   type TimerService,
 } from "@coltsfootford/core";
+import { err, ok, type Result } from "neverthrow";
 import { findHeader } from "./http_headers.ts";
 import type {
   RawHeaders,
@@ -93,7 +94,24 @@
   #hasEnded = false;
   #cancelConnectTimer: () => void = () => {};
 
-  constructor(
+  /**
+   * Sends the request. Fails where it can't be encoded, for example for a
+   * character that no header may have.
+   */
+  static start(
+    plan: AttemptPlan,
+    codec: RequestCodec,
+    timer: TimerService,
+    listener: AttemptListener,
+  ): Result<TargetAttempt, Error> {
+    try {
+      return ok(new TargetAttempt(plan, codec, timer, listener));
+    } catch (cause) {
+      return err(cause as Error);
+    }
+  }
+
+  private constructor(
     plan: AttemptPlan,
     codec: RequestCodec,
     timer: TimerService,
