Take a refusal without an id for the request's own on a new connection only

Other operators saw clients told 'not run, try again' for requests that a worker had run: a faulty worker wrote an earlier refusal once more on a kept connection. Here a refusal that names no request was believed on any connection; on the own interface one that names another request was believed too, since the check of the id came after that of the refusal.

Which rejection belongs to a request is now decided in one place (isOwnRejection). Any other counts as a response to another request: the request may have run. A target is never sent the same request twice, so a refusal with its id can't be an earlier one.

The own interface's stand-ins name the request in rejections, as targets of the platform do.

--- a/packages/daemon/src/entry/buffered_relay.ts
+++ b/packages/daemon/src/entry/buffered_relay.ts
@@ -58,6 +58,10 @@
     response: Dispatcher.ResponseData,
     context: RequestContext,
   ): Promise<AttemptResult> {
+    if (isForeignResponse(response, context)) {
+      discardBody(response);
+      return { kind: "unknown", message: "the answer is to another request" };
+    }
     if (isRejectedByTarget(response)) {
       discardBody(response);
       return {
@@ -65,10 +69,6 @@
         message: `the target refused with status ${response.statusCode}`,
       };
     }
-    if (isForeignResponse(response, context.requestId)) {
-      discardBody(response);
-      return { kind: "unknown", message: "the answer names another request" };
-    }
     let body: Buffer;
     try {
       body = Buffer.from(await response.body.arrayBuffer());
--- a/packages/daemon/src/entry/buffered_relay_test.ts
+++ b/packages/daemon/src/entry/buffered_relay_test.ts
@@ -146,4 +146,40 @@
     expect(await second.text()).toContain("already_completed");
     expect(calls).toBe(1);
   });
+
+  // Guards against "not run" for a call that has run, where a target sends the
+  // rejection of an earlier one.
+  it.each([
+    ["another id", "x-request-id: other\r\n", 502],
+    ["its own id", undefined, 503],
+  ])("takes a rejection with %s for what it is", async (_, line, status) => {
+    fixture = await startEntryFixture(({ method, headers, socket }) => {
+      const idLine = line ?? `x-request-id: ${headers["x-request-id"]}\r\n`;
+      const head = `HTTP/1.1 429 Busy\r\nx-target-ran: no\r\n${idLine}`;
+      if (method === "POST") socket.end(`${head}content-length: 0\r\n\r\n`);
+      else socket.end("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    });
+    const response = await fetch(`${fixture.baseUrl}/services/bids/1`, {
+      method: "POST",
+      headers: { "x-coltsfoot-team": "open" },
+    });
+    expect(response.status).toBe(status);
+  });
+
+  // Guards against the same for a chat, on a connection that is reused.
+  it("takes no rejection without an id for that of a chat", async () => {
+    fixture = await startEntryFixture((_incoming, outgoing) => {
+      outgoing.writeHead(429, { "x-target-ran": "no" });
+      outgoing.end();
+    });
+    const response = await fetch(`${fixture.baseUrl}/v1/chat/completions`, {
+      method: "POST",
+      headers: { "x-coltsfoot-team": "open" },
+      body: JSON.stringify({
+        model: "writer",
+        messages: [{ role: "user", content: "a" }],
+      }),
+    });
+    expect(response.status).toBe(502);
+  });
 });
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -11,6 +11,7 @@
   type AttemptResult,
   REQUEST_ID_HEADER,
   type ResponseRelay,
+  usesNewConnection,
 } from "./response_relay.ts";
 import { AttemptHistory } from "./next_attempt.ts";
 import type { PermitGate } from "./permit_gate.ts";
@@ -202,7 +203,7 @@
       },
       body: context.body,
       signal: context.signal,
-      usesFreshConnection: !context.route.idempotent,
+      usesFreshConnection: usesNewConnection(context.route),
     });
     if (response.isOk()) return relay.relay(response.value, context);
     const { kind, message } = response.error;
--- a/packages/daemon/src/entry/response_relay.ts
+++ b/packages/daemon/src/entry/response_relay.ts
@@ -1,7 +1,9 @@
 import {
   type BodyDelimiter,
   findBodyDelimiter,
+  isOwnRejection,
   type RecordedResponse,
+  type Route,
 } from "@coltsfootford/core";
 import type { Dispatcher } from "undici";
 import type { RequestContext } from "./request_context.ts";
@@ -60,15 +62,24 @@
   return response.headers[TARGET_RAN_HEADER] === "no";
 }
 
-/** Whether the response carries the id of another request. */
+/** Whether the response belongs to another request, or may do so. */
 export function isForeignResponse(
   response: Dispatcher.ResponseData,
-  requestId: string,
+  { requestId, route }: RequestContext,
 ): boolean {
-  const responseId = response.headers[REQUEST_ID_HEADER];
+  const responseId = response.headers[REQUEST_ID_HEADER]?.toString();
+  if (isRejectedByTarget(response)) {
+    const isNewConnection = usesNewConnection(route);
+    return !isOwnRejection({ responseId, requestId, isNewConnection });
+  }
   return responseId !== undefined && responseId !== requestId;
 }
 
+/** Whether requests of the route are sent on a connection of their own. */
+export function usesNewConnection({ idempotent }: Route): boolean {
+  return !idempotent;
+}
+
 /** What marks the end of the response's body. */
 export function delimiterOf(
   { statusCode, headers }: Dispatcher.ResponseData,
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -60,7 +60,7 @@
     if (response.statusCode !== STATUS_OK) {
       return this.#relayError(response, context);
     }
-    const isForeign = isForeignResponse(response, context.requestId);
+    const isForeign = isForeignResponse(response, context);
     if (isForeign || isRejectedByTarget(response)) {
       discardBody(response);
       return Promise.resolve(
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -5,6 +5,7 @@
   EventFramer,
   findBodyDelimiter,
   type InFlightAttempt,
+  isOwnRejection,
   ResponseLimits,
   type TimerService,
 } from "@coltsfootford/core";
@@ -219,13 +220,17 @@
   }
 
   /**
-   * Whether the response belongs to this request. A rejection may carry no id.
-   * Any other response must carry the request's id, since a response to an
-   * earlier request can arrive late on the same connection.
+   * Whether the response belongs to this request. A response to an earlier
+   * request can arrive late on the same connection.
    */
   #isForThisRequest(metadata: ResponseMetadata): boolean {
-    if (metadata.requestId === this.#plan.requestId) return true;
-    return metadata.requestId === undefined && metadata.wasNotExecuted;
+    const { requestId } = this.#plan;
+    if (!metadata.wasNotExecuted) return metadata.requestId === requestId;
+    return isOwnRejection({
+      responseId: metadata.requestId,
+      requestId,
+      isNewConnection: !this.#request.reusedSocket,
+    });
   }
 
   #delimiterOf({ statusCode = 0, headers }: IncomingMessage): BodyDelimiter {
--- a/packages/standins/src/target/target.ts
+++ b/packages/standins/src/target/target.ts
@@ -48,6 +48,14 @@
     this.#options = options;
     this.#faultsSchema = faultsSchema;
     this.#loadReports = new LoadReports(options.loadReportLagMs);
+    this.app.use("*", async (context, next) => {
+      await next();
+      const requestId = context.req.header("x-request-id");
+      const isRejection = context.res.headers.get("x-target-ran") === "no";
+      if (isRejection && requestId !== undefined) {
+        context.res.headers.set("x-request-id", requestId);
+      }
+    });
     this.app.get("/health", (context) => context.json({ status: "ok" }));
     this.app.get("/load", (context) => this.#handleLoad(context));
   }
