End a begun stream as broken where an error takes the place of its rest

Here no text got in, but the client was left without any end until its own time-out: a 302, 400, 404 or JSON response of the next target counted as the final response, of which nothing could be written any more, and the request as served.

Such a response now counts as a broken attempt, so the stream goes on elsewhere or is aborted at once.

--- a/packages/daemon/src/forwarding/classify_attempt_end.ts
+++ b/packages/daemon/src/forwarding/classify_attempt_end.ts
@@ -17,13 +17,18 @@
 }
 
 /**
- * The end of an attempt as the client may take it: a stream whose end the target
- * has not proved counts as broken where the client would take it for complete.
+ * The end of an attempt as the client may take it. It counts as broken where the
+ * client would take a stream for complete of which the target has not proved the
+ * end, and where another response takes the place of the rest of a stream.
  */
-export function requireProvenEnd(
+export function requireUsableEnd(
   end: AttemptEnd,
   client: ClientResponse,
 ): AttemptEnd {
+  if (end.kind === "whole" && client.hasStarted) {
+    const cause = `status ${end.response.status} in place of a stream's rest`;
+    return { kind: "broken", cause };
+  }
   if (end.kind !== "streamed" || client.canEndAfter(end.delimiter)) return end;
   return { kind: "broken", cause: "nothing proves the end of the stream" };
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -20,7 +20,7 @@
   classifyOutcome,
   isFailureResponse,
   NOT_EXECUTED_STATUSES,
-  requireProvenEnd,
+  requireUsableEnd,
 } from "./classify_attempt_end.ts";
 import type {
   AcceptedRequest,
@@ -232,7 +232,7 @@
     this.#current = undefined;
     current.target.record.attempts.delete(current.inFlight);
     if (this.#hasFinished) return;
-    const end = requireProvenEnd(reportedEnd, this.#accepted.response);
+    const end = requireUsableEnd(reportedEnd, this.#accepted.response);
     const nowMs = this.#dependencies.timer.nowMs();
     const outcome = classifyOutcome(end);
     current.target.record.recordOutcome(outcome, nowMs);
