Join runs of a stream only where the next event fits

Other operators saw pieces of two runs joined. Here a next target that started from the beginning, or left out an event, was joined on: pieces came twice or were missing, and the stream was declared complete.

EventSequence holds the events of one response over all runs: numbers increase, and where a stream has counted one by one a gap is a fault as well. A fault ends the attempt after the last event that fits. A stream with data that has no number is not resumed, as on the own interface.

--- a/packages/core/src/forwarding/event_frames.ts
+++ b/packages/core/src/forwarding/event_frames.ts
@@ -10,6 +10,8 @@
   readonly bytes: Uint8Array;
   /** The id of the event; undefined where it has none. */
   readonly id: string | undefined;
+  /** Whether it has data; comments that keep a connection alive have none. */
+  readonly hasData: boolean;
 }
 
 /**
@@ -51,7 +53,7 @@
     let endAt = findEnd(all, scanFrom);
     while (endAt !== -1) {
       const event = all.subarray(startAt, endAt);
-      frames.push({ bytes: event, id: readId(event) });
+      frames.push({ bytes: event, ...readFields(event) });
       startAt = endAt;
       endAt = findEnd(all, startAt);
     }
@@ -87,7 +89,9 @@
 
 const decoder = new TextDecoder("latin1");
 const ID_LINE = /(?:^|\n)id:[ ]?([^\r\n]*)/;
+const DATA_LINE = /(?:^|\n)data[:\r\n]/;
 
-function readId(event: Uint8Array): string | undefined {
-  return ID_LINE.exec(decoder.decode(event))?.[1];
+function readFields(event: Uint8Array): Omit<EventFrame, "bytes"> {
+  const text = decoder.decode(event);
+  return { id: ID_LINE.exec(text)?.[1], hasData: DATA_LINE.test(text) };
 }
--- a/packages/daemon/src/forwarding/attempt_plan.ts
+++ b/packages/daemon/src/forwarding/attempt_plan.ts
@@ -1,4 +1,8 @@
-import type { InFlightAttempt, Placement } from "@coltsfootford/core";
+import type {
+  EventSequence,
+  InFlightAttempt,
+  Placement,
+} from "@coltsfootford/core";
 import type { AcceptedRequest } from "./forwarding_types.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { AttemptPlan } from "./target_attempt.ts";
@@ -12,8 +16,8 @@
 /** What differs between the attempts of one request, beside the placement. */
 export interface AttemptState {
   readonly timeLeftMs: number;
-  /** The event after which a stream resumes. */
-  readonly lastEventId: string | undefined;
+  /** The events of the response so far. */
+  readonly events: EventSequence;
   readonly inFlight: InFlightAttempt;
 }
 
@@ -22,7 +26,7 @@
   accepted: AcceptedRequest,
   placement: Placement,
   codec: RequestCodec,
-  { timeLeftMs, lastEventId, inFlight }: AttemptState,
+  { timeLeftMs, events, inFlight }: AttemptState,
 ): AttemptPlan {
   const { metadata, route, team, engine } = accepted;
   const target = placement.candidate as PooledTarget;
@@ -35,7 +39,7 @@
       timeLeftMs,
       team: team?.name,
       rank: engine ? team?.rank ?? route.rank : undefined,
-      lastEventId,
+      lastEventId: events.lastEventId,
       fetchFrom: placement.source?.candidate.target,
     }),
     body: accepted.body,
@@ -44,5 +48,6 @@
     isStream: route.kind === "stream",
     maxOutputTokens: metadata.prompt.maxOutputTokens,
     inFlight,
+    events,
   };
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -2,6 +2,7 @@
   type CancelTimer,
   canExecuteTwice,
   decideRetry,
+  EventSequence,
   expectedFirstByteMs,
   findQuarantinedParts,
   type InFlightAttempt,
@@ -60,7 +61,7 @@
   #rejections = 0;
   /** Whether an earlier attempt may have executed the request. */
   #mayHaveExecuted = false;
-  #lastEventId: string | undefined;
+  readonly #events: EventSequence;
   /** The head of the latest stream; sent to the client with the first event. */
   #streamHead: ResponseHead | undefined;
   #hasFinished = false;
@@ -77,7 +78,7 @@
     this.#accepted = accepted;
     this.#dependencies = dependencies;
     this.#onFinished = onFinished;
-    this.#lastEventId = accepted.metadata.lastEventId;
+    this.#events = new EventSequence(accepted.metadata.lastEventId);
     const clientTimeoutMs = accepted.metadata.clientTimeoutMs ?? Infinity;
     const timeoutMs = Math.min(clientTimeoutMs, accepted.route.timeoutMs);
     this.#deadlineMs = accepted.receivedAtMs + timeoutMs;
@@ -166,10 +167,11 @@
       sharedParts(prompt),
       nowMs,
     );
+    this.#events.startRun();
     const attempt = TargetAttempt.start(
       createAttemptPlan(accepted, placement, dependencies.codec, {
         timeLeftMs,
-        lastEventId: this.#lastEventId,
+        events: this.#events,
         inFlight,
       }),
       dependencies.codec,
@@ -179,7 +181,7 @@
         onStreamHead: (head) => {
           this.#streamHead = head;
         },
-        onEvents: (bytes, eventId) => this.#onEvents(current, bytes, eventId),
+        onEvents: (bytes) => this.#onEvents(current, bytes),
         onEnd: (end) => this.#onAttemptEnd(current, end),
       },
     );
@@ -210,12 +212,7 @@
     if (this.#streamHead) this.#accepted.response.startStream(this.#streamHead);
   }
 
-  #onEvents(
-    current: CurrentAttempt,
-    bytes: Buffer,
-    lastEventId: string | undefined,
-  ): void {
-    if (lastEventId !== undefined) this.#lastEventId = lastEventId;
+  #onEvents(current: CurrentAttempt, bytes: Buffer): void {
     const { response, metadata } = this.#accepted;
     const { eventsReceived } = current.inFlight;
     if (!this.#hasBegun && eventsReceived >= EVENTS_OF_BEGUN_RESPONSE) {
@@ -266,7 +263,7 @@
       : decideRetry({
         failure: classifyFailure(end, response.hasStarted),
         isIdempotent: canExecuteTwice(route),
-        canResume: route.isResumable && this.#lastEventId !== undefined,
+        canResume: route.isResumable && this.#events.isResumable,
         hasTargetCrashed: false,
         attemptsSent: this.#attemptsSent,
         attemptsUnsent: this.#attemptsUnsent,
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -2,7 +2,10 @@
 import type { Socket } from "node:net";
 import {
   type BodyDelimiter,
+  type EventFault,
+  type EventFrame,
   EventFramer,
+  type EventSequence,
   findBodyDelimiter,
   type InFlightAttempt,
   isOwnRejection,
@@ -11,6 +14,14 @@
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import { findHeader } from "./http_headers.ts";
+import {
+  endsInsideEvent,
+  findResponseError,
+  isEventStream,
+  isStreamed,
+  readContentLength,
+  withContentLength,
+} from "./message_checks.ts";
 import type {
   RawHeaders,
   RequestCodec,
@@ -61,17 +72,16 @@
   /** Most tokens that the response may have; 0 if unknown. */
   readonly maxOutputTokens: number;
   readonly inFlight: InFlightAttempt;
+  /** The events of the response over all attempts. */
+  readonly events: EventSequence;
 }
 
 /** Receives the events of an attempt. */
 export interface AttemptListener {
   /** The head of a streamed response has arrived. */
   onStreamHead(head: ResponseHead): void;
-  /**
-   * Complete events of a stream have arrived, in order. `lastEventId` is
-   * undefined if none of them has an id.
-   */
-  onEvents(bytes: Buffer, lastEventId: string | undefined): void;
+  /** The next events of a stream have arrived, complete and in order. */
+  onEvents(bytes: Buffer): void;
   /** The head of the target's response has arrived. */
   onFirstByte(head: ResponseHead): void;
   onEnd(end: AttemptEnd): void;
@@ -253,13 +263,8 @@
       const frames = framer.push(chunk);
       for (const { id } of frames) this.#limits.recordEvent(id);
       if (this.#checkLimits(framer.rest.length)) return;
-      if (frames.length === 0) return;
-      this.#plan.inFlight.unreadTokens = 0;
-      this.#plan.inFlight.eventsReceived += frames.length;
-      const bytes = Buffer.concat(frames.map((frame) => frame.bytes));
-      const lastEventId = frames.findLast((frame) => frame.id !== undefined)
-        ?.id;
-      this.#listener.onEvents(bytes, lastEventId);
+      const fault = this.#relayFrames(frames);
+      if (fault) this.#fail(fault);
     });
     response.on("end", () => {
       if (this.#hasEnded) return;
@@ -268,12 +273,29 @@
         return this.#fail("stream ended inside an event");
       }
       if (framer.rest.length > 0) {
-        this.#listener.onEvents(Buffer.from(framer.rest), undefined);
+        this.#listener.onEvents(Buffer.from(framer.rest));
       }
       this.#end({ kind: "streamed", delimiter: head.delimiter });
     });
   }
 
+  /** Relays events up to the first one that is not the next. */
+  #relayFrames(frames: readonly EventFrame[]): EventFault | undefined {
+    const { events, inFlight } = this.#plan;
+    const relayed: Uint8Array[] = [];
+    let fault: EventFault | undefined;
+    for (const frame of frames) {
+      fault = events.record(frame);
+      if (fault) break;
+      relayed.push(frame.bytes);
+    }
+    if (relayed.length === 0) return fault;
+    inFlight.unreadTokens = 0;
+    inFlight.eventsReceived += relayed.length;
+    this.#listener.onEvents(Buffer.concat(relayed));
+    return fault;
+  }
+
   #bufferBody(response: IncomingMessage, head: ResponseHead): void {
     const chunks: Buffer[] = [];
     response.on("data", (chunk: Buffer) => {
@@ -342,51 +364,3 @@
     this.#listener.onEnd(end);
   }
 }
-
-/**
- * Returns why a successful response can't be the target's own complete
- * response: it has no signature, or an encoding that was not requested.
- */
-function findResponseError(metadata: ResponseMetadata): string | undefined {
-  if (!metadata.isSigned) return "answer without a signature";
-  const encoding = findHeader(metadata.headers, "content-encoding");
-  if (encoding !== undefined && encoding !== "identity") {
-    return "answer with an encoding that was not asked for";
-  }
-  return undefined;
-}
-
-/** Whether a route for streams gets one; the content type may be missing. */
-function isStreamed(metadata: ResponseMetadata): boolean {
-  const type = findHeader(metadata.headers, "content-type");
-  return type === undefined || isEventStream(metadata);
-}
-
-function isEventStream({ headers }: ResponseMetadata): boolean {
-  const type = findHeader(headers, "content-type")?.split(";", 1)[0];
-  return type?.trim().toLowerCase() === "text/event-stream";
-}
-
-function endsInsideEvent(body: Buffer): boolean {
-  const framer = new EventFramer();
-  framer.push(body);
-  return framer.hasIncompleteEvent;
-}
-
-function readContentLength(
-  { headers }: IncomingMessage,
-): number | undefined {
-  const length = headers["content-length"];
-  return length === undefined ? undefined : Number(length);
-}
-
-const BODILESS_METHODS = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
-
-function withContentLength(
-  headers: RawHeaders,
-  method: string,
-  body: Buffer,
-): string[] {
-  if (body.length === 0 && BODILESS_METHODS.has(method)) return [...headers];
-  return [...headers, "Content-Length", String(body.length)];
-}
