A target that says in a response that it leaves gets no more requests

On the users' platform a worker that leaves says so in all its answers (Server-Leaving: 1), and a request that a client sent later than drain_ms after such an answer may not reach it.

The header is decoded once; the statement ends the incarnation for this daemon, in the registry that first and later attempts and waits for permits go by, whatever the store says or whether it responds, and is passed on to daemons that ask for facts.

--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -17,7 +17,8 @@
 
 /** Records what the head of a response says about its target. */
 export function recordFirstByte(
-  { timer, metrics, loadObserver, limits }: ForwarderDependencies,
+  { timer, metrics, loadObserver, leavingObserver, limits }:
+    ForwarderDependencies,
   { route }: AcceptedRequest,
   { inFlight, target, placement, expectedFirstByteMs }: CurrentAttempt,
   { metadata }: ResponseHead,
@@ -30,6 +31,7 @@
     record.recordReportedLoad(metadata.load, nowMs);
     loadObserver.onReportedLoad(placement, metadata.load);
   }
+  if (metadata.isLeaving) leavingObserver.onLeaving(target.target);
   limits.onResponse(target.target, metadata, inFlight);
   if (metadata.wasNotExecuted) return;
   record.recordFirstByte(
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -205,6 +205,7 @@
       promptObserver: promptQuarantine,
       quarantinedParts: () => blackboard.quarantinedParts.read(),
       loadObserver: overload,
+      leavingObserver: registry,
       limits,
       random,
     });
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -71,6 +71,11 @@
   onReportedLoad(placement: Placement, load: ReportedLoad): void;
 }
 
+/** Learns of targets that state in responses that they leave. */
+export interface LeavingObserver {
+  onLeaving(target: RegisteredTarget): void;
+}
+
 /** Keeps to the limits that targets name, together with all other daemons. */
 export interface TargetLimits {
   /** The head of a response has arrived, which may name a limit. */
@@ -101,6 +106,7 @@
   /** Prompt parts with all of which no request is sent. */
   readonly quarantinedParts: () => readonly (readonly string[])[];
   readonly loadObserver: LoadObserver;
+  readonly leavingObserver: LeavingObserver;
   readonly limits: TargetLimits;
   readonly retryShares: RetryShares;
   readonly random: () => number;
--- a/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
@@ -1,5 +1,6 @@
 import {
   formatStepError,
+  type RegisteredTarget,
   type TargetRegistration,
   TargetRegistrationSchema,
   TargetRegistry,
@@ -8,6 +9,7 @@
 import type { KeyValueEntry } from "@coltsfootford/key-value";
 import type { Logger } from "../../log/index.ts";
 import type { ForwardingBlackboard } from "../forwarding_blackboard.ts";
+import type { LeavingObserver } from "../forwarding_types.ts";
 import { DecodedEntries } from "./decoded_entries.ts";
 import { FollowingController } from "./following_controller.ts";
 import type { PrefixChange } from "./followed_prefix.ts";
@@ -28,7 +30,7 @@
  * are leaving, since a restored store may hold them as ready.
  */
 export class TargetRegistryController extends FollowingController
-  implements RetainedFacts {
+  implements RetainedFacts, LeavingObserver {
   override readonly name = "roster";
   readonly topic = "target.leaving";
   readonly #registry = new TargetRegistry();
@@ -79,7 +81,15 @@
   }
 
   applyFact(fact: unknown): void {
-    const registration = TargetRegistrationSchema.parse(fact);
+    this.#recordLeaving(TargetRegistrationSchema.parse(fact));
+  }
+
+  /** Holds for this incarnation, whatever the store says. */
+  onLeaving(target: RegisteredTarget): void {
+    this.#recordLeaving(target);
+  }
+
+  #recordLeaving(registration: TargetRegistration): void {
     this.#registry.recordLeaving(registration, this.#timer.nowMs());
     if (this.#blackboard.targets.read() !== undefined) this.#publish();
   }
--- a/packages/daemon/src/forwarding/request_codec.ts
+++ b/packages/daemon/src/forwarding/request_codec.ts
@@ -49,6 +49,8 @@
    * where it names no limit.
    */
   readonly limitPerSecond: number | undefined;
+  /** Whether the target states that it leaves. */
+  readonly isLeaving: boolean;
   /** The headers to forward to the client. */
   readonly headers: RawHeaders;
 }
