Stay away from a target for the time that it asks for

On the users' platform a worker that turns a request away with 503 may add Retry-After: it wants nothing from that machine for so long, and more than two requests in that time break a rule.

Where all targets of a service are away, callers are rejected at once with the time of the first return.

--- a/packages/core/src/forwarding/choose_target.ts
+++ b/packages/core/src/forwarding/choose_target.ts
@@ -99,8 +99,9 @@
   query: PlacementQuery,
   settings: PlacementSettings,
 ): Placement | undefined {
-  const remaining = query.candidates.filter(({ target }) =>
-    !query.attemptedIncarnations.has(target.incarnation)
+  const remaining = query.candidates.filter(({ target, record }) =>
+    !query.attemptedIncarnations.has(target.incarnation) &&
+    record.isTaking(query.nowMs)
   );
   if (remaining.length === 0) return undefined;
   const healthy = remaining.filter(({ record }) => isHealthy(record, query));
--- a/packages/core/src/forwarding/retry_after.ts
+++ b/packages/core/src/forwarding/retry_after.ts
@@ -18,3 +18,17 @@
   const jitteredMs = longestMs * (0.5 + 0.5 * random);
   return Math.max(MIN_RETRY_AFTER_MS, jitteredMs);
 }
+
+/** Share of a time to stay away by which daemons come back one by one. */
+const RETURN_SPREAD = 0.1;
+const MAX_RETURN_SPREAD_MS = 1_000;
+
+/**
+ * Time for which a daemon stays away from a target that asked for `stayAwayMs`.
+ * It is jittered with `random` (0 to 1), so that not all daemons come back at
+ * once.
+ */
+export function jitteredStayAwayMs(stayAwayMs: number, random: number): number {
+  const spreadMs = Math.min(MAX_RETURN_SPREAD_MS, stayAwayMs * RETURN_SPREAD);
+  return stayAwayMs + spreadMs * random;
+}
--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -54,6 +54,8 @@
   #delayAtMs = 0;
   #suspendedUntilMs = 0;
   #suspensionMs = 0;
+  /** When the target takes requests of this daemon again. */
+  awayUntilMs = -Infinity;
   /** When a permit may be had, if the target names a limit. */
   permitFromMs = -Infinity;
 
@@ -140,6 +142,16 @@
     this.#delayAtMs = nowMs;
   }
 
+  /** Records that the target wants no requests of this daemon for a time. */
+  stayAway(forMs: number, nowMs: number): void {
+    this.awayUntilMs = Math.max(this.awayUntilMs, nowMs + forMs);
+  }
+
+  /** Whether the target takes requests of this daemon. */
+  isTaking(nowMs: number): boolean {
+    return nowMs >= this.awayUntilMs;
+  }
+
   recordOutcome(outcome: AttemptOutcome, nowMs: number): void {
     if (outcome === "refused") return;
     const previous = this.failureShare(nowMs);
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -1,4 +1,8 @@
-import type { InFlightAttempt, Placement } from "@coltsfootford/core";
+import {
+  type InFlightAttempt,
+  jitteredStayAwayMs,
+  type Placement,
+} from "@coltsfootford/core";
 import type {
   AcceptedRequest,
   ForwarderDependencies,
@@ -17,7 +21,7 @@
 
 /** Records what the head of a response says about its target. */
 export function recordFirstByte(
-  { timer, metrics, loadObserver, leavingObserver, limits }:
+  { timer, metrics, loadObserver, leavingObserver, limits, random }:
     ForwarderDependencies,
   { route }: AcceptedRequest,
   { inFlight, target, placement, expectedFirstByteMs }: CurrentAttempt,
@@ -31,6 +35,9 @@
     record.recordReportedLoad(metadata.load, nowMs);
     loadObserver.onReportedLoad(placement, metadata.load);
   }
+  if (metadata.stayAwayMs !== undefined) {
+    record.stayAway(jitteredStayAwayMs(metadata.stayAwayMs, random()), nowMs);
+  }
   if (metadata.isLeaving) leavingObserver.onLeaving(target.target);
   limits.onResponse(target.target, metadata, inFlight);
   if (metadata.wasNotExecuted) return;
--- a/packages/daemon/src/forwarding/request_codec.ts
+++ b/packages/daemon/src/forwarding/request_codec.ts
@@ -49,6 +49,11 @@
    * where it names no limit.
    */
   readonly limitPerSecond: number | undefined;
+  /**
+   * Time for which a target that turned the request away wants no more of this
+   * daemon; undefined where it states none.
+   */
+  readonly stayAwayMs: number | undefined;
   /** Whether the target states that it leaves. */
   readonly isLeaving: boolean;
   /** The headers to forward to the client. */
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -123,25 +123,26 @@
     this.start();
   }
 
-  /** The target may have left while the request waited for the permit. */
+  /** The target may have left, or turned requests away, while the request waited for the permit. */
   #onPermitDue(placement: Placement): void {
     if (this.#isCancelled) return;
-    const { incarnation } = placement.candidate.target;
-    if (this.#dependencies.pool.find(incarnation)) {
+    const { target, record } = placement.candidate;
+    const isInPool = this.#dependencies.pool.find(target.incarnation);
+    if (isInPool && record.isTaking(this.#dependencies.timer.nowMs())) {
       return this.#listener.onSelected(placement);
     }
     this.start();
   }
 
   #end(): void {
-    if (this.#denials === 0) {
-      return this.#listener.onNone("no target", 0);
-    }
     const { pool, timer } = this.#dependencies;
     const nowMs = timer.nowMs();
     const waitsMs = pool.ofService(this.#accepted.service)
-      .map(({ record }) => Math.max(0, record.permitFromMs - nowMs));
+      .map(({ record: { permitFromMs, awayUntilMs } }) =>
+        Math.max(0, permitFromMs - nowMs, awayUntilMs - nowMs)
+      );
     const retryAfterMs = waitsMs.length > 0 ? Math.min(...waitsMs) : 0;
-    this.#listener.onNone("limits used up", retryAfterMs);
+    const reason = this.#denials === 0 ? "no target" : "limits used up";
+    this.#listener.onNone(reason, retryAfterMs);
   }
 }
