A target that refuses at once draws no more work than one that serves

Beside a sound target, one that turned each request away at once drew most of them, as it looked idle: 19 of 151 callers were served in a test of 4 s, and the budget of second attempts was used up. Cause: a refusal said nothing about the target's health. It now counts as a failed attempt in the moving share by which targets are weighed; where all refuse alike, the average takes it out.

Evidence: stay_away_test.ts, 2 of 3 new cases failed before (calls; streams held); with the change at least 95 of 100 are served, and the target gets less than a quarter of the requests.

--- a/packages/core/src/forwarding/target_record.ts
+++ b/packages/core/src/forwarding/target_record.ts
@@ -153,7 +153,6 @@
   }
 
   recordOutcome(outcome: AttemptOutcome, nowMs: number): void {
-    if (outcome === "refused") return;
     const previous = this.failureShare(nowMs);
     const sample = outcome === "good" ? 0 : 1;
     this.#failureShare = previous + FAILURE_WEIGHT * (sample - previous);
