Bound the pieces in which a buffered body may arrive

Cause: a megabyte of body in chunks of five bytes is 200,000 events of the HTTP parser, whose time the limit on bytes does not bound. Streams have their own limits and no such bound.

--- a/packages/core/src/forwarding/response_limits.ts
+++ b/packages/core/src/forwarding/response_limits.ts
@@ -4,6 +4,11 @@
 const MAX_STATED_BODY_BYTES = 16 * 1024 * 1024;
 /** Largest body that is read of any other response. */
 const MAX_ERROR_BODY_BYTES = 64 * 1024;
+/**
+ * Most pieces in which a body that is buffered may arrive. A body in chunks of a
+ * few bytes costs more time than bytes.
+ */
+const MAX_BODY_PIECES = 65_536;
 /** Largest incomplete event of a stream. */
 const MAX_EVENT_BYTES = 256 * 1024;
 /** Largest stream in total. */
@@ -26,6 +31,8 @@
 export class ResponseLimits {
   #receivedBytes = 0;
   #bodyBytes = 0;
+  #bodyPieces = 0;
+  #maxBodyPieces = MAX_BODY_PIECES;
   #maxBodyBytes = MAX_ERROR_BODY_BYTES;
   #events = 0;
   #repeatedEvents = 0;
@@ -49,6 +56,7 @@
   /** Allows a stream of events. */
   allowStream(): void {
     this.#maxBodyBytes = MAX_STREAM_BYTES;
+    this.#maxBodyPieces = Infinity;
   }
 
   /** Counts bytes of the connection, framing included. */
@@ -56,8 +64,9 @@
     this.#receivedBytes += bytes;
   }
 
-  /** Counts bytes of the body. */
+  /** Counts a piece of the body. */
   recordBody(bytes: number): void {
+    this.#bodyPieces += 1;
     this.#bodyBytes += bytes;
   }
 
@@ -73,6 +82,9 @@
     if (this.#bodyBytes > this.#maxBodyBytes) {
       return "answer too large";
     }
+    if (this.#bodyPieces > this.#maxBodyPieces) {
+      return "answer in too many pieces";
+    }
     if (
       this.#events > this.#maxEvents || this.#repeatedEvents > MAX_EXTRA_EVENTS
     ) return "too many events";
--- a/packages/core/src/forwarding/response_limits_test.ts
+++ b/packages/core/src/forwarding/response_limits_test.ts
@@ -50,3 +50,28 @@
     expect(limits.findExcess()).toBeUndefined();
   });
 });
+
+describe("a body that arrives in pieces of a few bytes", () => {
+  const receive = (limits: ResponseLimits, pieces: number) => {
+    for (let piece = 0; piece < pieces; piece++) {
+      limits.recordReceived(11);
+      limits.recordBody(5);
+    }
+    return limits.findExcess();
+  };
+
+  // Guards against a daemon that spends its processor time on a body whose bytes
+  // are within their limit.
+  it("is bounded where it is buffered", () => {
+    const limits = new ResponseLimits(0);
+    limits.allowBody(undefined);
+    expect(receive(limits, 60_000)).toBeUndefined();
+    expect(receive(limits, 10_000)).toMatch(/pieces/);
+  });
+
+  it("is not bounded where it is a stream", () => {
+    const limits = new ResponseLimits(0);
+    limits.allowStream();
+    expect(receive(limits, 80_000)).toBeUndefined();
+  });
+});
