Spread registrations after a return of the store; record a leaving target once

Read in the diff: all daemons registered at the same moment after a return, more writes than the store allows at a few hundred daemons, and a renewal beside it could leave an entry under a lease that nobody renews. They register with their next renewal now, one registration at a time; until then ListedPeers holds them. Each response of a leaving target wrote the list of targets anew; only the first does now.

--- a/packages/core/src/forwarding/target_registry.ts
+++ b/packages/core/src/forwarding/target_registry.ts
@@ -91,12 +91,19 @@
       .map(({ target: { incarnation: _, ...registration } }) => registration);
   }
 
-  /** Records that another daemon has seen a target leaving. */
-  recordLeaving(registration: TargetRegistration, nowMs: number): void {
-    const known = this.#entries.get(registration.id)?.target.bornAtMs;
-    if (known !== undefined && known > registration.bornAtMs) return;
-    if (known === undefined) this.#missingSinceMs.set(registration.id, nowMs);
+  /**
+   * Records that a target leaves, by its own response or by another daemon.
+   * Returns whether that was unknown.
+   */
+  recordLeaving(registration: TargetRegistration, nowMs: number): boolean {
+    const { id, bornAtMs } = registration;
+    const entry = this.#entries.get(id);
+    if (entry && entry.target.bornAtMs > bornAtMs) return false;
+    const isSame = entry?.target.bornAtMs === bornAtMs;
+    if (isSame && entry?.state === "leaving") return false;
+    if (!entry) this.#missingSinceMs.set(id, nowMs);
     this.#setEntry({ ...registration, isLeaving: true }, "leaving");
+    return true;
   }
 
   /** The targets that may get work now. */
--- a/packages/core/src/forwarding/target_registry_test.ts
+++ b/packages/core/src/forwarding/target_registry_test.ts
@@ -74,3 +74,34 @@
     expect(update(1_500, [registration({ sequence: 6 })])).toEqual(["t1@100"]);
   });
 });
+
+describe("a target that leaves, by its own or another daemon's word", () => {
+  const known = {
+    id: "a",
+    bornAtMs: 5,
+    sequence: 3,
+    service: "s",
+    host: "127.0.0.1",
+    port: 1,
+    availabilityZone: "z",
+    slots: 1,
+    isLeaving: false,
+    coldLeftMs: 0,
+  };
+
+  // Guards against targets that left, and that a store which came back older
+  // calls ready.
+  it("stays so for its incarnation, whatever the store says", () => {
+    const registry = new TargetRegistry();
+    registry.update([known], 0, false);
+    expect(registry.recordLeaving(known, 0)).toBe(true);
+    expect(registry.recordLeaving(known, 0)).toBe(false);
+    registry.update([{ ...known, sequence: 9 }], 1, false);
+    expect(registry.eligible(1)).toEqual([]);
+    expect(registry.leaving().map(({ id }) => id)).toEqual(["a"]);
+    registry.update([{ ...known, bornAtMs: 6, sequence: 1 }], 2, false);
+    expect(registry.eligible(2)).toHaveLength(1);
+    expect(registry.recordLeaving(known, 3)).toBe(false);
+    expect(registry.eligible(3)).toHaveLength(1);
+  });
+});
--- a/packages/daemon/src/forwarding/knowledge/peers_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -47,6 +47,7 @@
   );
   readonly #listed = new ListedPeers<PeerDaemon>(LEASE_TTL_MS);
   #lease: OwnLease | undefined;
+  #isRegistering = false;
   #cancelExpiry: () => void = () => {};
   #cancel: () => void = () => {};
 
@@ -106,7 +107,15 @@
     return this.#store.history.latest.era !== era;
   }
 
+  /** Two registrations at once could leave the entry under the wrong lease. */
   async #register(): Promise<void> {
+    if (this.#isRegistering) return;
+    this.#isRegistering = true;
+    await this.#writeEntry();
+    this.#isRegistering = false;
+  }
+
+  async #writeEntry(): Promise<void> {
     const { era } = this.#store.history.latest;
     const lease = await this.#store.grantLease(LEASE_TTL_MS);
     if (lease.isErr()) return this.#logFailure(formatStepError(lease.error));
@@ -129,7 +138,6 @@
     if (!isRestored) return;
     this.#cancelExpiry();
     this.#cancelExpiry = this.#timer.after(LEASE_TTL_MS, () => this.#write());
-    void this.#register();
   }
 
   #write(): void {
--- a/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
@@ -90,7 +90,8 @@
   }
 
   #recordLeaving(registration: TargetRegistration): void {
-    this.#registry.recordLeaving(registration, this.#timer.nowMs());
+    const nowMs = this.#timer.nowMs();
+    if (!this.#registry.recordLeaving(registration, nowMs)) return;
     if (this.#blackboard.targets.read() !== undefined) this.#publish();
   }
 
