Reopen the watch once the store responds again after a lost probe

Once a probe has failed, the next response reopens the watch, unless it has delivered since. store_follower_controller_test.ts; it failed before, since the probe read the same revision.

--- a/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
@@ -59,6 +59,12 @@
   #lastBatchAtMs = -Infinity;
   #isProbing = false;
   #probedAtMs = -Infinity;
+  /**
+   * When a probe failed last. The watch was then out of reach as well, and may
+   * not deliver any more; the next probe does not show that, as it may return
+   * an outdated revision.
+   */
+  #failedAtMs = -Infinity;
   #reopened = 0;
   #cancelProbes: CancelTimer = () => {};
   #cancelCheck: CancelTimer = () => {};
@@ -121,11 +127,16 @@
     this.#isProbing = false;
     if (revision.isErr()) {
       const isLost = revision.error.kind === "answer-lost";
-      if (isLost && mayRetry) await this.#probe(false);
+      if (isLost && mayRetry) return await this.#probe(false);
+      this.#failedAtMs = timer.nowMs();
       return;
     }
     this.#probedAtMs = timer.nowMs();
     if (this.#reopenForNewEra()) return;
+    if (this.#lastBatchAtMs < this.#failedAtMs) {
+      this.#failedAtMs = -Infinity;
+      return this.#reopen(revision.value);
+    }
     if (!isLater(revision.value, this.#revision)) return;
     this.#cancelCheck();
     this.#cancelCheck = timer.after(
--- a/packages/daemon/src/forwarding/knowledge/store_follower_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_follower_controller_test.ts
@@ -21,6 +21,7 @@
 
   override readRevision() {
     this.probes += 1;
+    if (this.faults.isDown) return super.readRevision();
     return Promise.resolve(ok<StoreRevision, never>(
       this.history.placeStale({
         revision: this.storeRevision,
@@ -83,6 +84,26 @@
     expect(store.reopened).toBe(0);
   });
 
+  // Guards against a target that gets work for seconds after it reported that it
+  // leaves: a watch that a cut has silenced, and probes that read outdated
+  // revisions.
+  it("reopens a watch once the store responds again after a loss", async () => {
+    await advanceTime(3_000);
+    store.setDown(true);
+    await advanceTime(4_000);
+    expect(store.reopened).toBe(0);
+    store.setDown(false);
+    await advanceTime(1_100);
+    expect(store.reopened).toBe(1);
+    store.deliver({
+      kind: "snapshot",
+      revision: { era: 1, revision: 1 },
+      entries: [],
+    });
+    await advanceTime(5_000);
+    expect(store.reopened).toBe(1);
+  });
+
   it("sends no probes while the watch delivers", async () => {
     await advanceTime(5_000, () => {
       store.storeRevision += 1;
