--- a/packages/core/src/store/store_revision.ts
+++ b/packages/core/src/store/store_revision.ts
@@ -23,3 +23,11 @@
 export function isLater(a: StoreRevision, b: StoreRevision): boolean {
   return compareRevisions(a, b) > 0;
 }
+
+/** Whether `after` begins an era that was not known at `before`. */
+export function startsEra(
+  before: StoreRevision,
+  after: StoreRevision,
+): boolean {
+  return isLater(before, INITIAL_REVISION) && after.era > before.era;
+}
--- a/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
+++ b/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
@@ -1,6 +1,7 @@
 import {
   INITIAL_REVISION,
   isLater,
+  startsEra,
   type StoreRevision,
 } from "@coltsfootford/core";
 import {
@@ -81,8 +82,7 @@
     const before = this.#mirror.revision;
     if (!this.#mirror.apply(batch)) return;
     this.#changeRevision = batch.revision;
-    const isRestored = isLater(before, INITIAL_REVISION) &&
-      batch.revision.era !== before.era;
+    const isRestored = startsEra(before, batch.revision);
     this.#options.onChange(this.#mirror.entries(), { isFromPeer, isRestored });
   }
 }
--- a/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
@@ -2,6 +2,7 @@
   type CancelTimer,
   INITIAL_REVISION,
   isLater,
+  startsEra,
   type StoreRevision,
   type TimerService,
 } from "@coltsfootford/core";
@@ -101,9 +102,7 @@
   }
 
   #applyBatch(batch: WatchBatch): void {
-    const isRestored = batch.revision.era !== this.#revision.era &&
-      isLater(this.#revision, INITIAL_REVISION);
-    if (isRestored) {
+    if (startsEra(this.#revision, batch.revision)) {
       this.#dependencies.log.event("storeRestored", {
         before: this.#revision,
         after: batch.revision,
@@ -151,9 +150,8 @@
    */
   #reopenForNewEra(): boolean {
     const { latest } = this.#dependencies.store.history;
-    if (latest.era <= this.#revision.era) return false;
-    if (latest.era <= this.#reopenedForEra) return false;
-    if (!isLater(this.#revision, INITIAL_REVISION)) return false;
+    if (!startsEra(this.#revision, latest)) return false;
+    if (latest.era === this.#reopenedForEra) return false;
     this.#reopenedForEra = latest.era;
     this.#reopen(latest);
     return true;
