Leave a target whose response has a malformed head

Seen: one wrong byte in a header line of a target's response ended the daemon with exit code 1.

Cause: the parser accepts names with a blank, empty names and statuses below 100, and writeHead throws for them, in the handler of an event. The same class, not in the report: "Keep-Alive: timeout=" with 400 digits is infinite, and setTimeout of the idle socket throws.

Ruled out: numbers out of range in Retry-After, Server-Limit and X-Server-Load. The own interface refused all such heads without a change (undici's parser).

Change: status and header lines are checked with the library's own validators before anything is decoded; a malformed head is a broken attempt. The idle time is bounded.

--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -126,8 +126,8 @@
   }
 
   #writeHead(status: number, headers: string[]): void {
-    this.#hasStarted = true;
     this.#outgoing.writeHead(status, headers);
+    this.#hasStarted = true;
     this.#delimiter = findBodyDelimiter({
       method: this.#method,
       status,
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -183,6 +183,7 @@
         },
         onEvents: (bytes) => this.#onEvents(current, bytes),
         onEnd: (end) => this.#onAttemptEnd(current, end),
+        onFault: (error) => this.#onFault(error),
       },
     );
     if (attempt.isErr()) {
@@ -325,6 +326,21 @@
     this.#finish(reason, STATUS_UNAVAILABLE);
   }
 
+  /** Ends this request alone after an unexpected error. */
+  #onFault(error: Error): void {
+    const { log, metrics } = this.#dependencies;
+    const { metadata, response } = this.#accepted;
+    metrics.count("internal_faults_total");
+    log.event("internalFault", {
+      request: metadata.requestId,
+      error: error.stack ?? error.message,
+    });
+    if (this.#hasFinished) return response.abort();
+    this.#mayHaveExecuted = true;
+    this.#abortCurrent();
+    this.#fail("internal fault");
+  }
+
   #onDeadline(): void {
     if (this.#hasFinished) return;
     const current = this.#current;
--- a/packages/daemon/src/forwarding/message_checks.ts
+++ b/packages/daemon/src/forwarding/message_checks.ts
@@ -1,8 +1,38 @@
-import type { IncomingMessage } from "node:http";
+import {
+  type IncomingMessage,
+  validateHeaderName,
+  validateHeaderValue,
+} from "node:http";
 import { EventFramer } from "@coltsfootford/core";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders, ResponseMetadata } from "./request_codec.ts";
 
+/** The statuses with three digits that are not of an interim response. */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 999;
+
+/**
+ * Returns why a head is no HTTP response. The parser accepts heads that the
+ * server refuses to write with an exception.
+ */
+export function findHeadError(
+  status: number,
+  headers: RawHeaders,
+): string | undefined {
+  if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
+    return `answer with status ${status}`;
+  }
+  try {
+    for (let index = 0; index < headers.length; index += 2) {
+      validateHeaderName(headers[index]!);
+      validateHeaderValue(headers[index]!, headers[index + 1]!);
+    }
+  } catch (cause) {
+    return `answer with a malformed header: ${(cause as Error).message}`;
+  }
+  return undefined;
+}
+
 /**
  * Returns why a successful response can't be the target's own complete
  * response: it has no signature, or an encoding that was not requested.
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -16,6 +16,7 @@
 import { findHeader } from "./http_headers.ts";
 import {
   endsInsideEvent,
+  findHeadError,
   findResponseError,
   isEventStream,
   isStreamed,
@@ -85,6 +86,8 @@
   /** The head of the target's response has arrived. */
   onFirstByte(head: ResponseHead): void;
   onEnd(end: AttemptEnd): void;
+  /** Handling the response has failed unexpectedly; `onEnd` may not follow. */
+  onFault(error: Error): void;
 }
 
 /** Time in which the rest of a rejection must arrive. */
@@ -167,7 +170,10 @@
       setHost: false,
     });
     outgoing.on("socket", (socket) => this.#onSocket(socket));
-    outgoing.on("response", (response) => this.#onResponse(response));
+    outgoing.on(
+      "response",
+      this.#contain((response: IncomingMessage) => this.#onResponse(response)),
+    );
     outgoing.on("error", (error) => this.#fail(error.message));
     outgoing.on("close", () => this.#fail("connection closed"));
     outgoing.end(body);
@@ -201,6 +207,8 @@
     if (this.#hasEnded) return;
     this.#response = response;
     const status = response.statusCode ?? 0;
+    const headError = findHeadError(status, response.rawHeaders);
+    if (headError !== undefined) return this.#fail(headError);
     const metadata = this.#codec.decodeResponse(status, response.rawHeaders);
     this.#recordReceived();
     if (!this.#isForThisRequest(metadata)) {
@@ -256,7 +264,7 @@
     const framer = new EventFramer();
     this.#limits.allowStream();
     this.#listener.onStreamHead(head);
-    response.on("data", (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
       this.#limits.recordBody(chunk.length);
@@ -265,8 +273,8 @@
       if (this.#checkLimits(framer.rest.length)) return;
       const fault = this.#relayFrames(frames);
       if (fault) this.#fail(fault);
-    });
-    response.on("end", () => {
+    };
+    const onEnd = () => {
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("stream broken off");
       if (framer.hasIncompleteEvent) {
@@ -276,7 +284,9 @@
         this.#listener.onEvents(Buffer.from(framer.rest));
       }
       this.#end({ kind: "streamed", delimiter: head.delimiter });
-    });
+    };
+    response.on("data", this.#contain(onData));
+    response.on("end", this.#contain(onEnd));
   }
 
   /** Relays events up to the first one that is not the next. */
@@ -298,14 +308,14 @@
 
   #bufferBody(response: IncomingMessage, head: ResponseHead): void {
     const chunks: Buffer[] = [];
-    response.on("data", (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
       this.#limits.recordBody(chunk.length);
       if (this.#checkLimits()) return;
       chunks.push(chunk);
-    });
-    response.on("end", () => {
+    };
+    const onEnd = () => {
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("answer broken off");
       const body = Buffer.concat(chunks);
@@ -320,7 +330,9 @@
         body,
       };
       this.#end({ kind: "whole", response: buffered });
-    });
+    };
+    response.on("data", this.#contain(onData));
+    response.on("end", this.#contain(onEnd));
   }
 
   /** Reads the rest of a rejection, so that its connection can be reused. */
@@ -349,6 +361,23 @@
     this.#plan.inFlight.lastByteAtMs = this.#timer.nowMs();
   }
 
+  /**
+   * Limits an exception in a handler of an event to this request. Node.js would
+   * end the process, and with it all other requests.
+   */
+  #contain<Args extends unknown[]>(
+    handle: (...args: Args) => void,
+  ): (...args: Args) => void {
+    return (...args) => {
+      try {
+        handle(...args);
+      } catch (cause) {
+        this.abort();
+        this.#listener.onFault(cause as Error);
+      }
+    };
+  }
+
   /** Ends the attempt without a usable response and closes its connection. */
   #fail(cause: string): void {
     if (this.#hasEnded) return;
--- a/packages/daemon/src/forwarding/target_connections.ts
+++ b/packages/daemon/src/forwarding/target_connections.ts
@@ -6,6 +6,8 @@
 const DEFAULT_IDLE_MS = 900;
 /** A connection is closed this long before its target would close it. */
 const IDLE_MARGIN_MS = 700;
+/** Longest idle time that is kept to; timers accept no arbitrary number. */
+const MAX_IDLE_MS = 60_000;
 /** Idle time after which the kernel sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
@@ -31,7 +33,7 @@
   recordIdleTimeout(keepAliveHeader: string | undefined): void {
     const seconds = /timeout=(\d+)/.exec(keepAliveHeader ?? "")?.[1];
     if (seconds === undefined) return;
-    const reportedMs = Number(seconds) * 1_000;
+    const reportedMs = Math.min(Number(seconds) * 1_000, MAX_IDLE_MS);
     this.#idleMs = Math.max(reportedMs / 2, reportedMs - IDLE_MARGIN_MS);
   }
 
