Apply a delta only to what it builds on

Seen: a daemon that follows relays never applied a configuration of over 4 KB that it could not read from the store while other keys changed.

Cause: while the daemon read the omitted value, it named the revision of the delta as known. A later delta without changes moved its mirror past the value, and no relay sent it again. A value that was read late was dropped for the same reason.

Evidence: store_relay_test.ts in virtual time, before: the configuration was never applied with a silent store, with one that turns the daemon away, and with one that responds after 1.2 s; without changes of other keys it was, which rules out that relays never send the value. Event 6124 tells of a failed read.

Change: a delta that begins after what the mirror holds is not applied, and relays are asked again from what it holds. After a failed read the relay is asked for the value at once.

--- a/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
+++ b/packages/daemon/src/forwarding/knowledge/followed_prefix.ts
@@ -144,12 +144,18 @@
   }
 
   /**
-   * Applies a peer's delta, to which omitted entries were added. Returns false if
-   * other entries that it does not contain are not known here.
+   * Applies a peer's delta since `since`, to which omitted entries were added.
+   * Returns false if it does not begin at what is known here, or if other entries
+   * that it does not contain are not known.
    */
-  applyDelta(delta: PrefixDelta, isAfterOutage: boolean): boolean {
+  applyDelta(
+    delta: PrefixDelta,
+    since: StoreRevision,
+    isAfterOutage: boolean,
+  ): boolean {
     const { revision, keys } = delta;
     if (!isLater(revision, this.#mirror.revision)) return true;
+    if (isLater(since, this.#mirror.revision)) return false;
     if (keys === null) {
       if (revision.era !== this.#mirror.revision.era) return false;
       this.#mirror.apply({ kind: "events", events: [], revision });
--- a/packages/daemon/src/forwarding/knowledge/followed_prefix_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/followed_prefix_test.ts
@@ -26,7 +26,8 @@
     revision: at(revision, era),
     entries: [entry("a/1", 2), entry("a/2", 3)],
   });
-const pass = () => daemon.applyDelta(relay.deltaSince(daemon.revision)!, false);
+const pass = () =>
+  daemon.applyDelta(relay.deltaSince(daemon.revision)!, daemon.revision, false);
 
 beforeEach(() => {
   const options = { prefix: "a/", onChange: () => {} };
@@ -53,7 +54,7 @@
     });
     const delta = relay.deltaSince(daemon.revision)!;
     expect(delta.entries.map(({ key }) => key)).toEqual(["a/3"]);
-    expect(daemon.applyDelta(delta, false)).toBe(true);
+    expect(daemon.applyDelta(delta, daemon.revision, false)).toBe(true);
     expect(valuesOf(daemon)).toEqual(["a/2@3", "a/3@6"]);
   });
 
@@ -67,7 +68,7 @@
       keys: null,
       omitted: [],
     });
-    expect(daemon.applyDelta(delta, false)).toBe(true);
+    expect(daemon.applyDelta(delta, daemon.revision, false)).toBe(true);
     expect(daemon.revision).toEqual(at(9));
     expect(daemon.changeRevision).toEqual(at(5));
     expect(relay.deltaSince(daemon.revision)).toBeUndefined();
@@ -78,15 +79,35 @@
     expect(delta.entries).toEqual([]);
     expect(delta.omitted).toEqual(["a/1", "a/2"]);
     const entries = [entry("a/1", 2), entry("a/2", 3)];
-    expect(daemon.applyDelta({ ...delta, entries }, false)).toBe(true);
+    expect(daemon.applyDelta({ ...delta, entries }, at(0, 0), false)).toBe(
+      true,
+    );
     expect(daemon.snapshot()).toEqual(relay.snapshot());
   });
 
+  // Guards against a daemon that passes over a change which it was told of, but
+  // does not have yet, since a later delta says that nothing else has changed.
+  it("is refused where it begins after what the daemon knows", () => {
+    pass();
+    relay.applyBatch({
+      kind: "events",
+      revision: at(7),
+      events: [{ kind: "put", entry: entry("a/2", 7) }],
+    });
+    relay.applyBatch({ kind: "events", revision: at(9), events: [] });
+    const delta = relay.deltaSince(at(7))!;
+    expect(delta.keys).toBeNull();
+    expect(daemon.applyDelta(delta, at(7), false)).toBe(false);
+    expect(daemon.revision).toEqual(at(5));
+    expect(pass()).toBe(true);
+    expect(valuesOf(daemon)).toEqual(["a/1@2", "a/2@7"]);
+  });
+
   // Guards against a relay that is behind, or still in an earlier era.
   it("never takes a daemon back", () => {
     const old = relay.deltaSince(at(0, 0))!;
     snapshot(daemon, 4, 2);
-    expect(daemon.applyDelta(old, false)).toBe(true);
+    expect(daemon.applyDelta(old, at(0, 0), false)).toBe(true);
     expect(daemon.revision).toEqual(at(4, 2));
     expect(relay.deltaSince(daemon.revision)).toBeUndefined();
   });
@@ -103,7 +124,7 @@
   it("is refused where it lacks entries that the daemon does not know", () => {
     const delta = { ...relay.deltaSince(at(4))!, entries: [] };
     expect(delta.keys).toEqual(["a/1", "a/2"]);
-    expect(daemon.applyDelta(delta, false)).toBe(false);
+    expect(daemon.applyDelta(delta, daemon.revision, false)).toBe(false);
     expect(valuesOf(daemon)).toEqual([]);
     const foreign = {
       revision: at(9, 2),
@@ -111,7 +132,7 @@
       keys: null,
       omitted: [],
     };
-    expect(daemon.applyDelta(foreign, false)).toBe(false);
+    expect(daemon.applyDelta(foreign, daemon.revision, false)).toBe(false);
     expect(daemon.revision).toEqual(at(0, 0));
   });
 });
--- a/packages/daemon/src/forwarding/knowledge/store_relay_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_relay_controller.ts
@@ -1,15 +1,14 @@
 import {
+  isLater,
   selectStoreRelays,
   type SourceObservation,
   type StoreRelays,
   type StoreRevision,
-  StoreRevisionSchema,
   StoreSource,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type { KeyValueClient } from "@coltsfootford/key-value";
 import type { JSONRPCServer } from "json-rpc-2.0";
-import { z } from "zod";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type {
@@ -17,20 +16,18 @@
   PeerDaemon,
 } from "../forwarding_blackboard.ts";
 import { type CallPeer, callPeer } from "./call_peer.ts";
-import {
-  EntrySchema,
-  type FollowedPrefix,
-  type PrefixDelta,
-} from "./followed_prefix.ts";
+import type { FollowedPrefix, PrefixDelta } from "./followed_prefix.ts";
 import type { StoreFollowerController } from "./store_follower_controller.ts";
+import {
+  MAX_WAIT_MS,
+  type WaitRequest,
+  WaitRequestSchema,
+  type WaitResponse,
+  WaitResponseSchema,
+} from "./wait_messages.ts";
 
 const WAIT_METHOD = "knowledge.wait";
 const CHECK_PERIOD_MS = 100;
-/**
- * Longest wait of a daemon for changes. A relay that reaches the store responds
- * earlier, with each of its probes.
- */
-const MAX_WAIT_MS = 1_200;
 /** Time beyond the wait after which a relay counts as unreachable. */
 const RESPONSE_MARGIN_MS = 300;
 /** The same where the response contains large values. */
@@ -43,29 +40,13 @@
 /** Pause after a relay did not respond. */
 const RETRY_PERIOD_MS = 300;
 
-const WaitRequestSchema = z.object({
-  /** By prefix: the point up to which the sender knows its entries. */
-  revisions: z.record(z.string(), StoreRevisionSchema),
-  waitMs: z.number().nonnegative().max(MAX_WAIT_MS),
-  /** Whether the sender can't read large values from the store. */
-  wantsLargeValues: z.boolean().default(false),
-});
-type WaitRequest = z.infer<typeof WaitRequestSchema>;
-const PrefixDeltaSchema = z.object({
-  revision: StoreRevisionSchema,
-  entries: z.array(EntrySchema).readonly(),
-  keys: z.array(z.string()).readonly().nullable(),
-  omitted: z.array(z.string()).readonly().default([]),
-});
-const WaitResponseSchema = z.object({
-  /** Age of the responder's knowledge. */
-  currentMsAgo: z.number().nonnegative().nullable(),
-  /** Whether entries may be missing that lapsed while the store was away. */
-  isAfterOutage: z.boolean(),
-  /** By prefix. */
-  deltas: z.record(z.string(), PrefixDeltaSchema),
-});
-type WaitResponse = z.infer<typeof WaitResponseSchema>;
+/** Where a delta comes from. */
+interface DeltaOrigin {
+  readonly peer: PeerDaemon;
+  /** The point that the relay was told to be known. */
+  readonly since: StoreRevision;
+  readonly isAfterOutage: boolean;
+}
 
 /** Dependencies of a `StoreRelayController`. */
 export interface StoreRelayDependencies {
@@ -107,7 +88,11 @@
   #askAtMs = -Infinity;
   #applied = 0;
   #isStopped = false;
-  /** Points of prefixes whose large values are being read, by prefix. */
+  /**
+   * By prefix whose large values are being read: the point up to which relays
+   * have told of changes. It is named to them so that they tell only of later
+   * ones; what they tell meanwhile is not applied.
+   */
   readonly #reading = new Map<string, StoreRevision>();
   /** When large values could not be read from the store. */
   #readFailedAtMs = -Infinity;
@@ -229,7 +214,12 @@
   }
 
   /** Resolves with whether the daemon responded with newer knowledge. */
-  async #request(name: string | undefined, waitMs: number): Promise<boolean> {
+  async #request(
+    name: string | undefined,
+    waitMs: number,
+    wantsLargeValues = this.#readFailedAtMs >
+      this.#dependencies.store.lastResponseAtMs,
+  ): Promise<boolean> {
     const peer = this.#peers.get(name ?? "");
     if (!peer) return false;
     const revisions = Object.fromEntries(
@@ -237,8 +227,6 @@
         [prefix, this.#reading.get(prefix) ?? revision] as const
       ),
     );
-    const { store } = this.#dependencies;
-    const wantsLargeValues = this.#readFailedAtMs > store.lastResponseAtMs;
     const request: WaitRequest = { revisions, waitMs, wantsLargeValues };
     const marginMs = wantsLargeValues
       ? LARGE_RESPONSE_MARGIN_MS
@@ -250,7 +238,7 @@
         call(peer, WAIT_METHOD, request, timeoutMs),
         timeoutMs,
       );
-      return this.#apply(peer, WaitResponseSchema.parse(response));
+      return this.#apply(peer, revisions, WaitResponseSchema.parse(response));
     } catch (cause) {
       const error = (cause as Error).message;
       this.#dependencies.log.event("peerUnreachable", {
@@ -274,15 +262,20 @@
   /** Applies a response; returns whether it made the knowledge more current. */
   #apply(
     peer: PeerDaemon,
+    revisions: WaitRequest["revisions"],
     { currentMsAgo, isAfterOutage, deltas }: WaitResponse,
   ): boolean {
     let isComplete = true;
     for (const prefix of this.#dependencies.followed) {
       const delta = deltas[prefix.prefix];
-      if (!delta) continue;
-      if (delta.omitted.length > 0) {
-        void this.#readOmitted(peer, prefix, delta, isAfterOutage);
-      } else if (!this.#applyDelta(peer, prefix, delta, isAfterOutage)) {
+      const since = revisions[prefix.prefix];
+      if (!delta || !since) continue;
+      const origin = { peer, since, isAfterOutage };
+      if (isLater(since, prefix.revision)) {
+        this.#skipWhileReading(prefix, delta);
+      } else if (delta.omitted.length > 0) {
+        void this.#readOmitted(prefix, delta, origin);
+      } else if (!this.#applyDelta(prefix, delta, origin)) {
         isComplete = false;
       }
     }
@@ -296,15 +289,23 @@
     return true;
   }
 
+  /**
+   * Leaves out a delta that begins after values which are still being read, or
+   * whose read has failed. Relays are asked for it again afterwards.
+   */
+  #skipWhileReading({ prefix }: FollowedPrefix, delta: PrefixDelta): void {
+    if (delta.keys === null || !this.#reading.has(prefix)) return;
+    this.#reading.set(prefix, delta.revision);
+  }
+
   #applyDelta(
-    peer: PeerDaemon,
     prefix: FollowedPrefix,
     delta: PrefixDelta,
-    isAfterOutage: boolean,
+    { peer, since, isAfterOutage }: DeltaOrigin,
   ): boolean {
     const { store, log } = this.#dependencies;
     store.history.learn(delta.revision);
-    if (prefix.applyDelta(delta, isAfterOutage)) {
+    if (prefix.applyDelta(delta, since, isAfterOutage)) {
       if (delta.keys !== null) this.#applied += 1;
       return true;
     }
@@ -317,26 +318,29 @@
 
   /** Reads what a delta leaves out, and applies it. */
   async #readOmitted(
-    peer: PeerDaemon,
     prefix: FollowedPrefix,
     delta: PrefixDelta,
-    isAfterOutage: boolean,
+    origin: DeltaOrigin,
   ): Promise<void> {
     if (this.#reading.has(prefix.prefix)) return;
     this.#reading.set(prefix.prefix, delta.revision);
-    const read: KeyValueEntry[] = [];
-    for (const key of delta.omitted) {
-      const entry = await this.#dependencies.store.get(key);
-      const value = entry.unwrapOr(undefined);
-      if (value) read.push(value);
-    }
+    const { store, log } = this.#dependencies;
+    const read = await Promise.all(
+      delta.omitted.map((key) => store.get(key)),
+    );
     this.#reading.delete(prefix.prefix);
-    if (read.length < delta.omitted.length) {
+    const values = read.flatMap((entry) => entry.unwrapOr(undefined) ?? []);
+    if (values.length < delta.omitted.length) {
       this.#readFailedAtMs = this.#nowMs();
+      log.event("largeValueMissing", {
+        keys: delta.omitted,
+        revision: delta.revision,
+      });
+      await this.#request(origin.peer.name, 0, true);
       return;
     }
-    const entries = [...delta.entries, ...read];
-    this.#applyDelta(peer, prefix, { ...delta, entries }, isAfterOutage);
+    const entries = [...delta.entries, ...values];
+    this.#applyDelta(prefix, { ...delta, entries }, origin);
   }
 
   async #respond(
--- a/packages/daemon/src/forwarding/knowledge/store_relay_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_relay_test.ts
@@ -98,6 +98,70 @@
   });
 });
 
+/** What makes a daemon's own read of a large value fail, or last. */
+const READ_FAULTS: Record<string, (daemon: KnowingDaemon) => void> = {
+  "is silent to it": ({ store }) => {
+    store.faults.failureDelayMs = 1_500;
+    store.setDown(true);
+  },
+  "turns it away": ({ store }) => store.setDown(true),
+  "is slow to it": ({ store }) => {
+    store.faults.responseDelayMs = 1_200;
+  },
+};
+
+describe.each(Object.keys(READ_FAULTS))(
+  "a daemon behind relays where the store %s",
+  (fault) => {
+    // Guards against a daemon that never applies a large configuration: it reads
+    // it from the store, and names meanwhile what its relays told of other keys.
+    it("applies a large configuration while other keys change", async () => {
+      await startFleet(67);
+      const daemon = fleet.daemons.find(({ isRelay }) => !isRelay)!;
+      READ_FAULTS[fault]!(daemon);
+      version += 1;
+      fleet.publish(version, LARGE);
+      let changes = 0;
+      await fleet.advance(APPLY_MS, () => {
+        changes += 1;
+        fleet.register(`target-${changes % TARGETS}`, { sequence: changes });
+      });
+      expect(daemon.version).toBe(version);
+      expect(daemon.targetIds).toHaveLength(TARGETS);
+    }, TEST_TIMEOUT_MS);
+
+    it("applies each of several in turn, and never an older one", async () => {
+      await startFleet(67);
+      const daemon = fleet.daemons.find(({ isRelay }) => !isRelay)!;
+      READ_FAULTS[fault]!(daemon);
+      let latest = version;
+      for (let publish = 0; publish < 6; publish++) {
+        version += 1;
+        fleet.publish(version, LARGE);
+        await fleet.advance(400, () => {
+          expect(daemon.version).toBeGreaterThanOrEqual(latest);
+          latest = daemon.version!;
+          fleet.register("target-0", { sequence: fleet.nowMs });
+        });
+      }
+      await fleet.advance(APPLY_MS);
+      expect(daemon.version).toBe(version);
+    }, TEST_TIMEOUT_MS);
+
+    it("learns meanwhile which targets leave", async () => {
+      await startFleet(67);
+      const daemon = fleet.daemons.find(({ isRelay }) => !isRelay)!;
+      READ_FAULTS[fault]!(daemon);
+      version += 1;
+      fleet.publish(version, LARGE);
+      await fleet.advance(200);
+      fleet.remove("targets/target-0");
+      await fleet.advance(2_000);
+      expect(daemon.targetIds).not.toContain("target-0");
+    }, TEST_TIMEOUT_MS);
+  },
+);
+
 describe.each([67, 195])("daemons behind relays, %i of them", (size) => {
   it("learn in time while the relays of a zone are frozen", async () => {
     await startFleet(size);
--- a/packages/daemon/src/forwarding/knowledge/testing/knowledge_fleet.ts
+++ b/packages/daemon/src/forwarding/knowledge/testing/knowledge_fleet.ts
@@ -286,7 +286,12 @@
   }
 
   async close(): Promise<void> {
-    for (const daemon of this.daemons) await daemon.stop();
+    for (const daemon of this.daemons) {
+      // Delays end only as the virtual time advances.
+      daemon.store.faults.failureDelayMs = 0;
+      daemon.store.faults.responseDelayMs = 0;
+      await daemon.stop();
+    }
   }
 
   #updateLink(daemon: KnowingDaemon): void {
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -170,6 +170,11 @@
     level: "info",
     text: "daemon begins or ceases to follow the store itself",
   },
+  largeValueMissing: {
+    number: 6124,
+    level: "info",
+    text: "large value could not be read from the store; a relay is asked",
+  },
   knowledgeRefused: {
     number: 6102,
     level: "error",
--- a/packages/key-value/src/testing/fake_key_value.ts
+++ b/packages/key-value/src/testing/fake_key_value.ts
@@ -35,6 +35,8 @@
   lossKeyPrefix: string;
   /** New watches are never accepted and never end. */
   areWatchesHung: boolean;
+  /** Time after which a call in an outage fails; a silent service hangs it. */
+  failureDelayMs: number;
   /** Delay before each response. */
   responseDelayMs: number;
 }
@@ -51,6 +53,7 @@
     lostWriteRequests: 0,
     lossKeyPrefix: "",
     areWatchesHung: false,
+    failureDelayMs: 0,
     responseDelayMs: 0,
   };
   readonly #openSinks = new Set<WatchSink>();
@@ -215,18 +218,21 @@
   ): KeyValueResult<Value> {
     await Promise.resolve();
     if (this.faults.isDown) {
+      await this.#wait(this.faults.failureDelayMs);
       return err(createKeyValueError("unreachable", step, PEER, "down"));
     }
     this.store.expireLeases(this.timer.nowMs());
     const value = operation();
-    const { responseDelayMs } = this.faults;
-    if (responseDelayMs > 0) {
-      await new Promise<void>((resolve) => {
-        this.timer.after(responseDelayMs, resolve);
-      });
-    }
+    await this.#wait(this.faults.responseDelayMs);
     return ok(value);
   }
+
+  async #wait(durationMs: number): Promise<void> {
+    if (durationMs === 0) return;
+    await new Promise<void>((resolve) => {
+      this.timer.after(durationMs, resolve);
+    });
+  }
 }
 
 /** One batch with the events of all; none if there is none. */
