Replace a watch after any lost probe

Seen: open connections to the store went silent, while new ones worked and reads were 2 s old.

Cause: a probe that timed out on one silent connection and succeeded on a new one was forgotten, and the watch stayed on its own silent connection. Where several idle connections were silent, each request met the next one.

Change: each lost probe counts, and the watch is reopened from where it is unless it has delivered since. A time-out closes the idle connections to the same server, for the store and for other daemons. A watch waits 2.5 s at most.

A watch that delivers is neither probed nor replaced (tests as before).

--- a/packages/bench/src/harness/tcp_link.ts
+++ b/packages/bench/src/harness/tcp_link.ts
@@ -23,6 +23,8 @@
   readonly #targetPort: number;
   readonly #state: LinkState;
   readonly #sockets = new Set<Socket>();
+  /** Sockets whose bytes are dropped for good. */
+  readonly #silenced = new WeakSet<Socket>();
   readonly #server = createServer((socket) => this.#accept(socket));
 
   private constructor(targetPort: number, state: LinkState) {
@@ -54,6 +56,11 @@
     for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 
+  /** Drops all further bytes of the current connections; new ones work. */
+  silenceConnections(): void {
+    for (const socket of this.#sockets) this.#silenced.add(socket);
+  }
+
   async close(): Promise<void> {
     this.breakConnections();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
@@ -96,7 +103,7 @@
     let isSilent = false;
     from.on("data", (chunk) => {
       // TCP delivers in order: after dropped bytes, no later byte may arrive.
-      isSilent ||= this.#isSilent(isToTarget);
+      isSilent ||= this.#silenced.has(from) || this.#isSilent(isToTarget);
       if (isSilent) return;
       delayedBytes += chunk.length;
       if (delayedBytes > MAX_DELAYED_BYTES) from.pause();
@@ -108,7 +115,7 @@
       });
     });
     from.on("end", () => {
-      if (!isSilent) schedule(() => to.end());
+      if (!isSilent && !this.#silenced.has(from)) schedule(() => to.end());
     });
   }
 
--- a/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_follower_controller.ts
@@ -25,8 +25,11 @@
 const REPLACEMENT_MS = 2_000;
 /** A shorter pause does not shorten the replacement much. */
 const USUAL_PAUSE_MS = 1_000;
-/** Long, since probes detect a watch that stopped delivering. */
-const MAX_WAIT_MS = 20_000;
+/**
+ * Bounds the time until a watch on a silent connection is replaced. Probes find
+ * it sooner, unless they all get new connections.
+ */
+const MAX_WAIT_MS = 2_500;
 /** Longest backoff before a broken watch is reopened without a probe. */
 const MAX_BACKOFF_MS = 2_000;
 /** How often the store's revision is compared with the watch's revision. */
@@ -70,9 +73,9 @@
   #isProbing = false;
   #probedAtMs = -Infinity;
   /**
-   * When a probe failed last. The watch was then out of reach as well, and may
-   * not deliver any more; the next probe does not show that, as it may return
-   * an outdated revision.
+   * When a probe failed last, be it that another attempt succeeded at once. The
+   * watch was then out of reach as well, and may not deliver any more; the next
+   * probe does not show that, as it may return an outdated revision.
    */
   #failedAtMs = -Infinity;
   #reopened = 0;
@@ -164,16 +167,16 @@
     this.#isProbing = false;
     if (this.#isPaused) return;
     if (revision.isErr()) {
-      const isLost = revision.error.kind === "answer-lost";
-      if (isLost && mayRetry) return await this.#probe(false);
       this.#failedAtMs = timer.nowMs();
+      const isLost = revision.error.kind === "answer-lost";
+      if (isLost && mayRetry) await this.#probe(false);
       return;
     }
     this.#probedAtMs = timer.nowMs();
     if (this.#reopenForNewEra()) return;
     if (this.#lastBatchAtMs < this.#failedAtMs) {
       this.#failedAtMs = -Infinity;
-      return this.#reopen(revision.value);
+      return this.#replace(revision.value, mayRetry);
     }
     if (!isLater(revision.value, this.#revision)) return this.onConfirmed();
     this.#cancelCheck();
@@ -192,7 +195,7 @@
     if (!startsEra(this.#revision, latest)) return false;
     if (latest.era === this.#reopenedForEra) return false;
     this.#reopenedForEra = latest.era;
-    this.#reopen(latest);
+    this.#replace(latest, true);
     return true;
   }
 
@@ -203,15 +206,18 @@
     const isReceiving = timer.nowMs() - store.lastReceivedAtMs < RECEIVING_MS &&
       store.lastReceivedAtMs > this.#probedAtMs;
     if (isReceiving) return;
-    this.#reopen(storeRevision);
+    this.#replace(storeRevision, true);
   }
 
-  #reopen(storeRevision: StoreRevision): void {
+  /** Opens the watch anew, with a snapshot where much may have changed. */
+  #replace(storeRevision: StoreRevision, withSnapshot: boolean): void {
     this.#reopened += 1;
     this.#dependencies.log.event("watchReopened", {
       revision: this.#revision,
       storeRevision,
+      withSnapshot,
     });
-    this.#watch?.reopen();
+    if (withSnapshot) this.#watch?.reopen();
+    else this.#watch?.reconnect();
   }
 }
--- a/packages/daemon/src/forwarding/knowledge/store_follower_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_follower_controller_test.ts
@@ -1,8 +1,9 @@
 import { beforeEach, describe, expect, it } from "@jest/globals";
 import { type StoreRevision, VirtualTimerService } from "@coltsfootford/core";
 import type { Watch, WatchBatch, WatchOptions } from "@coltsfootford/key-value";
+import { createKeyValueError } from "@coltsfootford/key-value";
 import { FakeKeyValue } from "@coltsfootford/key-value/testing";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { FollowedPrefix } from "./followed_prefix.ts";
 import { StoreFollowerController } from "./store_follower_controller.ts";
 
@@ -12,16 +13,29 @@
   storeEra = 1;
   probes = 0;
   reopened = 0;
+  reconnected = 0;
+  /** Number of next probes whose responses are lost. */
+  lostProbes = 0;
   deliver: (batch: WatchBatch) => void = () => {};
 
   override watch(options: WatchOptions): Watch {
     this.deliver = (batch) => void options.onBatch(batch);
-    return { reopen: () => this.reopened += 1, close: () => {} };
+    return {
+      reopen: () => this.reopened += 1,
+      reconnect: () => this.reconnected += 1,
+      close: () => {},
+    };
   }
 
   override readRevision() {
     this.probes += 1;
     if (this.faults.isDown) return super.readRevision();
+    if (this.lostProbes > 0) {
+      this.lostProbes -= 1;
+      return Promise.resolve(
+        err(createKeyValueError("answer-lost", "probe", "store", "no bytes")),
+      );
+    }
     return Promise.resolve(ok<StoreRevision, never>(
       this.history.placeStale({
         revision: this.storeRevision,
@@ -110,6 +124,31 @@
     expect(store.reopened).toBe(1);
   });
 
+  // Guards against a watch that stays on a silent connection, since a probe that
+  // failed on another one succeeds on a new one and reads an outdated revision.
+  it("reconnects the watch once if a probe succeeds at its second attempt", async () => {
+    await advanceTime(3_000);
+    store.lostProbes = 1;
+    await advanceTime(1_100);
+    expect(store.reconnected).toBe(1);
+    await advanceTime(5_000);
+    expect([store.reconnected, store.reopened]).toEqual([1, 0]);
+  });
+
+  it("keeps a watch that has delivered since a probe was lost", async () => {
+    await advanceTime(3_000);
+    store.lostProbes = 2;
+    await advanceTime(1_000);
+    store.deliver({
+      kind: "events",
+      revision: { era: 1, revision: 2 },
+      events: [],
+    });
+    store.storeRevision = 2;
+    await advanceTime(5_000);
+    expect([store.reconnected, store.reopened]).toEqual([0, 0]);
+  });
+
   it("sends no probes while the watch delivers", async () => {
     await advanceTime(5_000, () => {
       store.storeRevision += 1;
--- a/packages/daemon/src/http_client/http_client.ts
+++ b/packages/daemon/src/http_client/http_client.ts
@@ -40,8 +40,9 @@
 const JSON_HEADERS = { "content-type": "application/json" };
 
 /**
- * Exchanges small requests and responses over keep-alive connections. It uses the HTTP client of Node.js, as the forwarding path does:
- * a second HTTP library would take a fifth of a daemon's startup time.
+ * Exchanges small requests and responses over keep-alive connections. It uses
+ * the HTTP client of Node.js, as the forwarding path does: a second HTTP library
+ * would take a fifth of a daemon's startup time.
  */
 export class HttpClient {
   readonly #options: HttpClientOptions;
@@ -74,6 +75,15 @@
     this.#agent.destroy();
   }
 
+  /**
+   * Closes the idle connections to a server. Where one has gone silent, requests
+   * on the others would wait for their time-out as well.
+   */
+  #closeIdle(host: string, port: number): void {
+    const idle = this.#agent.freeSockets[this.#agent.getName({ host, port })];
+    for (const socket of [...idle ?? []]) socket.destroy();
+  }
+
   #exchange(
     exchange: HttpRequest,
     timers: ExchangeTimers,
@@ -98,11 +108,15 @@
       });
       const abort = (reason: string) => () =>
         outgoing.destroy(new Error(reason));
+      const abortSilent = () => {
+        this.#closeIdle(host, port);
+        abort("no bytes in time")();
+      };
       const restartSilence = () =>
         timers.restart(
           "silence",
           exchange.silenceTimeoutMs,
-          abort("no bytes in time"),
+          abortSilent,
         );
       timers.restart(
         "total",
--- a/packages/key-value/src/watch_loop.ts
+++ b/packages/key-value/src/watch_loop.ts
@@ -56,6 +56,8 @@
    * After a gap the history may be many times as large as the current entries.
    */
   reopen(): void;
+  /** Reconnects immediately and continues with the history. */
+  reconnect(): void;
   /** Ends the watch; no batch is delivered afterwards. */
   close(): void;
 }
@@ -117,10 +119,14 @@
   }
 
   reopen(): void {
+    this.#nextRevision = undefined;
+    this.reconnect();
+  }
+
+  reconnect(): void {
     if (this.#isClosed) return;
     this.#cancelTimer();
     this.#closeConnection();
-    this.#nextRevision = undefined;
     void this.#connect();
   }
 
