Tell a reset connection from one that has ended

Cause: libuv reports a hang-up after a partial read as the end of the stream, and Node.js completes the body. undici does so even on a reported ECONNRESET. A daemon that broke off such a stream reset its client's connection right behind the last bytes, with the same effect there.

Evidence: reset_end_test.ts of the platform, before: 7 of 7 cases with a reset failed, 5 of 5 with a clean end or a length passed; own interface 2 of 2 with a reset.

Change: CheckedSocket looks up the peer's address at the end, which the kernel knows unless the connection was reset. Connections to targets, the store and other daemons use it, on both interfaces. Resets of clients follow the last bytes after 50 ms.

Sound responses as before: clean ends and lengths followed by a reset arrive whole (165 of 165).

--- /dev/null
+++ b/packages/daemon/src/connections/checked_socket.ts
@@ -0,0 +1,68 @@
+import { Agent, type ClientRequestArgs } from "node:http";
+import {
+  Socket,
+  type SocketConstructorOpts,
+  type TcpSocketConnectOpts,
+} from "node:net";
+
+/** The peer has reset a connection. */
+export class ConnectionResetError extends Error {
+  /** Not `ECONNRESET`, which some HTTP clients take for the end of a body. */
+  readonly code = "ERR_CONNECTION_RESET";
+
+  constructor(options?: ErrorOptions) {
+    super("connection was reset by its peer", options);
+  }
+}
+
+/**
+ * A TCP socket that reports each reset by its peer as an error.
+ *
+ * The event loop of Node.js reports a reset that arrives together with the last
+ * bytes as an end (libuv takes a hang-up after a partial read for one), and a
+ * body that only the end of its connection delimits would then look complete.
+ * The kernel knows the peer's address until a connection is reset, so it is
+ * looked up at the end. Node.js caches the address: nothing may read
+ * `remoteAddress` before.
+ */
+export class CheckedSocket extends Socket {
+  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk !== null || this.remoteAddress !== undefined) {
+      return super.push(chunk, encoding);
+    }
+    this.destroy(new ConnectionResetError());
+    return false;
+  }
+
+  override _destroy(
+    error: Error | null,
+    callback: (error?: Error | null) => void,
+  ): void {
+    const isReset = (error as NodeJS.ErrnoException | null)?.code ===
+      "ECONNRESET";
+    super._destroy(
+      isReset ? new ConnectionResetError({ cause: error }) : error,
+      callback,
+    );
+  }
+}
+
+/** Options of a connection that an `Agent` opens. */
+type ConnectionOptions = SocketConstructorOpts & TcpSocketConnectOpts & {
+  readonly timeout?: number;
+};
+
+/** Connects a socket; `timeout` is its idle time-out in ms. */
+export function connectChecked(options: ConnectionOptions): CheckedSocket {
+  const socket = new CheckedSocket(options);
+  if (options.timeout) socket.setTimeout(options.timeout);
+  return socket.connect(options);
+}
+
+/** Persistent connections whose resets are reported as errors. */
+export class CheckedAgent extends Agent {
+  // Called by Node.js to open a connection.
+  override createConnection(options: ClientRequestArgs): Socket {
+    return connectChecked(options as ConnectionOptions);
+  }
+}
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -3,21 +3,30 @@
   type BodyDelimiter,
   findBodyDelimiter,
   provesCompleteBody,
+  type TimerService,
 } from "@coltsfootford/core";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
 import type { BufferedResponse, ResponseHead } from "./target_attempt.ts";
 
+/**
+ * Time between the last bytes of a broken response and the reset of its
+ * connection. A client that reads both at once may take the reset for an end.
+ */
+const RESET_DELAY_MS = 50;
+
 /** The response to one client. Only the first response is written. */
 export class ClientResponse {
   readonly #outgoing: ServerResponse;
   readonly #method: string;
+  readonly #timer: TimerService;
   #hasStarted = false;
   #delimiter: BodyDelimiter | undefined;
 
-  constructor(outgoing: ServerResponse, method: string) {
+  constructor(outgoing: ServerResponse, method: string, timer: TimerService) {
     this.#outgoing = outgoing;
     this.#method = method;
+    this.#timer = timer;
   }
 
   /** What marks the end of the response; undefined before its start. */
@@ -103,10 +112,12 @@
    * that does not understand chunks takes anything but a reset for the end.
    */
   abort(): void {
-    if (!this.#outgoing.chunkedEncoding) {
-      this.#outgoing.socket?.resetAndDestroy();
+    const { socket } = this.#outgoing;
+    if (this.#outgoing.chunkedEncoding || !socket) {
+      this.#outgoing.destroy();
+      return;
     }
-    this.#outgoing.destroy();
+    this.#timer.after(RESET_DELAY_MS, () => socket.resetAndDestroy());
   }
 
   /**
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -93,7 +93,7 @@
     const { blackboard, codec, timer, metrics } = this.#dependencies;
     const receivedAtMs = timer.nowMs();
     metrics.count("requests_received_total");
-    const response = new ClientResponse(outgoing, incoming.method ?? "");
+    const response = new ClientResponse(outgoing, incoming.method ?? "", timer);
     const metadata = codec.decodeRequest(incoming.rawHeaders);
     if (metadata.isErr()) {
       return this.#reject(
--- a/packages/daemon/src/forwarding/target_connections.ts
+++ b/packages/daemon/src/forwarding/target_connections.ts
@@ -1,6 +1,6 @@
-import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { CheckedAgent } from "../connections/index.ts";
 
 /** Idle time after which a connection is closed if the target reports none. */
 const DEFAULT_IDLE_MS = 900;
@@ -16,7 +16,7 @@
  * connection that receives bytes is closed, since they would be parsed as the
  * next response.
  */
-export class TargetConnections extends Agent {
+export class TargetConnections extends CheckedAgent {
   #idleMs = DEFAULT_IDLE_MS;
   #isRetired = false;
   readonly #closeOnData = new WeakMap<Duplex, () => void>();
@@ -61,7 +61,7 @@
   // Called by Node.js before an idle connection sends the next request.
   override reuseSocket(
     socket: Duplex,
-    request: Parameters<Agent["reuseSocket"]>[1],
+    request: Parameters<CheckedAgent["reuseSocket"]>[1],
   ): void {
     const close = this.#closeOnData.get(socket);
     if (close) socket.off("data", close);
--- a/packages/daemon/src/http_client/http_client.ts
+++ b/packages/daemon/src/http_client/http_client.ts
@@ -1,5 +1,6 @@
-import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import { type IncomingHttpHeaders, request } from "node:http";
 import type { CancelTimer, TimerService } from "@coltsfootford/core";
+import { CheckedAgent } from "../connections/index.ts";
 
 /** The limits of an `HttpClient`. */
 export interface HttpClientOptions {
@@ -47,13 +48,13 @@
 export class HttpClient {
   readonly #options: HttpClientOptions;
   readonly #timer: TimerService;
-  readonly #agent: Agent;
+  readonly #agent: CheckedAgent;
   #isClosed = false;
 
   constructor(options: HttpClientOptions, timer: TimerService) {
     this.#options = options;
     this.#timer = timer;
-    this.#agent = new Agent({
+    this.#agent = new CheckedAgent({
       keepAlive: true,
       maxSockets: options.maxConnections,
       timeout: options.idleTimeoutMs,
