Count crashes right after the first event

Cause: an attempt with one event was no evidence of a crash, while a response counts as sound from the second event on. A request that always ends after one event was neither.

Change: hasSurvivedBeginning in core answers for both. The own interface counts the tokens of the attempt in the same way; before, a token of any attempt excused the prompt.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -15,6 +15,7 @@
 export * from "./prompt_part_ledger.ts";
 export * from "./rate_limiter.ts";
 export * from "./relay_tree.ts";
+export * from "./response_beginning.ts";
 export * from "./response_limits.ts";
 export * from "./response_wait.ts";
 export * from "./retry_after.ts";
--- /dev/null
+++ b/packages/core/src/forwarding/response_beginning.ts
@@ -0,0 +1,13 @@
+/**
+ * Events after which a target has survived the beginning of its response. One
+ * that crashes because of a request may send the first event before it ends.
+ */
+const EVENTS_OF_BEGINNING = 2;
+
+/**
+ * Whether a target went on after the beginning of a response. A later crash is
+ * no evidence against the request, nor against the parts of its prompt.
+ */
+export function hasSurvivedBeginning(eventsReceived: number): boolean {
+  return eventsReceived >= EVENTS_OF_BEGINNING;
+}
--- a/packages/daemon/src/entry/buffered_relay.ts
+++ b/packages/daemon/src/entry/buffered_relay.ts
@@ -51,6 +51,10 @@
     return this.#outgoing.headersSent;
   }
 
+  override get relayedTokens(): number {
+    return 0;
+  }
+
   override canResume(): boolean {
     return false;
   }
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -196,11 +196,12 @@
   ): Promise<EndedAttempt> {
     const { claims, poison } = this.#dependencies.guards;
     const { target, permit } = selected;
+    const tokensBefore = relay.relayedTokens;
     const tracked = poison.trackRequest(target, {
       ...identity,
       requestId: context.requestId,
       isIsolated: selected.endIsolation !== undefined,
-      hasRelayedPart: () => relay.hasRelayedPart,
+      receivedTokens: () => relay.relayedTokens - tokensBefore,
     });
     try {
       // No `await` between these checks and the send: the deadline, the claim or
--- a/packages/daemon/src/entry/response_relay.ts
+++ b/packages/daemon/src/entry/response_relay.ts
@@ -41,6 +41,9 @@
   /** Whether a part of the response was relayed. */
   abstract get hasRelayedPart(): boolean;
 
+  /** Tokens that were relayed over all attempts. */
+  abstract get relayedTokens(): number;
+
   /** Whether another target can resume the response where it broke off. */
   abstract canResume(): boolean;
 
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -47,6 +47,10 @@
     return this.#outgoing.headersSent;
   }
 
+  override get relayedTokens(): number {
+    return this.#sequence.relayedTokens;
+  }
+
   override canResume(): boolean {
     return this.#sequence.isResumable;
   }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -5,6 +5,7 @@
   EventSequence,
   expectedFirstByteMs,
   findQuarantinedParts,
+  hasSurvivedBeginning,
   type InFlightAttempt,
   isWaitFutile,
   jitteredRetryAfterMs,
@@ -43,8 +44,6 @@
 
 /** Rejections by targets after which a request may still be retried. */
 const MAX_REJECTIONS = 3;
-/** Events after which a target has survived the beginning of its response. */
-const EVENTS_OF_BEGUN_RESPONSE = 2;
 
 /** Forwards one request: one attempt at a time, one timer for its deadline. */
 export class ForwardedRequest {
@@ -216,7 +215,7 @@
   #onEvents(current: CurrentAttempt, bytes: Buffer): void {
     const { response, metadata } = this.#accepted;
     const { eventsReceived } = current.inFlight;
-    if (!this.#hasBegun && eventsReceived >= EVENTS_OF_BEGUN_RESPONSE) {
+    if (!this.#hasBegun && hasSurvivedBeginning(eventsReceived)) {
       this.#hasBegun = true;
       this.#dependencies.promptObserver.onResponseBegan(metadata.prompt);
     }
--- a/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
@@ -1,6 +1,7 @@
 import {
   CrashReportLimit,
   hash32,
+  hasSurvivedBeginning,
   haveSameParts,
   type InFlightAttempt,
   MAX_PART_ID_LENGTH,
@@ -140,7 +141,7 @@
     target: RegisteredTarget,
     { hasResponse, eventsReceived }: InFlightAttempt,
   ): void {
-    if (eventsReceived > 0) return;
+    if (hasSurvivedBeginning(eventsReceived)) return;
     const nowMs = this.#nowMs();
     const parts = sharedParts(prompt).map(({ id }) => id).filter((part) =>
       part.length <= MAX_PART_ID_LENGTH &&
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -1,4 +1,5 @@
 import {
+  hasSurvivedBeginning,
   type InFlightAttempt,
   orderByRendezvous,
   PoisonLedger,
@@ -140,7 +141,7 @@
     target: RegisteredTarget,
     { eventsReceived }: InFlightAttempt,
   ): void {
-    if (eventsReceived > 0) return;
+    if (hasSurvivedBeginning(eventsReceived)) return;
     void this.#reportIfCrashed(request, target);
   }
 
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -121,6 +121,13 @@
     expect(await isPublished()).toBe(false);
   });
 
+  // Guards against a request that crashes target after target, since each sends
+  // the first event before it ends.
+  it("counts crashes right after the first event", async () => {
+    await breakAttempts(3, deadPort, 1);
+    expect(await isPublished()).toBe(true);
+  });
+
   it("ignores crashes of content that was served recently", async () => {
     const bodiless = { ...REQUEST, body: Buffer.alloc(0) };
     controller.onRequestServed(bodiless);
--- a/packages/daemon/src/poison/poison_controller.ts
+++ b/packages/daemon/src/poison/poison_controller.ts
@@ -1,6 +1,7 @@
 import {
   type CancelTimer,
   type CrashReport,
+  hasSurvivedBeginning,
   MAX_DIGESTS_PER_REPORT,
   type PoisonDecision,
   PoisonLedger,
@@ -40,8 +41,8 @@
   readonly requestId: string;
   /** Whether no other suspect executes on the target. */
   readonly isIsolated: boolean;
-  /** Whether a part of the response was relayed. */
-  readonly hasRelayedPart: () => boolean;
+  /** Tokens that the target has sent for the request. */
+  readonly receivedTokens: () => number;
 }
 
 /** Tracks a request that executes on a target. */
@@ -205,7 +206,9 @@
    * one of its own.
    */
   #listSuspects(interrupted: ReadonlySet<ExecutingRequest>): SuspectPrompt[] {
-    return [...interrupted].filter((request) => !request.hasRelayedPart())
+    return [...interrupted].filter((request) =>
+      !hasSurvivedBeginning(request.receivedTokens())
+    )
       .map(({ messages, isIsolated }) => ({
         parts: this.#messages.listUnproven(messages),
         hasResponse: isIsolated,
