Keep quarantine records through an outage of the store

Cause: records hung on leases, and a record that ended with its lease looked as if an operator had deleted it, so all daemons released it.

With the store away and no lease ended the request stayed quarantined, so its evidence was not lost.

Change: records have no lease. The daemons that publish a record delete it when the quarantine ends.

An operator's deletion releases as before.

--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -209,10 +209,12 @@
     { isRestored }: PrefixChange,
   ): void {
     const keys = entries.map(({ key }) => key).filter(isDigestKey);
+    const before = this.#published.keys;
     const deleted = this.#published.update(keys, isRestored);
     for (const key of deleted) this.#release(key.slice(PREFIX.length));
+    // Records of a quarantine that has ended stay until they are deleted.
     for (const key of this.#published.keys) {
-      this.#quarantine(key.slice(PREFIX.length));
+      if (!before.has(key)) this.#quarantine(key.slice(PREFIX.length));
     }
     this.#write();
   }
@@ -253,11 +255,12 @@
 
   #publishMissing(): Promise<void> {
     const digests = [...this.#quarantinedUntilMs.keys()];
-    return this.#publisher.update(
-      new Map(digests.map((digest) => [PREFIX + digest, "{}"])),
-      this.#published.keys,
-      this.#published.revived,
+    const wanted = new Map(digests.map((digest) => [PREFIX + digest, "{}"]));
+    const { keys: published, revived } = this.#published;
+    const obsolete = [...published, ...revived].filter((key) =>
+      !wanted.has(key)
     );
+    return this.#publisher.update(wanted, published, obsolete);
   }
 
   async #sendReport(peer: PeerDaemon, crash: Crash): Promise<boolean> {
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -1,7 +1,12 @@
 import { createServer, type Server } from "node:net";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
-import type { InFlightAttempt, RegisteredTarget } from "@coltsfootford/core";
+import {
+  type InFlightAttempt,
+  type RegisteredTarget,
+  type TimerService,
+  VirtualTimerService,
+} from "@coltsfootford/core";
 import { SystemTimerService } from "@coltsfootford/key-value";
 import { FakeKeyValue } from "@coltsfootford/key-value/testing";
 import { JSONRPCServer } from "json-rpc-2.0";
@@ -45,8 +50,8 @@
   return [server, (server.address() as AddressInfo).port];
 }
 
-beforeEach(async () => {
-  const timer = new SystemTimerService();
+/** Creates a controller on a store of its own. */
+function createController(timer: TimerService): void {
   blackboard = createForwardingBlackboard(LIMITS);
   store = new FakeKeyValue(timer);
   const self = { name: "daemon-1", host: "127.0.0.1", port: 1 };
@@ -62,6 +67,10 @@
     timer,
     log,
   });
+}
+
+beforeEach(async () => {
+  createController(new SystemTimerService());
   [liveServer, livePort] = await listen();
   const [stopped, port] = await listen();
   deadPort = port;
@@ -143,6 +152,45 @@
     expect((await store.get(key))._unsafeUnwrap()).toBeUndefined();
   });
 
+  // Guards against a record that an outage of the store ends with its lease.
+  it("publishes a record that no lease ends", async () => {
+    await breakAttempts(3, deadPort);
+    store.store.expireLeases(Infinity);
+    expect(await isPublished()).toBe(true);
+  });
+
+  it("deletes the record when the quarantine ends", async () => {
+    const timer = new VirtualTimerService();
+    createController(timer);
+    blackboard.storeContact.claimWriter("test").write({
+      ...blackboard.storeContact.read(),
+      isReachable: true,
+    });
+    await controller.start();
+    controller.applyFact({ digest: digestRequest(REQUEST) });
+    const settle = async (durationMs: number) => {
+      timer.advance(durationMs);
+      for (let turn = 0; turn < 5; turn++) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      controller.followed.applyBatch({
+        kind: "snapshot",
+        revision: { era: 1, revision: store.store.revision },
+        entries: store.store.range({ prefix: "" }).entries,
+      });
+    };
+    await settle(1_000);
+    expect(await isPublished()).toBe(true);
+    await settle(595_000);
+    expect(blackboard.quarantine.read().size).toBe(1);
+    await settle(6_000);
+    await settle(1_000);
+    expect(await isPublished()).toBe(false);
+    await settle(10_000);
+    expect(blackboard.quarantine.read().size).toBe(0);
+    expect(await isPublished()).toBe(false);
+  });
+
   it("applies digests that other daemons published", () => {
     controller.followed.applyBatch({
       kind: "snapshot",
--- a/packages/daemon/src/forwarding/knowledge/record_publisher.ts
+++ b/packages/daemon/src/forwarding/knowledge/record_publisher.ts
@@ -1,13 +1,12 @@
 import { formatStepError, orderByRendezvous } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
-import { ResultAsync } from "neverthrow";
 import type { Logger } from "../../log/index.ts";
 import type {
   ForwardingBlackboard,
   PeerDaemon,
 } from "../forwarding_blackboard.ts";
 
-/** The platform grants leases of at most ten minutes. */
+/** Time after which a quarantine ends and its record is deleted. */
 export const QUARANTINE_TTL_MS = 600_000;
 /** Daemons that write each record, so that one may be unavailable. */
 const PUBLISHERS = 2;
@@ -23,6 +22,8 @@
 /**
  * Writes quarantine records to the store that all daemons know of already, for
  * daemons that start later. Rendezvous hashing selects who writes a record.
+ * Records have no lease: one that ended in an outage of the store would look as
+ * if an operator had deleted the record.
  */
 export class RecordPublisher {
   readonly #dependencies: RecordPublisherDependencies;
@@ -63,10 +64,7 @@
 
   async #put(key: string, value: string): Promise<void> {
     const { store, log } = this.#dependencies;
-    const lease = await store.grantLease(QUARANTINE_TTL_MS);
-    const put = await lease.asyncAndThen(({ leaseId }) =>
-      new ResultAsync(store.put(key, value, leaseId))
-    );
+    const put = await store.put(key, value);
     if (put.isOk()) return;
     log.event("quarantineFailed", { key, error: formatStepError(put.error) });
   }
