Write a daemon's entry again if it was replaced

Seen (by the review's reading): a registration whose response was lost and that the store executes late puts the entry under a lease that nobody renews. The daemon then stays off the list of daemons for good.

Cause: only the lease was renewed; nobody looked at the entry.

Evidence: peers_controller_test.ts in virtual time, before: the daemon left the list for good after a late registration and after a deletion of its entry.

Change: with each renewal the entry is compared with what is known of the store, and written again under the renewed lease where it differs.

After: listed throughout; where nothing happens no write is added.

--- a/packages/daemon/src/forwarding/knowledge/peers_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/peers_controller.ts
@@ -3,7 +3,12 @@
   ListedPeers,
   type TimerService,
 } from "@coltsfootford/core";
-import type { KeyValueClient, KeyValueEntry } from "@coltsfootford/key-value";
+import type {
+  KeyValueClient,
+  KeyValueEntry,
+  KeyValueResult,
+  TxnResponse,
+} from "@coltsfootford/key-value";
 import { z } from "zod";
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
@@ -97,11 +102,34 @@
     if (!own || this.#isOfEarlierEra(own)) return await this.#register();
     const lease = await this.#store.keepLeaseAlive(own.id);
     if (lease.isErr()) return this.#logFailure(formatStepError(lease.error));
-    if (lease.value.ttlMs > 0 && !this.#isOfEarlierEra(own)) return;
+    if (lease.value.ttlMs > 0 && !this.#isOfEarlierEra(own)) {
+      return await this.#restoreEntry(own);
+    }
     this.#lease = undefined;
     await this.#register();
   }
 
+  /**
+   * Writes the own entry again if it is missing or under another lease. A write
+   * whose response was lost may be executed late, and would replace the entry by
+   * one under a lease that nobody renews.
+   */
+  async #restoreEntry({ id }: OwnLease): Promise<void> {
+    const { entries } = this.followed.snapshot();
+    const entry = entries.find(({ key }) => key === this.#ownKey);
+    if (entry?.leaseId === id) return;
+    const put = await this.#putEntry(id);
+    if (put.isErr()) this.#logFailure(formatStepError(put.error));
+  }
+
+  get #ownKey(): string {
+    return PREFIX + this.#self.name;
+  }
+
+  #putEntry(leaseId: string): KeyValueResult<TxnResponse> {
+    return this.#store.put(this.#ownKey, JSON.stringify(this.#self), leaseId);
+  }
+
   /** Whether the store was restored after it granted the lease. */
   #isOfEarlierEra({ era }: OwnLease): boolean {
     return this.#store.history.latest.era !== era;
@@ -120,8 +148,7 @@
     const lease = await this.#store.grantLease(LEASE_TTL_MS);
     if (lease.isErr()) return this.#logFailure(formatStepError(lease.error));
     const { leaseId } = lease.value;
-    const key = PREFIX + this.#self.name;
-    const put = await this.#store.put(key, JSON.stringify(this.#self), leaseId);
+    const put = await this.#putEntry(leaseId);
     if (put.isErr()) return this.#logFailure(formatStepError(put.error));
     this.#lease = { id: leaseId, era };
   }
