Bound what a probe of a target reads

Seen (report of other operators): a faulty target sends bytes without end, and the machine that called it keeps them all. Here, on the own interface, a target could send 76 to 250 MB for one request.

Cause: after a broken attempt CrashDetector probes the target and read the body of the response without a limit for 500 ms.

Change: the probe reads 64 KB at most. HttpClient, which calls the store and other daemons, reads 16 MB at most (http_client_test.ts).

--- a/packages/daemon/src/http_client/http_client.ts
+++ b/packages/daemon/src/http_client/http_client.ts
@@ -38,6 +38,12 @@
   readonly text: string;
 }
 
+/**
+ * Largest response. Pages, snapshots and histories of the store are smaller, and
+ * a daemon's memory holds several of this size.
+ */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
 const JSON_HEADERS = { "content-type": "application/json" };
 
 /**
@@ -132,8 +138,14 @@
       });
       outgoing.on("response", (response) => {
         const chunks: Buffer[] = [];
+        let sizeBytes = 0;
         restartSilence();
         response.on("data", (chunk: Buffer) => {
+          sizeBytes += chunk.length;
+          if (sizeBytes > MAX_RESPONSE_BYTES) {
+            chunks.length = 0;
+            return abort(`more than ${MAX_RESPONSE_BYTES} bytes`)();
+          }
           chunks.push(chunk);
           restartSilence();
           onBytes?.();
--- a/packages/daemon/src/http_client/http_client_test.ts
+++ b/packages/daemon/src/http_client/http_client_test.ts
@@ -51,6 +51,25 @@
     expect(sockets.size).toBe(1);
   });
 
+  // Guards against a peer or a store that sends a body without end, which would
+  // be kept until the time-out.
+  it("leaves a response without end", async () => {
+    server.removeAllListeners("request");
+    let sentBytes = 0;
+    server.on("request", (_, outgoing) => {
+      const filler = Buffer.alloc(64 * 1024);
+      const write = () => {
+        while (!outgoing.destroyed) {
+          sentBytes += filler.length;
+          if (!outgoing.write(filler)) return outgoing.once("drain", write);
+        }
+      };
+      write();
+    });
+    await expect(send()).rejects.toThrow("more than 16777216 bytes");
+    expect(sentBytes).toBeLessThan(64 * 1024 * 1024);
+  });
+
   // Guards against one time-out after the other, where all idle connections to a
   // server have gone silent and new ones work.
   it("opens a new connection after one has gone silent", async () => {
--- a/packages/daemon/src/poison/crash_detector.ts
+++ b/packages/daemon/src/poison/crash_detector.ts
@@ -1,11 +1,19 @@
 import type { TimerService } from "@coltsfootford/core";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 import type { TargetView } from "../blackboard/index.ts";
+import { createBoundedConnector } from "../targets/index.ts";
 
 /** Time until the other requests of a crashed target have failed as well. */
 const SETTLE_MS = 30;
 const PROBE_TIMEOUT_MS = 500;
+/** Largest response to a probe that is read. */
+const MAX_RESPONSE_BYTES = 64 * 1024;
+/** A faulty target may respond to a probe with bytes without end. */
+const PROBE_AGENT = new Agent({
+  connect: createBoundedConnector(PROBE_TIMEOUT_MS, 2 * MAX_RESPONSE_BYTES),
+  maxResponseSize: MAX_RESPONSE_BYTES,
+});
 /** Age after which a recorded incarnation is probed again. */
 const INCARNATION_MAX_AGE_MS = 30_000;
 
@@ -102,6 +110,7 @@
     const response = await request(`http://${host}:${target.port}/load`, {
       signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       reset: true,
+      dispatcher: PROBE_AGENT,
     });
     const load = loadSchema.safeParse(await response.body.json());
     if (!load.success) return { kind: "unclear" };
