--- a/packages/daemon/src/entry/endless_response_test.ts
+++ b/packages/daemon/src/entry/endless_response_test.ts
@@ -4,6 +4,7 @@
   type EntryFixture,
   startEntryFixture,
 } from "./testing/entry_fixture.ts";
+import { ENTRY_REQUESTS } from "./testing/entry_requests.ts";
 
 /** What one target may get sent, the buffers of both sockets included. */
 const MAX_READ_BYTES = 32 * 1024 * 1024;
@@ -62,21 +63,9 @@
   send();
 }
 
-const chat = (stream: boolean) =>
-  JSON.stringify({
-    model: "writer",
-    stream,
-    messages: [{ role: "user", content: "describe lot 7" }],
-  });
-const REQUESTS = [
-  ["a call", "/services/bids/1", "a bid"],
-  ["a chat", "/v1/chat/completions", chat(false)],
-  ["a stream", "/v1/chat/completions", chat(true)],
-] as const;
-
 // Guards against a daemon that keeps, until the client closes, bytes which a
 // faulty target sends without end, and that runs out of memory.
-describe.each(REQUESTS)("%s at a target without end", (_, path, body) => {
+describe.each(ENTRY_REQUESTS)("%s at a target without end", (_, path, body) => {
   it.each(Object.keys(PARTS))("ends soon: %s", async (part) => {
     let sentBytes = 0;
     let openSockets = 0;
--- a/packages/daemon/src/entry/head_cut_test.ts
+++ b/packages/daemon/src/entry/head_cut_test.ts
@@ -5,6 +5,7 @@
   type EntryFixture,
   startEntryFixture,
 } from "./testing/entry_fixture.ts";
+import { ENTRY_REQUESTS } from "./testing/entry_requests.ts";
 
 let fixture: EntryFixture;
 
@@ -39,17 +40,6 @@
   });
 }
 
-const chat = (stream: boolean) =>
-  JSON.stringify({
-    model: "writer",
-    stream,
-    messages: [{ role: "user", content: "describe lot 7" }],
-  });
-const REQUESTS: readonly (readonly [string, string, string])[] = [
-  ["a call", "/services/bids/1", "a bid"],
-  ["a chat", "/v1/chat/completions", chat(false)],
-  ["a stream", "/v1/chat/completions", chat(true)],
-];
 const ENDS: Record<string, (socket: Socket) => void> = {
   "closes": (socket) => socket.end(),
   "resets": (socket) => socket.resetAndDestroy(),
@@ -57,7 +47,7 @@
 
 // Guards against a success with an empty or short body that looks complete,
 // after a target that stopped in the head of its response.
-describe.each(REQUESTS)(
+describe.each(ENTRY_REQUESTS)(
   "%s whose target stops in the head",
   (_, path, body) => {
     const head = (id: string) =>
--- a/packages/daemon/src/entry/odd_heads_test.ts
+++ b/packages/daemon/src/entry/odd_heads_test.ts
@@ -3,6 +3,7 @@
   type EntryFixture,
   startEntryFixture,
 } from "./testing/entry_fixture.ts";
+import { ENTRY_REQUESTS } from "./testing/entry_requests.ts";
 
 /** Header lines that the parser accepts and that no response may have. */
 const ODD_LINES = [
@@ -44,18 +45,6 @@
   });
 }
 
-const chat = (stream: boolean) =>
-  JSON.stringify({
-    model: "writer",
-    stream,
-    messages: [{ role: "user", content: "describe lot 7" }],
-  });
-const REQUESTS = [
-  ["a call", "/services/bids/1", "a bid"],
-  ["a chat", "/v1/chat/completions", chat(false)],
-  ["a stream", "/v1/chat/completions", chat(true)],
-] as const;
-
 const send = (path: string, body: string) =>
   fetch(`${fixture.baseUrl}${path}`, {
     method: "POST",
@@ -70,7 +59,7 @@
 // Guards against a malformed head of a target that ends the process, or that is
 // taken for a fault of the daemon, so that the
 // attempt is not counted and headers of the target stay in the error response.
-describe.each(REQUESTS)(
+describe.each(ENTRY_REQUESTS)(
   "%s whose target sends an odd head",
   (_, path, body) => {
     const cases = ["200", "500"].flatMap((status) =>
