Break what a shutdown cuts so that clients see it

What callers saw: a stream without a length or chunks that was cut at the end of a daemon's grace ended cleanly, as if it were complete; a request without a response got a closed connection.

Cause: the connections were destroyed at the limit, and the kernel ends a destroyed connection with a FIN, which delimits such a response. A reset that still waited for its 50 ms was overtaken in the same way, because an aborted response no longer counts as in flight.

The log called such a request "client gone", so that its id told nothing; it is now "shutdown limit".

Why this works: ClientConnections (before: ConnectionDrain) owns the close of all client connections on both interfaces. It resets each one whose end would hide a truncated response, after the delay that lets clients read the bytes before it, and the shutdown waits for that. Requests in flight at the limit end first, with 502 or 503 where nothing has been written, and later ones are rejected.

Responses that were just ended arrive whole, and chunks end without a last chunk as before.

--- /dev/null
+++ b/packages/daemon/src/connections/abort_response.ts
@@ -0,0 +1,33 @@
+import type { ServerResponse } from "node:http";
+import type { TimerService } from "@coltsfootford/core";
+
+/**
+ * Time between the last bytes of a truncated response and the reset of its
+ * connection. A client that reads both at once may take the reset for an end.
+ */
+export const RESET_DELAY_MS = 50;
+
+/**
+ * Whether the client would take the end of the connection for the end of this
+ * response, although a part of it has not been written.
+ */
+export function isTruncatedByClose(response: ServerResponse): boolean {
+  return response.headersSent && !response.writableFinished &&
+    !response.chunkedEncoding;
+}
+
+/**
+ * Ends the connection of an incomplete response in a way that no client takes
+ * for the end of the response: without a last chunk, or by a reset.
+ */
+export function abortResponse(
+  response: ServerResponse,
+  timer: TimerService,
+): void {
+  const { socket } = response;
+  if (!socket || !isTruncatedByClose(response)) {
+    response.destroy();
+    return;
+  }
+  timer.after(RESET_DELAY_MS, () => socket.resetAndDestroy());
+}
--- a/packages/daemon/src/shutdown/connection_drain.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -1,24 +1,28 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { TimerService } from "@coltsfootford/core";
+import { isTruncatedByClose, RESET_DELAY_MS } from "./abort_response.ts";
 
 interface Connection {
-  activeResponses: number;
+  /** The responses that have not been delivered yet. */
+  readonly responses: Set<ServerResponse>;
   idleSinceMs: number;
 }
 
 /**
- * Closes an HTTP server without cutting a request. If the server closes a
- * keep-alive connection, it may cut a request that the client is just sending.
- * Therefore responses carry `connection: close`, which makes the client close the
- * connection, and the server closes an idle connection only after the keep-alive
- * timeout that it announced.
+ * The client connections of an HTTP server. They are closed without cutting a
+ * request: if the server closes a keep-alive connection, it may cut a request
+ * that the client is just sending. Therefore responses carry `connection:
+ * close`, which makes the client close the connection, and the server closes an
+ * idle connection only after the keep-alive timeout that it announced.
+ *
+ * Where a response must be cut, its connection is reset if its end would make
+ * the response look complete.
  */
-export class ConnectionDrain {
+export class ClientConnections {
   readonly #server: Server;
   readonly #timer: TimerService;
   readonly #connections = new Map<Socket, Connection>();
-  readonly #responses = new Set<ServerResponse>();
   #isClosing = false;
 
   constructor(server: Server, timer: TimerService) {
@@ -39,7 +43,7 @@
   /** Sends `connection: close` with every response from now on. */
   startClosing(): void {
     this.#isClosing = true;
-    for (const response of this.#responses) requestClose(response);
+    for (const response of this.#responses()) requestClose(response);
   }
 
   /** Stops accepting connections; open connections stay open. */
@@ -51,36 +55,57 @@
   /** Closes the connections that are idle for longer than the keep-alive timeout. */
   closeIdle(): void {
     const nowMs = this.#timer.nowMs();
-    for (const [socket, connection] of this.#connections) {
-      if (connection.activeResponses > 0) continue;
-      const idleMs = nowMs - connection.idleSinceMs;
+    for (const [socket, { responses, idleSinceMs }] of this.#connections) {
+      if (responses.size > 0) continue;
+      const idleMs = nowMs - idleSinceMs;
       if (idleMs > this.#server.keepAliveTimeout) socket.destroy();
     }
   }
 
-  /** Closes all connections, including those with requests in flight. */
-  closeAll(): void {
+  /**
+   * Closes all connections, including those with requests in flight. Resolves
+   * once no exit of the process can make a truncated response look complete.
+   */
+  async closeAll(): Promise<void> {
+    const isTruncating = [...this.#responses()].some(isTruncatedByClose);
+    for (const [socket, { responses }] of this.#connections) {
+      if (![...responses].some(isTruncatedByClose)) socket.destroy();
+    }
+    if (!isTruncating) return;
+    await new Promise<void>((resolve) => {
+      this.#timer.after(RESET_DELAY_MS, resolve);
+    });
+    this.resetTruncated();
     for (const socket of this.#connections.keys()) socket.destroy();
   }
 
+  /** Resets at once each connection whose end would hide a truncated response. */
+  resetTruncated(): void {
+    for (const [socket, { responses }] of this.#connections) {
+      if ([...responses].some(isTruncatedByClose)) socket.resetAndDestroy();
+    }
+  }
+
   #track(socket: Socket): void {
     const idleSinceMs = this.#timer.nowMs();
-    this.#connections.set(socket, { activeResponses: 0, idleSinceMs });
+    this.#connections.set(socket, { responses: new Set(), idleSinceMs });
     socket.once("close", () => this.#connections.delete(socket));
   }
 
   #trackResponse(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(request.socket);
     if (!connection) return;
-    connection.activeResponses += 1;
-    this.#responses.add(response);
+    connection.responses.add(response);
     if (this.#isClosing) requestClose(response);
     response.once("close", () => {
-      this.#responses.delete(response);
-      connection.activeResponses -= 1;
+      connection.responses.delete(response);
       connection.idleSinceMs = this.#timer.nowMs();
     });
   }
+
+  *#responses(): Iterable<ServerResponse> {
+    for (const { responses } of this.#connections.values()) yield* responses;
+  }
 }
 
 function requestClose(response: ServerResponse): void {
--- a/packages/daemon/src/connections/index.ts
+++ b/packages/daemon/src/connections/index.ts
@@ -1,2 +1,4 @@
-/** Outgoing connections that tell a reset from an end. */
+/** Connections that tell a truncated message from a complete one. */
+export * from "./abort_response.ts";
 export * from "./checked_socket.ts";
+export * from "./client_connections.ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,12 +2,13 @@
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
 import { assembleDaemon } from "./assemble_daemon.ts";
+import { ClientConnections } from "./connections/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { createEntryApp } from "./entry/index.ts";
 import { listen, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import type { Settings } from "./settings/index.ts";
-import { ConnectionDrain, GracefulShutdown } from "./shutdown/index.ts";
+import { GracefulShutdown } from "./shutdown/index.ts";
 
 /** A running daemon. */
 export interface Daemon {
@@ -57,7 +58,7 @@
     timer,
     logger,
     running: entry.running,
-    drain: new ConnectionDrain(clientPort.value.server, timer),
+    connections: new ClientConnections(clientPort.value.server, timer),
     readinessGraceMs: settings.readinessGraceMs,
     timeoutMs: settings.shutdownLimitMs,
     handOverSteps: [],
--- a/packages/daemon/src/entry/entry_server.ts
+++ b/packages/daemon/src/entry/entry_server.ts
@@ -1,11 +1,13 @@
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { TimerService } from "@coltsfootford/core";
 import { err, type Result } from "neverthrow";
 import type {
   Blackboard,
   CancelSubscription,
   ConfigView,
 } from "../blackboard/index.ts";
+import { abortResponse } from "../connections/index.ts";
 import { chatHandler } from "./chat_handler.ts";
 import { RequestDispatcher } from "./dispatcher.ts";
 import type { DispatcherDependencies } from "./dispatcher.ts";
@@ -82,7 +84,7 @@
       const { code, outcome } = result.error;
       metrics.count(`requests_${outcome.replace("-", "_")}_total`);
       logger.event("requestFailed", { code, outcome, url: incoming.url });
-      writeErrorResponse(outgoing, result.error);
+      writeErrorResponse(outgoing, result.error, timer);
     } catch (cause) {
       logger.event("internalFault", { message: String(cause) });
       const message = "the daemon failed; the outcome of the request is open";
@@ -91,6 +93,7 @@
         createRequestError(500, "internal_fault", message, {
           outcome: "unknown",
         }),
+        timer,
       );
     } finally {
       markEnded();
@@ -125,13 +128,13 @@
 export function writeErrorResponse(
   outgoing: ServerResponse,
   error: RequestError,
+  timer: TimerService,
 ): void {
   if (outgoing.destroyed) return;
   const body = renderErrorBody(error);
   if (outgoing.headersSent) {
-    // The connection is closed without the end marker, so that no client treats
-    // the response as complete.
-    outgoing.write(`data: ${body}\n\n`, () => outgoing.destroy());
+    // Without the end marker, no client treats the response as complete.
+    outgoing.write(`data: ${body}\n\n`, () => abortResponse(outgoing, timer));
     return;
   }
   outgoing.setHeader("content-type", "application/json");
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -5,16 +5,11 @@
   provesCompleteBody,
   type TimerService,
 } from "@coltsfootford/core";
+import { abortResponse } from "../connections/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
 import type { BufferedResponse, ResponseHead } from "./target_attempt.ts";
 
-/**
- * Time between the last bytes of a broken response and the reset of its
- * connection. A client that reads both at once may take the reset for an end.
- */
-const RESET_DELAY_MS = 50;
-
 /** The response to one client. Only the first response is written. */
 export class ClientResponse {
   readonly #outgoing: ServerResponse;
@@ -107,17 +102,9 @@
     this.#outgoing.end();
   }
 
-  /**
-   * Ends the connection, so that the client detects a truncated stream. A client
-   * that does not understand chunks takes anything but a reset for the end.
-   */
+  /** Ends the connection, so that the client detects a truncated stream. */
   abort(): void {
-    const { socket } = this.#outgoing;
-    if (this.#outgoing.chunkedEncoding || !socket) {
-      this.#outgoing.destroy();
-      return;
-    }
-    this.#timer.after(RESET_DELAY_MS, () => socket.resetAndDestroy());
+    abortResponse(this.#outgoing, this.#timer);
   }
 
   /**
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -94,6 +94,17 @@
     this.#startNextAttempt();
   }
 
+  /**
+   * Ends the request because the daemon exits: with a final response, or by a
+   * break where a part of the response has been written.
+   */
+  abort(): void {
+    if (this.#hasFinished) return;
+    if (this.#current?.attempt.isSent) this.#mayHaveExecuted = true;
+    this.#abortCurrent();
+    this.#fail("shutdown limit");
+  }
+
   /** Aborts the attempt if its target has sent nothing for too long. */
   checkResponsiveness(): void {
     const current = this.#current;
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -11,6 +11,7 @@
 export class Forwarder {
   readonly #dependencies: ForwarderDependencies;
   readonly #inFlight = new Set<ForwardedRequest>();
+  #isClosed = false;
 
   constructor(dependencies: ForwarderDependencies) {
     this.#dependencies = dependencies;
@@ -36,6 +37,18 @@
       this.#inFlight.delete(request);
     });
     this.#inFlight.add(request);
-    request.start();
+    if (this.#isClosed) request.abort();
+    else request.start();
+  }
+
+  /**
+   * Ends all requests in flight, and each later one, because the daemon exits.
+   * Returns the number of requests in flight.
+   */
+  abortAll(): number {
+    this.#isClosed = true;
+    const requests = [...this.#inFlight];
+    for (const request of requests) request.abort();
+    return requests.length;
   }
 }
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -2,10 +2,10 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
+import { ClientConnections } from "../connections/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 import { Metrics } from "../metrics/index.ts";
-import { ConnectionDrain } from "../shutdown/index.ts";
 import {
   createForwardingBlackboard,
   type PeerDaemon,
@@ -72,7 +72,7 @@
   readonly #pool: TargetPool;
   readonly #forwarder: Forwarder;
   readonly #server: ForwardingServer;
-  readonly #drain: ConnectionDrain;
+  readonly #connections: ClientConnections;
   readonly #statusServers: Server[] = [];
   #stopForwarder: () => void = () => {};
 
@@ -228,7 +228,7 @@
       metrics: this.#metrics,
       random,
     });
-    this.#drain = new ConnectionDrain(this.#server.server, timer);
+    this.#connections = new ClientConnections(this.#server.server, timer);
     this.#createStatusServers(rpc);
   }
 
@@ -261,10 +261,11 @@
     this.#lifecycle.write("draining");
     log.event("daemonStopping", { running: this.#forwarder.inFlightCount });
     const abortedRequests = await shutDownGracefully({
-      drain: this.#drain,
+      connections: this.#connections,
       timer,
       shutdownLimitMs: this.#blackboard.limits.read().shutdownLimitMs,
       inFlightCount: () => this.#forwarder.inFlightCount,
+      abortInFlight: () => this.#forwarder.abortAll(),
     });
     if (abortedRequests > 0) {
       log.event("requestsCut", { requests: abortedRequests });
@@ -281,10 +282,11 @@
   /** Stops immediately and aborts all requests; for tests. */
   close(): void {
     this.#stopForwarder();
+    this.#forwarder.abortAll();
     this.#pool.close();
     this.#lifecycle.write("stopped");
-    this.#drain.stopAccepting();
-    this.#drain.closeAll();
+    this.#connections.stopAccepting();
+    void this.#connections.closeAll();
     for (const server of this.#statusServers) server.close();
     for (const server of this.#statusServers) server.closeAllConnections();
     for (const controller of this.#controllers) void controller.stop();
--- a/packages/daemon/src/forwarding/shutdown.ts
+++ b/packages/daemon/src/forwarding/shutdown.ts
@@ -3,17 +3,19 @@
   EXIT_MARGIN_MS,
   type TimerService,
 } from "@coltsfootford/core";
-import type { ConnectionDrain } from "../shutdown/index.ts";
+import type { ClientConnections } from "../connections/index.ts";
 
 const CHECK_PERIOD_MS = 100;
 
 /** Inputs of a graceful shutdown. */
 export interface ForwardingShutdown {
-  readonly drain: ConnectionDrain;
+  readonly connections: ClientConnections;
   readonly timer: TimerService;
   readonly shutdownLimitMs: number;
   /** The number of requests that have no final response yet. */
   readonly inFlightCount: () => number;
+  /** Ends these requests, and each later one; returns how many were ended. */
+  readonly abortInFlight: () => number;
 }
 
 /**
@@ -23,10 +25,11 @@
  * Returns the number of requests that were aborted.
  */
 export function shutDownGracefully(
-  { drain, timer, shutdownLimitMs, inFlightCount }: ForwardingShutdown,
+  { connections, timer, shutdownLimitMs, inFlightCount, abortInFlight }:
+    ForwardingShutdown,
 ): Promise<number> {
   const startedAtMs = timer.nowMs();
-  drain.startClosing();
+  connections.startClosing();
   return new Promise((resolve) => {
     const cancel = timer.every(CHECK_PERIOD_MS, () => {
       const elapsedMs = timer.nowMs() - startedAtMs;
@@ -35,11 +38,10 @@
       const isLate = elapsedMs >= shutdownLimitMs - EXIT_MARGIN_MS;
       if (!isIdle && !isLate) return;
       cancel();
-      const abortedRequests = inFlightCount();
-      drain.stopAccepting();
+      connections.stopAccepting();
       // In the same tick as the check: no request is accepted in between.
-      drain.closeAll();
-      resolve(abortedRequests);
+      const abortedRequests = abortInFlight();
+      void connections.closeAll().then(() => resolve(abortedRequests));
     });
   });
 }
--- a/packages/daemon/src/shutdown/graceful_shutdown.ts
+++ b/packages/daemon/src/shutdown/graceful_shutdown.ts
@@ -1,8 +1,8 @@
 import type { TimerService } from "@coltsfootford/core";
 import type { FieldWriter, LifecyclePhase } from "../blackboard/index.ts";
+import type { ClientConnections } from "../connections/index.ts";
 import type { RunningRequests } from "../entry/index.ts";
 import type { Logger } from "../log/index.ts";
-import type { ConnectionDrain } from "./connection_drain.ts";
 
 const POLL_INTERVAL_MS = 50;
 
@@ -18,7 +18,7 @@
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly running: RunningRequests;
-  readonly drain: ConnectionDrain;
+  readonly connections: ClientConnections;
   /** Time for the load balancer to notice that this daemon is not ready. */
   readonly readinessGraceMs: number;
   /** Time from the start of the shutdown until requests in flight are cut. */
@@ -43,19 +43,20 @@
 
   /** Resolves with the number of requests that were cut. */
   async run(): Promise<number> {
-    const { timer, logger, lifecycle, running, drain } = this.#dependencies;
+    const { timer, logger, lifecycle, running, connections } =
+      this.#dependencies;
     this.#deadlineAtMs = timer.nowMs() + this.#dependencies.timeoutMs;
     lifecycle.write("draining");
-    drain.startClosing();
+    connections.startClosing();
     logger.event("daemonStopping", { running: running.count });
     await this.#wait(this.#dependencies.readinessGraceMs);
-    drain.stopAccepting();
+    connections.stopAccepting();
     await this.#waitUntilIdle();
     const cutRequests = this.logCutRequests();
     for (const step of this.#dependencies.handOverSteps) {
       await this.#handOver(step);
     }
-    drain.closeAll();
+    await connections.closeAll();
     return cutRequests;
   }
 
@@ -68,10 +69,10 @@
 
   /** Waits until no request or connection is left, or the timeout passes. */
   async #waitUntilIdle(): Promise<void> {
-    const { running, drain, timer } = this.#dependencies;
-    while (running.count > 0 || drain.openCount > 0) {
+    const { running, connections, timer } = this.#dependencies;
+    while (running.count > 0 || connections.openCount > 0) {
       if (timer.nowMs() >= this.#deadlineAtMs) return;
-      drain.closeIdle();
+      connections.closeIdle();
       await this.#wait(POLL_INTERVAL_MS);
     }
   }
--- a/packages/daemon/src/shutdown/graceful_shutdown_test.ts
+++ b/packages/daemon/src/shutdown/graceful_shutdown_test.ts
@@ -3,8 +3,8 @@
 import { afterEach, describe, expect, it } from "@jest/globals";
 import { SystemTimerService } from "@coltsfootford/key-value";
 import { createBlackboard } from "../blackboard/index.ts";
+import { ClientConnections } from "../connections/index.ts";
 import { RunningRequests } from "../entry/index.ts";
-import { ConnectionDrain } from "./connection_drain.ts";
 import { GracefulShutdown } from "./graceful_shutdown.ts";
 
 const HOST = "127.0.0.1";
@@ -31,11 +31,14 @@
   server.on("request", (incoming, response) => {
     const done = running.begin(incoming.url ?? "");
     response.once("close", done);
-    if (incoming.url !== "/hang") return void response.end("ok");
+    if (incoming.url === "/") return void response.end("ok");
+    if (incoming.url === "/hang-unframed") {
+      response.useChunkedEncodingByDefault = false;
+    }
     response.write("first ");
     release = () => void response.end("last");
   });
-  const drain = new ConnectionDrain(server, timer);
+  const connections = new ClientConnections(server, timer);
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const blackboard = createBlackboard();
   const events: string[] = [];
@@ -45,7 +48,7 @@
     timer,
     logger: { event: (name) => void events.push(name) },
     running,
-    drain,
+    connections,
     readinessGraceMs: 50,
     timeoutMs,
     handOverSteps: [
@@ -121,6 +124,17 @@
     expect(setup.events).toEqual(["daemonStopping", "handOverFailed"]);
   });
 
+  // Guards against a response that the timeout cuts and its client takes for
+  // complete.
+  it("breaks an unframed response that it cuts at its timeout", async () => {
+    const setup = await startServer(100);
+    const hanging = get(setup.port, "/hang-unframed", createAgent());
+    const rejection = expect(hanging).rejects.toThrow();
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(await setup.shutdown.run()).toBe(1);
+    await rejection;
+  });
+
   it("logs the requests that it cuts at its timeout", async () => {
     const setup = await startServer(100);
     const hanging = get(setup.port, "/hang", createAgent());
--- a/packages/daemon/src/shutdown/index.ts
+++ b/packages/daemon/src/shutdown/index.ts
@@ -1,3 +1,2 @@
 /** The graceful shutdown of a daemon. */
-export * from "./connection_drain.ts";
 export * from "./graceful_shutdown.ts";
