Reset a truncated stream whose client has half-closed

What callers saw: a client that ends its side of the connection while a stream without a length or chunks runs got a clean end in the midst of it.

Cause: the HTTP server of Node.js answers the end of the client's side with the end of its own, also in the midst of a response. The end delimits such a stream. Same class as the shutdown limit: a break of our own that reaches the client as an end.

Why this works: ClientConnections sees the client's end before Node.js does and resets the connection if the response that runs has no other mark of its end. Responses that the daemon has ended are left to Node.js, which still delivers what is buffered; a request is given up as before.

--- a/packages/daemon/src/connections/abort_response.ts
+++ b/packages/daemon/src/connections/abort_response.ts
@@ -9,13 +9,23 @@
 
 /**
  * Whether the client would take the end of the connection for the end of this
- * response, although a part of it has not been written.
+ * response, although a part of it has not been sent. What is still buffered is
+ * lost.
  */
 export function isTruncatedByClose(response: ServerResponse): boolean {
   return response.headersSent && !response.writableFinished &&
     !response.chunkedEncoding;
 }
 
+/**
+ * Whether the client would take the end of the connection for the end of this
+ * response, although the daemon has not ended it. All that the daemon has
+ * written still arrives.
+ */
+export function isTruncatedByEnd(response: ServerResponse): boolean {
+  return isTruncatedByClose(response) && !response.writableEnded;
+}
+
 /**
  * Ends the connection of an incomplete response in a way that no client takes
  * for the end of the response: without a last chunk, or by a reset.
--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -1,7 +1,11 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { TimerService } from "@coltsfootford/core";
-import { isTruncatedByClose, RESET_DELAY_MS } from "./abort_response.ts";
+import {
+  isTruncatedByClose,
+  isTruncatedByEnd,
+  RESET_DELAY_MS,
+} from "./abort_response.ts";
 
 interface Connection {
   /** The responses that have not been delivered yet. */
@@ -90,6 +94,11 @@
     const idleSinceMs = this.#timer.nowMs();
     this.#connections.set(socket, { responses: new Set(), idleSinceMs });
     socket.once("close", () => this.#connections.delete(socket));
+    // This listener runs before that of Node.js, which ends the connection.
+    socket.prependListener("end", () => {
+      const { responses } = this.#connections.get(socket) ?? {};
+      if ([...responses ?? []].some(isTruncatedByEnd)) socket.resetAndDestroy();
+    });
   }
 
   #trackResponse(request: IncomingMessage, response: ServerResponse): void {
