Send no error into a response that has begun

What callers saw: bytes that are no request, sent while a response runs (or a second request's head that never completes), put "HTTP/1.1 400" into the response, and a stream without a length or chunks then ended cleanly. Where the response had not begun, the client took the 400 for its request's own, although that request ran on.

Cause: the handler of client errors wrote to the socket without regard to the requests that waited on it. Node.js' own handler, on the project's own interface, destroys the socket instead, which ends such a stream cleanly.

Why this works: ClientConnections handles client errors on both interfaces. If a complete request waits for its response, that response is aborted as any other; otherwise the error response is sent, as before, also for a malformed body of its own request (2 tests).

--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -2,11 +2,19 @@
 import { Server as NetServer, type Socket } from "node:net";
 import type { TimerService } from "@coltsfootford/core";
 import {
+  abortResponse,
   isTruncatedByClose,
   isTruncatedByEnd,
   RESET_DELAY_MS,
 } from "./abort_response.ts";
 
+/** Status lines for errors of the HTTP parser of Node.js. */
+const ERROR_STATUSES: ReadonlyMap<string | undefined, string> = new Map([
+  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
+  ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
+  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
+]);
+
 interface Connection {
   /** The responses that have not been delivered yet. */
   readonly responses: Set<ServerResponse>;
@@ -33,6 +41,9 @@
     this.#server = server;
     this.#timer = timer;
     server.on("connection", (socket) => this.#track(socket));
+    server.on("clientError", (error, socket) => {
+      this.#rejectMalformed(error, socket as Socket);
+    });
     // This listener runs before the application, while headers can still be set.
     server.prependListener("request", (request, response) => {
       this.#trackResponse(request, response);
@@ -101,6 +112,25 @@
     });
   }
 
+  /**
+   * Ends a connection on which bytes arrived that are no request. They get an
+   * error response only if no earlier request waits for its own.
+   */
+  #rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+    const { responses } = this.#connections.get(socket) ?? {};
+    const pending = [...responses ?? []].filter(isResponseToCompleteRequest);
+    if (pending.length > 0) {
+      for (const response of pending) abortResponse(response, this.#timer);
+      return;
+    }
+    if (!socket.writable || error.code === "ECONNRESET") {
+      socket.destroy();
+      return;
+    }
+    const status = ERROR_STATUSES.get(error.code) ?? "400 Bad Request";
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+
   #trackResponse(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(request.socket);
     if (!connection) return;
@@ -117,6 +147,11 @@
   }
 }
 
+/** Whether bytes that follow on the connection are not a part of the request. */
+function isResponseToCompleteRequest(response: ServerResponse): boolean {
+  return response.headersSent || response.req.complete;
+}
+
 function requestClose(response: ServerResponse): void {
   if (!response.headersSent) response.setHeader("connection", "close");
 }
--- a/packages/daemon/src/connections/client_connections_test.ts
+++ b/packages/daemon/src/connections/client_connections_test.ts
@@ -107,6 +107,38 @@
   });
 });
 
+describe("bytes that are no request", () => {
+  /** Sends `text` while a request waits; returns the status lines received. */
+  async function sendAndRead(text: string): Promise<string[]> {
+    respond = () => {};
+    const { port } = server.address() as AddressInfo;
+    const socket = connect({ host: HOST, port });
+    socket.write(text);
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    await new Promise((resolve) => socket.once("close", resolve));
+    return received.match(/HTTP\/1\.1 \d+/g) ?? [];
+  }
+
+  it("get an error response", async () => {
+    expect(await sendAndRead("no request\r\n\r\n"))
+      .toEqual(["HTTP/1.1 400"]);
+  });
+
+  it("get an error response in the body of their own request", async () => {
+    const head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked";
+    expect(await sendAndRead(`${head}\r\n\r\nno size\r\n`))
+      .toEqual(["HTTP/1.1 400"]);
+  });
+
+  // Guards against an error that the client takes for the response to an
+  // earlier request.
+  it("get no response before an earlier request has its own", async () => {
+    const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    expect(await sendAndRead(`${request}no request\r\n\r\n`)).toEqual([]);
+  });
+});
+
 describe("ClientConnections.resetTruncated", () => {
   // Guards against an exit of the process that ends truncated responses cleanly.
   it("resets unframed responses at once, and nothing else", async () => {
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -4,7 +4,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Duplex } from "node:stream";
 import {
   type ClientLimits,
   findQuarantinedParts,
@@ -71,9 +70,7 @@
     this.server.on("request", (incoming, outgoing) => {
       this.#onRequest(incoming, outgoing);
     });
-    this.server.on("clientError", (error, socket) => {
-      this.#onClientError(error, socket);
-    });
+    this.server.on("clientError", (error) => this.#onClientError(error));
     dependencies.blackboard.lifecycle.subscribe((phase) => {
       if (phase === "draining") {
         this.#drainingSinceMs = dependencies.timer.nowMs();
@@ -270,24 +267,10 @@
     response.reject(status, reason, headers);
   }
 
-  #onClientError(error: Error, socket: Duplex): void {
-    const code = (error as NodeJS.ErrnoException).code ?? "unknown";
+  #onClientError({ code = "unknown" }: NodeJS.ErrnoException): void {
     this.#dependencies.metrics.count("client_errors_total");
     this.#dependencies.log.event("forwardingClientError", { code });
-    if (!socket.writable || code === "ECONNRESET") {
-      socket.destroy();
-      return;
-    }
-    socket.end(`HTTP/1.1 ${statusLineOf(code)}\r\nConnection: close\r\n\r\n`);
-  }
-}
-
-function statusLineOf(code: string): string {
-  if (code === "HPE_HEADER_OVERFLOW") {
-    return "431 Request Header Fields Too Large";
   }
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return "408 Request Timeout";
-  return "400 Bad Request";
 }
 
 /** The value of a Host header without the port, in lower case. */
