Let no exit of a process end a stream as if it were complete

What callers saw: a second SIGTERM, or a SIGINT, ended the process at once, and the kernel ended the streams without a length or chunks that it carried as if they were complete. An uncaught error did the same.

Cause: the handler of SIGTERM was removed after the first signal, SIGINT had none, and nothing reset connections when a process exits.

A handler of the exit resets each connection whose end would hide a truncated response, on both interfaces. At the second signal the project's own daemon closes its connections as at the end of a shutdown.

SIGKILL and a lack of memory end connections cleanly as before: nothing in the program runs then.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,6 +21,13 @@
   stop(): Promise<number>;
   /** Logs and counts the requests that are cut if the process exits now. */
   logCutRequests(): number;
+  /** Closes all client connections at once, as at the end of a shutdown. */
+  closeConnections(): Promise<void>;
+  /**
+   * Resets each connection whose end would hide a truncated response. Called
+   * when the process exits.
+   */
+  resetTruncated(): void;
 }
 
 /** Starts all components of a daemon; the client port opens last. */
@@ -53,12 +60,13 @@
   };
   logger.event("daemonReady", { ports });
 
+  const connections = new ClientConnections(clientPort.value.server, timer);
   const shutdown = new GracefulShutdown({
     lifecycle,
     timer,
     logger,
     running: entry.running,
-    connections: new ClientConnections(clientPort.value.server, timer),
+    connections,
     readinessGraceMs: settings.readinessGraceMs,
     timeoutMs: settings.shutdownLimitMs,
     handOverSteps: [],
@@ -78,7 +86,13 @@
     logger.event("daemonStopped", { cut });
     return cut;
   };
-  return ok({ ports, stop, logCutRequests: () => shutdown.logCutRequests() });
+  return ok({
+    ports,
+    stop,
+    logCutRequests: () => shutdown.logCutRequests(),
+    closeConnections: () => connections.closeAll(),
+    resetTruncated: () => connections.resetTruncated(),
+  });
 }
 
 /** Starts the controllers in order and fails at the first that cannot start. */
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -279,6 +279,14 @@
     return abortedRequests;
   }
 
+  /**
+   * Resets each connection whose end would hide a truncated response. Called
+   * when the process exits.
+   */
+  resetTruncated(): void {
+    this.#connections.resetTruncated();
+  }
+
   /** Stops immediately and aborts all requests; for tests. */
   close(): void {
     this.#stopForwarder();
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -43,10 +43,11 @@
   }
   const daemon = await startDaemon(settings.value);
   if (daemon.isErr()) return fail(formatStepError(daemon.error));
+  process.once("exit", () => daemon.value.resetTruncated());
   await waitForSignal();
   onNextSignal(() => {
     daemon.value.logCutRequests();
-    process.exit(EXIT_CUT);
+    void daemon.value.closeConnections().then(() => process.exit(EXIT_CUT));
   });
   const cutRequests = await daemon.value.stop();
   return cutRequests === 0 ? EXIT_OK : EXIT_CUT;
