Deliver responses to slow clients before a daemon exits

What callers saw: in a planned stop, a client that reads slowly lost the rest of a complete response as soon as the daemon had no request in flight, 3 s after the signal, though the shutdown limit was seconds away.

Cause: a request counted as ended once its response had been written to the daemon's own buffers. The connection was then closed with bytes in them.

Evidence: own_break_test.ts, "is delivered before the daemon exits" (12 MiB, read from 3.5 s after the signal on), failed before.

Why this works: a shutdown waits for the responses that connections have not taken yet, up to its limit, where they count as cut. This also covers responses whose reset is due, and requests that are still being read.

--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -55,6 +55,11 @@
     return this.#connections.size;
   }
 
+  /** The number of responses that have not been delivered yet. */
+  get pendingCount(): number {
+    return [...this.#responses()].length;
+  }
+
   /** Sends `connection: close` with every response from now on. */
   startClosing(): void {
     this.#isClosing = true;
--- a/packages/daemon/src/forwarding/forwarder.ts
+++ b/packages/daemon/src/forwarding/forwarder.ts
@@ -41,14 +41,9 @@
     else request.start();
   }
 
-  /**
-   * Ends all requests in flight, and each later one, because the daemon exits.
-   * Returns the number of requests in flight.
-   */
-  abortAll(): number {
+  /** Ends all requests in flight, and each later one: the daemon exits. */
+  abortAll(): void {
     this.#isClosed = true;
-    const requests = [...this.#inFlight];
-    for (const request of requests) request.abort();
-    return requests.length;
+    for (const request of [...this.#inFlight]) request.abort();
   }
 }
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -264,7 +264,6 @@
       connections: this.#connections,
       timer,
       shutdownLimitMs: this.#blackboard.limits.read().shutdownLimitMs,
-      inFlightCount: () => this.#forwarder.inFlightCount,
       abortInFlight: () => this.#forwarder.abortAll(),
     });
     if (abortedRequests > 0) {
--- a/packages/daemon/src/forwarding/shutdown.ts
+++ b/packages/daemon/src/forwarding/shutdown.ts
@@ -12,21 +12,18 @@
   readonly connections: ClientConnections;
   readonly timer: TimerService;
   readonly shutdownLimitMs: number;
-  /** The number of requests that have no final response yet. */
-  readonly inFlightCount: () => number;
-  /** Ends these requests, and each later one; returns how many were ended. */
-  readonly abortInFlight: () => number;
+  /** Ends the requests without a final response, and each later one. */
+  readonly abortInFlight: () => void;
 }
 
 /**
  * Keeps serving until the load balancer has removed the daemon and the last
- * request has its response, or the limit is reached. Every response carries
+ * response has been delivered, or the limit is reached. Every response carries
  * `Connection: close`.
  * Returns the number of requests that were aborted.
  */
 export function shutDownGracefully(
-  { connections, timer, shutdownLimitMs, inFlightCount, abortInFlight }:
-    ForwardingShutdown,
+  { connections, timer, shutdownLimitMs, abortInFlight }: ForwardingShutdown,
 ): Promise<number> {
   const startedAtMs = timer.nowMs();
   connections.startClosing();
@@ -34,13 +31,14 @@
     const cancel = timer.every(CHECK_PERIOD_MS, () => {
       const elapsedMs = timer.nowMs() - startedAtMs;
       const hasAcceptPeriodEnded = elapsedMs >= ACCEPT_PERIOD_MS;
-      const isIdle = hasAcceptPeriodEnded && inFlightCount() === 0;
+      const isIdle = hasAcceptPeriodEnded && connections.pendingCount === 0;
       const isLate = elapsedMs >= shutdownLimitMs - EXIT_MARGIN_MS;
       if (!isIdle && !isLate) return;
       cancel();
       connections.stopAccepting();
       // In the same tick as the check: no request is accepted in between.
-      const abortedRequests = abortInFlight();
+      const abortedRequests = connections.pendingCount;
+      abortInFlight();
       void connections.closeAll().then(() => resolve(abortedRequests));
     });
   });
