Read 256 interim responses of a target at most

What callers saw: on the project's own interface, a faulty target that sends interim responses without end kept the daemon parsing up to 8 MB of them in one go, 1.6 to 1.8 s beside load, while all other clients waited.

Cause: only the bytes of a connection were limited, and interim heads are the slowest bytes to parse.

Why this works: the client fails a request at the 257th interim response.

--- a/packages/daemon/src/entry/buffered_relay_test.ts
+++ b/packages/daemon/src/entry/buffered_relay_test.ts
@@ -80,6 +80,26 @@
     },
   );
 
+  // Guards against megabytes of interim responses that are parsed for one
+  // request, while those of other clients wait.
+  it.each([[200, 200], [300, 502]])(
+    "after %i interim responses gives status %i",
+    async (count, status) => {
+      fixture = await startEntryFixture(({ socket, headers }) => {
+        const id = `x-request-id: ${headers["x-request-id"]}`;
+        const head = `HTTP/1.1 200 OK\r\n${id}\r\ncontent-length: 2\r\n\r\n`;
+        const interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(count);
+        socket.write(`${interim}${head}ok`);
+      });
+      const response = await fetch(`${fixture.baseUrl}/services/bids/1`, {
+        method: "POST",
+        headers: { "x-coltsfoot-team": "open" },
+        body: "a bid",
+      });
+      expect(response.status).toBe(status);
+    },
+  );
+
   /** Calls a service that sends these bytes and closes its connection. */
   async function callService(
     headerLines: readonly string[],
--- a/packages/daemon/src/targets/target_client.ts
+++ b/packages/daemon/src/targets/target_client.ts
@@ -11,6 +11,8 @@
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 /** Most bytes that are read for one request, framing included. */
 const MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES;
+/** Most interim responses (status 1xx) that are read for one request. */
+const MAX_INTERIM_RESPONSES = 256;
 const CONNECT = createBoundedConnector(CONNECT_TIMEOUT_MS, MAX_RECEIVED_BYTES);
 const STEP = "target.request";
 
@@ -69,6 +71,7 @@
         bodyTimeout: 0,
         idempotent: false,
         reset: request.usesFreshConnection,
+        onInfo: limitInterimResponses(),
       });
       return ok(response);
     } catch (cause) {
@@ -100,6 +103,17 @@
   }
 }
 
+/** Returns a listener that fails a request after too many interim responses. */
+function limitInterimResponses(): () => void {
+  let count = 0;
+  return () => {
+    count += 1;
+    if (count > MAX_INTERIM_RESPONSES) {
+      throw new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`);
+    }
+  };
+}
+
 function formatHost(host: string): string {
   return host.includes(":") ? `[${host}]` : host;
 }
