Write responses to clients without a framework beside

What callers saw: on the project's own interface, each HEAD request closed its kept connection, and the daemon wrote a stack trace to its standard error. Found while looking for what may end a response in our place.

Cause: the framework wraps what a handler of HEAD returns and loses the mark that the response has been sent. Its handler of errors then ends the response with a text and a last chunk and destroys the connection. No other path to that handler is known, but it would frame a truncated stream as complete.

Evidence: "keeps the connection after a response to HEAD" failed before ("Cannot write headers after they are sent").

Why this works: the client port calls the entry server itself, which routes by path and writes all its responses already. The admin port keeps the framework.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,8 +4,7 @@
 import { assembleDaemon } from "./assemble_daemon.ts";
 import { ClientConnections } from "./connections/index.ts";
 import type { Controller } from "./controllers/index.ts";
-import { createEntryApp } from "./entry/index.ts";
-import { listen, type OpenPort } from "./http/index.ts";
+import { listen, listenRaw, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import type { Settings } from "./settings/index.ts";
 import { GracefulShutdown } from "./shutdown/index.ts";
@@ -46,8 +45,8 @@
   if (admin.isErr()) return err(admin.error);
   const started = await startControllers(controllers);
   if (started.isErr()) return err(started.error);
-  const clientPort = await listen(
-    createEntryApp(entry),
+  const clientPort = await listenRaw(
+    (incoming, outgoing) => void entry.handle(incoming, outgoing),
     "listen",
     settings.listen,
   );
--- a/packages/daemon/src/entry/buffered_relay_test.ts
+++ b/packages/daemon/src/entry/buffered_relay_test.ts
@@ -1,5 +1,7 @@
 import { afterEach, describe, expect, it } from "@jest/globals";
-import type { ServerResponse } from "node:http";
+import { once } from "node:events";
+import { Agent, get, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type EntryFixture,
   startEntryFixture,
@@ -137,6 +139,33 @@
     expect(response.headers.get("content-length")).toBe("5");
   });
 
+  // Guards against a connection that is closed after each response to HEAD.
+  it("keeps the connection after a response to HEAD", async () => {
+    fixture = await startEntryFixture((incoming, outgoing) => {
+      const id = String(incoming.headers["x-request-id"]);
+      outgoing.setHeader("x-request-id", id);
+      outgoing.setHeader("content-length", "5");
+      outgoing.end();
+    });
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const clientPorts = [];
+    for (let request = 0; request < 2; request++) {
+      const outgoing = get(`${fixture.baseUrl}/services/bids/1`, {
+        agent,
+        method: "HEAD",
+        headers: { "x-coltsfoot-team": "open" },
+      });
+      const [response] = await once(outgoing, "response");
+      expect(response.statusCode).toBe(200);
+      clientPorts.push(outgoing.socket?.localPort);
+      response.resume();
+      await once(response, "close");
+      await sleep(20);
+    }
+    agent.destroy();
+    expect(clientPorts[1]).toBe(clientPorts[0]);
+  });
+
   it("relays the length that a response to HEAD states", async () => {
     const response = await callService(["Content-Length: 5"], "", "HEAD");
     expect(response.headers.get("content-length")).toBe("5");
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -4,6 +4,5 @@
 export * from "./local_permit_gate.ts";
 export * from "./permit_gate.ts";
 export * from "./running_requests.ts";
-export * from "./entry_app.ts";
 export type { TargetOrder } from "./target_order.ts";
 export type { RequestContext } from "./request_context.ts";
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -5,12 +5,11 @@
 import { FakeKeyValue } from "@coltsfootford/key-value/testing";
 import { createBlackboard, type TargetView } from "../../blackboard/index.ts";
 import { createGuards } from "../../guards.ts";
-import { listen, type OpenPort } from "../../http/index.ts";
+import { listenRaw, type OpenPort } from "../../http/index.ts";
 import type { Logger } from "../../log/index.ts";
 import { Metrics } from "../../metrics/index.ts";
 import { Peers } from "../../peers/index.ts";
 import { TargetClient } from "../../targets/index.ts";
-import { createEntryApp } from "../entry_app.ts";
 import { EntryServer } from "../entry_server.ts";
 import { LocalPermitGate } from "../local_permit_gate.ts";
 
@@ -115,10 +114,11 @@
     logger,
     metrics,
   });
-  const entryPort: OpenPort = (await listen(createEntryApp(entry), "listen", {
-    host: HOST,
-    port: 0,
-  }))._unsafeUnwrap();
+  const entryPort: OpenPort = (await listenRaw(
+    (incoming, outgoing) => void entry.handle(incoming, outgoing),
+    "listen",
+    { host: HOST, port: 0 },
+  ))._unsafeUnwrap();
   return {
     baseUrl: `http://${HOST}:${entryPort.port}`,
     leavingNotices,
