--- a/packages/daemon/src/connections/abort_response.ts
+++ b/packages/daemon/src/connections/abort_response.ts
@@ -8,9 +8,10 @@
 export const RESET_DELAY_MS = 50;
 
 /**
- * Whether the client would take the end of the connection for the end of this
- * response, although a part of it has not been sent. What is still buffered is
- * lost.
+ * Whether the client may take the end of the connection for the end of this
+ * response, if the connection is closed now and what is buffered is lost. This
+ * holds for each unfinished response without chunks; one with a length loses
+ * nothing by a reset.
  */
 export function isTruncatedByClose(response: ServerResponse): boolean {
   return response.headersSent && !response.writableFinished &&
@@ -18,9 +19,8 @@
 }
 
 /**
- * Whether the client would take the end of the connection for the end of this
- * response, although the daemon has not ended it. All that the daemon has
- * written still arrives.
+ * Whether the client may take the end of the connection for the end of this
+ * response, if the connection is ended now and what is buffered still arrives.
  */
 export function isTruncatedByEnd(response: ServerResponse): boolean {
   return isTruncatedByClose(response) && !response.writableEnded;
