One row a test in the measurement of limits while daemons restart

Each needs 36 s of processor time at a load average of 17, nearly all in the placement of requests over 300 targets.

The one that holds two rows is now two tests, as the other rows are; each row is checked as before.

--- a/packages/bench/src/rate_limit/rate_limit_test.ts
+++ b/packages/bench/src/rate_limit/rate_limit_test.ts
@@ -52,10 +52,13 @@
     }
   });
 
-  it("hold while daemons restart", async () => {
-    const args = ["--sizes", "67/98,300/98", "--restarts", "2"];
-    for (const { worstShare } of await measure(...args)) {
-      expect(worstShare).toBeLessThanOrEqual(1);
-    }
-  });
+  it.each(["67/98", "300/98"])(
+    "hold while daemons restart, at %s daemons and targets",
+    async (size) => {
+      const args = ["--sizes", size, "--restarts", "2"];
+      for (const { worstShare } of await measure(...args)) {
+        expect(worstShare).toBeLessThanOrEqual(1);
+      }
+    },
+  );
 });
