Let what has been ended arrive before malformed bytes close a connection

Cause: each pending response was aborted, ended or not, also before the check for a connection that is gone.

Evidence: client_connections_test.ts, "leave a response whole that has been ended" (12 MiB to a client that reads slowly), failed before.

Why this works: responses that still run are aborted as before; if all have been ended, the connection ends after what is buffered, without an error.

--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -122,16 +122,19 @@
    * error response only if no earlier request waits for its own.
    */
   #rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    const { responses } = this.#connections.get(socket) ?? {};
-    const pending = [...responses ?? []].filter(isResponseToCompleteRequest);
-    if (pending.length > 0) {
-      for (const response of pending) abortResponse(response, this.#timer);
-      return;
-    }
     if (!socket.writable || error.code === "ECONNRESET") {
       socket.destroy();
       return;
     }
+    const { responses } = this.#connections.get(socket) ?? {};
+    const pending = [...responses ?? []].filter(isResponseToCompleteRequest);
+    const running = pending.filter(({ writableEnded }) => !writableEnded);
+    if (running.length > 0) {
+      for (const response of running) abortResponse(response, this.#timer);
+      return;
+    }
+    // What is buffered still arrives. An error could become a part of it.
+    if (pending.length > 0) return void socket.end();
     const status = ERROR_STATUSES.get(error.code) ?? "400 Bad Request";
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
   }
--- a/packages/daemon/src/connections/client_connections_test.ts
+++ b/packages/daemon/src/connections/client_connections_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 import { SystemTimerService } from "@coltsfootford/key-value";
 import { abortResponse } from "./abort_response.ts";
@@ -7,6 +8,10 @@
 
 const HOST = "127.0.0.1";
 const PART = "a part";
+/** More than the buffers of a connection hold. */
+const LARGE_BODY = "b".repeat(12 * 1024 * 1024);
+/** Longer than the delay of a reset. */
+const READ_AFTER_MS = 200;
 
 const timer = new SystemTimerService();
 let server: Server;
@@ -131,6 +136,27 @@
       .toEqual(["HTTP/1.1 400"]);
   });
 
+  // Guards against an error that cuts, or becomes a part of, a response that its
+  // client still reads.
+  it("leave a response whole that has been ended", async () => {
+    respond = (response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, ["Connection", "close"]);
+      response.end(LARGE_BODY);
+    };
+    const { port } = server.address() as AddressInfo;
+    const socket = connect({ host: HOST, port });
+    socket.pause();
+    socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    await sleep(READ_AFTER_MS);
+    socket.write("no request\r\n\r\n");
+    await sleep(READ_AFTER_MS);
+    let received = "";
+    socket.on("data", (chunk) => received += chunk).resume();
+    await new Promise((resolve) => socket.once("close", resolve));
+    expect(received.endsWith(`\r\n\r\n${LARGE_BODY}`)).toBe(true);
+  });
+
   // Guards against an error that the client takes for the response to an
   // earlier request.
   it("get no response before an earlier request has its own", async () => {
