--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -87,11 +87,11 @@
    * once no exit of the process can make a truncated response look complete.
    */
   async closeAll(): Promise<void> {
-    const isTruncating = [...this.#responses()].some(isTruncatedByClose);
-    for (const [socket, { responses }] of this.#connections) {
-      if (![...responses].some(isTruncatedByClose)) socket.destroy();
+    const truncated = new Set(this.#findTruncated());
+    for (const socket of this.#connections.keys()) {
+      if (!truncated.has(socket)) socket.destroy();
     }
-    if (!isTruncating) return;
+    if (truncated.size === 0) return;
     await new Promise<void>((resolve) => {
       this.#timer.after(RESET_DELAY_MS, resolve);
     });
@@ -101,19 +101,24 @@
 
   /** Resets at once each connection whose end would hide a truncated response. */
   resetTruncated(): void {
-    for (const [socket, { responses }] of this.#connections) {
-      if ([...responses].some(isTruncatedByClose)) socket.resetAndDestroy();
-    }
+    for (const socket of this.#findTruncated()) socket.resetAndDestroy();
+  }
+
+  /** The connections whose close now would hide a truncated response. */
+  #findTruncated(): Socket[] {
+    return [...this.#connections]
+      .filter(([_, { responses }]) => [...responses].some(isTruncatedByClose))
+      .map(([socket]) => socket);
   }
 
   #track(socket: Socket): void {
+    const responses = new Set<ServerResponse>();
     const idleSinceMs = this.#timer.nowMs();
-    this.#connections.set(socket, { responses: new Set(), idleSinceMs });
+    this.#connections.set(socket, { responses, idleSinceMs });
     socket.once("close", () => this.#connections.delete(socket));
     // This listener runs before that of Node.js, which ends the connection.
     socket.prependListener("end", () => {
-      const { responses } = this.#connections.get(socket) ?? {};
-      if ([...responses ?? []].some(isTruncatedByEnd)) socket.resetAndDestroy();
+      if ([...responses].some(isTruncatedByEnd)) socket.resetAndDestroy();
     });
   }
 
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -19,6 +19,20 @@
   readonly expectedFirstByteMs: number;
 }
 
+/** State of an attempt that is being sent, to read `unreadTokens`. */
+export function startInFlight(
+  nowMs: number,
+  unreadTokens: number,
+): InFlightAttempt {
+  return {
+    startedAtMs: nowMs,
+    unreadTokens,
+    lastByteAtMs: nowMs,
+    hasResponse: false,
+    eventsReceived: 0,
+  };
+}
+
 /** Records what the head of a response says about its target. */
 export function recordFirstByte(
   { timer, metrics, loadObserver, leavingObserver, limits, random }:
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -6,7 +6,6 @@
   expectedFirstByteMs,
   findQuarantinedParts,
   hasSurvivedBeginning,
-  type InFlightAttempt,
   isWaitFutile,
   jitteredRetryAfterMs,
   type Placement,
@@ -14,7 +13,11 @@
   sharedParts,
   totalRequests,
 } from "@coltsfootford/core";
-import { type CurrentAttempt, recordFirstByte } from "./current_attempt.ts";
+import {
+  type CurrentAttempt,
+  recordFirstByte,
+  startInFlight,
+} from "./current_attempt.ts";
 import { createAttemptPlan } from "./attempt_plan.ts";
 import { canRetryAfterAbort } from "./can_retry_after_abort.ts";
 import {
@@ -94,10 +97,7 @@
     this.#startNextAttempt();
   }
 
-  /**
-   * Ends the request because the daemon exits: with a final response, or by a
-   * break where a part of the response has been written.
-   */
+  /** Ends the request at the daemon's exit, by a final response if it can. */
   abort(): void {
     if (this.#hasFinished) return;
     if (this.#current?.attempt.isSent) this.#mayHaveExecuted = true;
@@ -159,13 +159,7 @@
     const target = placement.candidate as PooledTarget;
     const nowMs = dependencies.timer.nowMs();
     const timeLeftMs = this.#timeLeftMs();
-    const inFlight: InFlightAttempt = {
-      startedAtMs: nowMs,
-      unreadTokens: placement.missingTokens,
-      lastByteAtMs: nowMs,
-      hasResponse: false,
-      eventsReceived: 0,
-    };
+    const inFlight = startInFlight(nowMs, placement.missingTokens);
     logSent(dependencies, accepted, placement, {
       timeLeftMs,
       triesBefore: this.#attemptedIncarnations.size,
