--- a/packages/core/src/forwarding/forwarding_parts_test.ts
+++ b/packages/core/src/forwarding/forwarding_parts_test.ts
@@ -1,12 +1,15 @@
 import { describe, expect, it } from "@jest/globals";
 import fc from "fast-check";
-import { EventFramer } from "./event_frames.ts";
-import type { ForwardingConfig } from "./forwarding_config.ts";
-import { RetryShares } from "./retry_share.ts";
-import { jitteredRetryAfterMs } from "./retry_after.ts";
-import { pickService, RouteTable } from "./route_table.ts";
-import { isWaitFutile, type ResponseWaitQuery } from "./response_wait.ts";
-import { TargetRecord } from "./target_record.ts";
+import { EventFramer } from "./responses/event_frames.ts";
+import type { ForwardingConfig } from "./routes/forwarding_config.ts";
+import { RetryShares } from "./retries/retry_share.ts";
+import { jitteredRetryAfterMs } from "./retries/retry_after.ts";
+import { pickService, RouteTable } from "./routes/route_table.ts";
+import {
+  isWaitFutile,
+  type ResponseWaitQuery,
+} from "./responses/response_wait.ts";
+import { TargetRecord } from "./targets/target_record.ts";
 
 const ROUTE = {
   name: "r",
--- a/packages/core/src/forwarding/limits/limit_owners.ts
+++ b/packages/core/src/forwarding/limits/limit_owners.ts
@@ -1,4 +1,4 @@
-import { orderByRendezvous } from "../hash/index.ts";
+import { orderByRendezvous } from "../../hash/index.ts";
 
 /** A daemon that may own the limit of a target. */
 export interface LimitOwnerCandidate {
--- a/packages/core/src/forwarding/limits/permit_denials.ts
+++ b/packages/core/src/forwarding/limits/permit_denials.ts
@@ -1,4 +1,4 @@
-import type { Candidate, Placement } from "./choose_target.ts";
+import type { Candidate, Placement } from "../placement/choose_target.ts";
 
 /** Denials after which a request goes to a target without a limit. */
 const MAX_DENIALS_BESIDE_UNLIMITED = 2;
--- a/packages/core/src/forwarding/limits/permit_denials_test.ts
+++ b/packages/core/src/forwarding/limits/permit_denials_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
-import type { Candidate, Placement } from "./choose_target.ts";
+import type { Candidate, Placement } from "../placement/choose_target.ts";
 import {
   excludeAfterDenial,
   isOverloadedAlternative,
--- a/packages/core/src/forwarding/placement/cache_estimates.ts
+++ b/packages/core/src/forwarding/placement/cache_estimates.ts
@@ -1,4 +1,4 @@
-import { type PromptPart } from "./prompt.ts";
+import { type PromptPart } from "../prompts/prompt.ts";
 
 /**
  * How long a prompt part counts as cached after a target has read it. Engines
--- a/packages/core/src/forwarding/placement/cache_source.ts
+++ b/packages/core/src/forwarding/placement/cache_source.ts
@@ -1,6 +1,9 @@
 import type { Candidate } from "./choose_target.ts";
-import type { EngineProperties } from "./forwarding_config.ts";
-import { countSharedTokens, type PromptDescription } from "./prompt.ts";
+import type { EngineProperties } from "../routes/forwarding_config.ts";
+import {
+  countSharedTokens,
+  type PromptDescription,
+} from "../prompts/prompt.ts";
 
 /** A target from which another can fetch the KV cache of a prompt. */
 export interface CacheSource {
--- a/packages/core/src/forwarding/placement/cache_source_test.ts
+++ b/packages/core/src/forwarding/placement/cache_source_test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, expect, it } from "@jest/globals";
 import { CacheSources, fetchMs } from "./cache_source.ts";
 import type { Candidate } from "./choose_target.ts";
-import { TargetRecord } from "./target_record.ts";
+import { TargetRecord } from "../targets/target_record.ts";
 
 const ENGINE = {
   slots: 64,
--- a/packages/core/src/forwarding/placement/choose_target.ts
+++ b/packages/core/src/forwarding/placement/choose_target.ts
@@ -1,7 +1,7 @@
-import { mixHash32 } from "../hash/index.ts";
+import { mixHash32 } from "../../hash/index.ts";
 import type { CacheEstimates } from "./cache_estimates.ts";
 import { type CacheSource, CacheSources, fetchMs } from "./cache_source.ts";
-import type { EngineProperties } from "./forwarding_config.ts";
+import type { EngineProperties } from "../routes/forwarding_config.ts";
 import { LoadEstimates } from "./load_estimates.ts";
 import { PreferredTargetOrder } from "./preferred_target_order.ts";
 import {
@@ -9,9 +9,9 @@
   countSharedTokens,
   type PromptDescription,
   sharedParts,
-} from "./prompt.ts";
-import type { TargetRecord } from "./target_record.ts";
-import type { RegisteredTarget } from "./target_registry.ts";
+} from "../prompts/prompt.ts";
+import type { TargetRecord } from "../targets/target_record.ts";
+import type { RegisteredTarget } from "../targets/target_registry.ts";
 
 /** Settings of the placement for the fleet and the engines. */
 export interface PlacementSettings {
--- a/packages/core/src/forwarding/placement/choose_target_test.ts
+++ b/packages/core/src/forwarding/placement/choose_target_test.ts
@@ -1,14 +1,17 @@
 import { beforeEach, describe, expect, it } from "@jest/globals";
-import { hash32 } from "../hash/index.ts";
+import { hash32 } from "../../hash/index.ts";
 import { CacheEstimates } from "./cache_estimates.ts";
 import {
   type Candidate,
   chooseTarget,
   type PlacementQuery,
 } from "./choose_target.ts";
-import type { EngineProperties } from "./forwarding_config.ts";
-import { NO_PROMPT, type PromptDescription } from "./prompt.ts";
-import { type InFlightAttempt, TargetRecord } from "./target_record.ts";
+import type { EngineProperties } from "../routes/forwarding_config.ts";
+import { NO_PROMPT, type PromptDescription } from "../prompts/prompt.ts";
+import {
+  type InFlightAttempt,
+  TargetRecord,
+} from "../targets/target_record.ts";
 
 const SETTINGS = {
   availabilityZone: "a",
--- a/packages/core/src/forwarding/placement/load_estimates.ts
+++ b/packages/core/src/forwarding/placement/load_estimates.ts
@@ -1,4 +1,4 @@
-import type { TargetRecord } from "./target_record.ts";
+import type { TargetRecord } from "../targets/target_record.ts";
 
 /**
  * Estimated loads of the targets of one service. A target without a recent
--- a/packages/core/src/forwarding/placement/load_estimates_test.ts
+++ b/packages/core/src/forwarding/placement/load_estimates_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
 import { LoadEstimates } from "./load_estimates.ts";
-import { TargetRecord } from "./target_record.ts";
+import { TargetRecord } from "../targets/target_record.ts";
 
 function reported(requests: number, atMs: number): TargetRecord {
   const record = new TargetRecord();
--- a/packages/core/src/forwarding/placement/preferred_target_order.ts
+++ b/packages/core/src/forwarding/placement/preferred_target_order.ts
@@ -1,4 +1,4 @@
-import { hash32, mixHash32 } from "../hash/index.ts";
+import { hash32, mixHash32 } from "../../hash/index.ts";
 import type { Candidate } from "./choose_target.ts";
 
 /** Targets that started within this time count as one cohort. */
--- a/packages/core/src/forwarding/placement/preferred_target_order_test.ts
+++ b/packages/core/src/forwarding/placement/preferred_target_order_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
-import { hash32 } from "../hash/index.ts";
+import { hash32 } from "../../hash/index.ts";
 import type { Candidate } from "./choose_target.ts";
 import { PreferredTargetOrder } from "./preferred_target_order.ts";
 
--- a/packages/core/src/forwarding/placement/zone_cut_test.ts
+++ b/packages/core/src/forwarding/placement/zone_cut_test.ts
@@ -1,7 +1,10 @@
 import { describe, expect, it } from "@jest/globals";
 import { CacheEstimates } from "./cache_estimates.ts";
 import { type Candidate, chooseTarget } from "./choose_target.ts";
-import { type InFlightAttempt, TargetRecord } from "./target_record.ts";
+import {
+  type InFlightAttempt,
+  TargetRecord,
+} from "../targets/target_record.ts";
 import { findUnreachableZones } from "./unreachable_zones.ts";
 
 const ZONES = ["a", "b", "c", "d"];
--- /dev/null
+++ b/packages/core/src/forwarding/prompts/index.ts
@@ -0,0 +1,1 @@
+export * from "./prompt.ts";
--- /dev/null
+++ b/packages/core/src/forwarding/relays/index.ts
@@ -0,0 +1,1 @@
+export * from "./relay_tree.ts";
--- /dev/null
+++ b/packages/core/src/forwarding/retries/index.ts
@@ -0,0 +1,2 @@
+export * from "./retry_after.ts";
+export * from "./retry_share.ts";
--- a/packages/core/src/forwarding/retries/retry_share.ts
+++ b/packages/core/src/forwarding/retries/retry_share.ts
@@ -1,4 +1,4 @@
-import { RetryBudget, type RetryBudgetSettings } from "../retry/index.ts";
+import { RetryBudget, type RetryBudgetSettings } from "../../retry/index.ts";
 
 /** The bound on retries that all daemons together stay within. */
 export interface RetryBound {
--- /dev/null
+++ b/packages/core/src/forwarding/routes/index.ts
@@ -0,0 +1,2 @@
+export * from "./forwarding_config.ts";
+export * from "./route_table.ts";
--- a/packages/core/src/forwarding/routes/route_table.ts
+++ b/packages/core/src/forwarding/routes/route_table.ts
@@ -1,4 +1,4 @@
-import { hash32 } from "../hash/index.ts";
+import { hash32 } from "../../hash/index.ts";
 import type {
   ForwardingConfig,
   ForwardingRoute,
--- /dev/null
+++ b/packages/core/src/forwarding/targets/index.ts
@@ -0,0 +1,3 @@
+export * from "./overload_announcements.ts";
+export * from "./target_record.ts";
+export * from "./target_registry.ts";
--- a/packages/core/src/response/event_sequence.ts
+++ b/packages/core/src/response/event_sequence.ts
@@ -1,4 +1,4 @@
-import type { EventFrame } from "../forwarding/event_frames.ts";
+import type { EventFrame } from "../forwarding/responses/event_frames.ts";
 
 /** Why an event does not go on with the stream before it. */
 export type EventFault =
