Take only a complete response as proof that a prompt is sound

What callers saw: prompts with a part that crashes engines were still forwarded long after the fifth crash, where engines send two events or more, or a complete 500, before they crash.

Cause: a response with two events proved its parts sound and was no suspect of the crash that followed; a complete 500 broke no attempt, so its crash was not looked for.

Change: only a complete response proves; every interrupted attempt is a suspect, in the midst of a response at half the weight; a complete 5xx whose connection closes within a second leads to a crash check; a stream that ends with its connection is checked. Whole requests likewise. A target that crashes can't complete a response, so no deadly part is acquitted, and sound parts are by each complete response anywhere in the fleet.

--- a/packages/bench/src/crash_evidence/crash_evidence_test.ts
+++ b/packages/bench/src/crash_evidence/crash_evidence_test.ts
@@ -26,6 +26,12 @@
   "while a zone is cut off": { cutsZone: true },
   "while daemons restart": { restartsPerSecond: 2 },
   "while targets crash by themselves": { otherCrashesPerSecond: 1 },
+  "after two events": { eventsBeforeCrash: 2 },
+  "after ten events": { eventsBeforeCrash: 10 },
+  "after ten events, while targets crash by themselves": {
+    eventsBeforeCrash: 10,
+    otherCrashesPerSecond: 1,
+  },
 };
 
 // Guards against requests that share one part and nothing else, which crash one
--- a/packages/bench/src/crash_evidence/crashing_fleet.ts
+++ b/packages/bench/src/crash_evidence/crashing_fleet.ts
@@ -75,18 +75,24 @@
   soundRejected = 0;
   soundSent = 0;
   readonly #targets: readonly ModelTarget[];
+  readonly #eventsBeforeCrash: number;
   readonly #heap: EventHeap;
   readonly #random: RandomSource;
   readonly #network: FleetNetwork;
   readonly #onDeadlyArrival: OnDeadlyArrival;
 
   constructor(
-    size: { readonly daemons: number; readonly targets: number },
+    size: {
+      readonly daemons: number;
+      readonly targets: number;
+      readonly eventsBeforeCrash: number;
+    },
     heap: EventHeap,
     random: RandomSource,
     network: FleetNetwork,
     onDeadlyArrival: OnDeadlyArrival,
   ) {
+    this.#eventsBeforeCrash = size.eventsBeforeCrash;
     this.#heap = heap;
     this.#random = random;
     this.#network = network;
@@ -160,18 +166,23 @@
 
   #begin(target: ModelTarget, running: RunningRequest): void {
     const { request, daemon } = running;
-    if (isDeadlyRequest(request)) return this.#crash(target, running);
+    const { incarnation } = target;
+    if (isDeadlyRequest(request)) {
+      if (this.#eventsBeforeCrash === 0) return this.#crash(target, running);
+      running.hasBegun = true;
+      this.#heap.after(this.#eventsBeforeCrash * EVENT_MS, () => {
+        if (target.incarnation === incarnation) this.#crash(target, running);
+      });
+      return;
+    }
     running.hasBegun = true;
     const parts = sharedParts(request.prompt).map(({ id }) => id);
-    const { incarnation } = target;
-    this.#heap.after(EVENT_MS, () => {
+    this.#heap.after(request.events * EVENT_MS, () => {
       if (target.incarnation !== incarnation) return;
+      target.running.delete(running);
       const proofs = daemon.ledger.recordSound(parts, this.#heap.nowMs);
       for (const proof of proofs) this.#announceProof(daemon, proof);
     });
-    this.#heap.after(request.events * EVENT_MS, () => {
-      target.running.delete(running);
-    });
   }
 
   #crash(target: ModelTarget, cause: RunningRequest | undefined): void {
@@ -189,18 +200,22 @@
   #onBroken(
     { daemon, request, attempts, hasBegun }: RunningRequest,
     crash: string,
-    hasResponse: boolean,
+    isCause: boolean,
   ): void {
     if (this.#network.down.has(daemon.index)) return;
     const nowMs = this.#heap.nowMs;
     const parts = sharedParts(request.prompt).map(({ id }) => id)
       .filter((part) => !daemon.ledger.isProvenSound(part, nowMs));
-    if (!hasBegun && parts.length > 0) {
+    if (parts.length > 0) {
       const collected = daemon.unconfirmed.get(crash) ?? [];
       if (collected.length === 0) {
         this.#heap.after(CONFIRM_MS, () => this.#report(daemon, crash));
       }
-      daemon.unconfirmed.set(crash, [...collected, { parts, hasResponse }]);
+      daemon.unconfirmed.set(crash, [...collected, {
+        parts,
+        hasResponse: isCause || hasBegun,
+        isAdvanced: hasBegun,
+      }]);
     }
     if (attempts < MAX_SENDS && !hasBegun) {
       this.send(daemon.index, request, attempts + 1);
--- a/packages/bench/src/crash_evidence/measure_crash_evidence.ts
+++ b/packages/bench/src/crash_evidence/measure_crash_evidence.ts
@@ -27,6 +27,8 @@
   readonly restartsPerSecond?: number;
   /** Whether one zone is cut off before the first crash. */
   readonly cutsZone?: boolean;
+  /** Events that a target sends before it crashes; 0 by default. */
+  readonly eventsBeforeCrash?: number;
   /** Targets that crash in each second for reasons of their own. */
   readonly otherCrashesPerSecond?: number;
 }
@@ -66,7 +68,7 @@
   const arrivals: { atMs: number; daemon: number; isInTouch: boolean }[] = [];
   let learnedAtMs = Infinity;
   const fleet = new CrashingFleet(
-    options,
+    { ...options, eventsBeforeCrash: options.eventsBeforeCrash ?? 0 },
     heap,
     random,
     network,
--- a/packages/core/src/forwarding/crash_evidence/crash_record.ts
+++ b/packages/core/src/forwarding/crash_evidence/crash_record.ts
@@ -2,11 +2,16 @@
 
 /**
  * Evidence against the parts of a request whose response had begun: a target
- * that crashes because of a response does so right after its beginning.
+ * that crashes because of a response mostly does so right after its beginning.
  */
 const BEGUN_EVIDENCE = 2;
 /** Evidence against the parts of a request that the target may still queue. */
 const PENDING_EVIDENCE = 1;
+/**
+ * Evidence against the parts of a request whose response had gone on. Any crash
+ * interrupts many of these, and few of them are its cause.
+ */
+const ADVANCED_EVIDENCE = 1;
 /** Limit of suspects per crash; a large target has that many requests. */
 const MAX_SUSPECTS = 64;
 
@@ -45,21 +50,22 @@
 
   /**
    * Adds a suspect. Requests that had not begun are no suspects beside one that
-   * had.
+   * had just begun.
    */
-  addSuspect({ parts, hasResponse, isIsolated }: SuspectPrompt): void {
+  addSuspect(suspect: SuspectPrompt): void {
+    const { parts, hasResponse, isAdvanced, isIsolated } = suspect;
     if (this.#isExplained || this.#suspects.length >= MAX_SUSPECTS) return;
-    if (hasResponse && !this.#hasBegunSuspect) {
+    if (hasResponse && !isAdvanced && !this.#hasBegunSuspect) {
       this.#hasBegunSuspect = true;
-      this.#withdrawAll();
+      this.#withdrawPending();
     }
     if (this.#hasBegunSuspect && !hasResponse) return;
     const remaining = parts.filter((part) => !this.#cleared.has(part));
     if (remaining.length === 0) return;
     this.#hasIsolatedSuspect ||= isIsolated === true;
-    this.#suspects.push({ parts: remaining, hasResponse });
-    const evidence = hasResponse ? BEGUN_EVIDENCE : PENDING_EVIDENCE;
-    for (const part of remaining) this.#evidence.set(part, evidence);
+    const added = { parts: remaining, hasResponse, isAdvanced };
+    this.#suspects.push(added);
+    this.#addEvidence(added);
   }
 
   /** Withdraws the evidence against a part. */
@@ -67,9 +73,9 @@
     this.#cleared.add(part);
     if (!this.#evidence.delete(part)) return;
     this.#suspects = this.#suspects
-      .map(({ parts, hasResponse }) => ({
-        parts: parts.filter((other) => other !== part),
-        hasResponse,
+      .map((suspect) => ({
+        ...suspect,
+        parts: suspect.parts.filter((other) => other !== part),
       }))
       .filter(({ parts }) => parts.length > 0);
   }
@@ -84,6 +90,23 @@
     this.#withdrawAll();
   }
 
+  /** A part counts as the suspect with the most evidence against it does. */
+  #addEvidence({ parts, hasResponse, isAdvanced }: SuspectPrompt): void {
+    let evidence = PENDING_EVIDENCE;
+    if (hasResponse) evidence = isAdvanced ? ADVANCED_EVIDENCE : BEGUN_EVIDENCE;
+    for (const part of parts) {
+      const known = this.evidenceAgainst(part);
+      this.#evidence.set(part, Math.max(known, evidence));
+    }
+  }
+
+  #withdrawPending(): void {
+    const remaining = this.#suspects.filter(({ hasResponse }) => hasResponse);
+    this.#withdrawAll();
+    this.#suspects = remaining;
+    for (const suspect of remaining) this.#addEvidence(suspect);
+  }
+
   #withdrawAll(): void {
     this.#suspects = [];
     this.#evidence.clear();
--- a/packages/core/src/forwarding/crash_evidence/prompt_part_ledger.ts
+++ b/packages/core/src/forwarding/crash_evidence/prompt_part_ledger.ts
@@ -3,11 +3,10 @@
 /** The suspect parts of one request that a target's crash interrupted. */
 export interface SuspectPrompt {
   readonly parts: readonly string[];
-  /**
-   * Whether the target was responding to this request, as far as is known; none
-   * of its events had arrived.
-   */
+  /** Whether the target was responding to this request, as far as is known. */
   readonly hasResponse: boolean;
+  /** Whether the target had gone on after the beginning of its response. */
+  readonly isAdvanced?: boolean | undefined;
   /**
    * Whether the request was a suspect of an earlier crash and was sent where no
    * other suspect ran.
@@ -31,7 +30,7 @@
   readonly crashes: readonly string[];
 }
 
-/** A part that did not cause the crashes, since responses to it have begun. */
+/** A part that did not cause the crashes, since responses to it are complete. */
 export interface SoundPart {
   readonly part: string;
   readonly crashes: readonly string[];
@@ -80,8 +79,9 @@
 /**
  * Finds prompt parts that crash each target that begins to respond to them,
  * although no two requests are alike. Suspects of a crash are the shared parts
- * of requests without an event. A response that gets events proves that its
- * parts are sound, and withdraws the evidence from the crashes before it.
+ * of the requests that it interrupted. Only a complete response proves that its
+ * parts are sound, and withdraws the evidence from the crashes before it: a
+ * target may send any number of events before it crashes because of them.
  *
  * Reports and proofs are facts about single crashes and can arrive in any
  * order, so daemons that exchange them reach the same conclusion.
@@ -145,8 +145,8 @@
   }
 
   /**
-   * Records that a response to a request with these parts has begun. Returns the
-   * proofs that all daemons need.
+   * Records that a response to a request with these parts is complete. Returns
+   * the proofs that all daemons need.
    */
   recordSound(parts: readonly string[], nowMs: number): SoundPart[] {
     const proofs: SoundPart[] = [];
--- a/packages/core/src/forwarding/crash_evidence/prompt_part_ledger_test.ts
+++ b/packages/core/src/forwarding/crash_evidence/prompt_part_ledger_test.ts
@@ -137,6 +137,54 @@
     expect(quarantinedParts()).toEqual([["deadly"]]);
   });
 
+  // Guards against a part that is never found, since its targets crash in the
+  // midst of their responses.
+  it("counts crashes in the midst of responses, at half the weight", () => {
+    const crashAdvanced = (...parts: string[]) => {
+      nowMs += CRASH_PERIOD_MS;
+      return ledger.recordCrash({
+        target: `target-${crashes++}`,
+        suspects: [{ parts, hasResponse: true, isAdvanced: true }],
+      }, nowMs);
+    };
+    for (let index = 0; index < 5; index++) {
+      crashAdvanced(`subject-${index}`, "deadly");
+    }
+    expect(quarantinedParts()).toEqual([]);
+    expect(crashAdvanced("subject-5", "deadly")?.parts).toEqual(["deadly"]);
+  });
+
+  // Guards against requests that have just begun beside one that crashes its
+  // target later, and against the loss of an earlier response's evidence.
+  it("keeps an advanced suspect beside one that has just begun", () => {
+    for (let index = 0; index < 6; index++) {
+      nowMs += CRASH_PERIOD_MS;
+      ledger.recordCrash({
+        target: `target-${index}`,
+        suspects: [
+          { parts: ["deadly"], hasResponse: true, isAdvanced: true },
+          { parts: [`sound-${index}`], hasResponse: true },
+          { parts: ["pending"], hasResponse: false },
+        ],
+      }, nowMs);
+    }
+    expect(quarantinedParts()).toEqual([["deadly"]]);
+  });
+
+  // Guards against the quarantine of a part of all prompts of a route, some of
+  // which are interrupted in their midst by each crash of any cause.
+  it("acquits a popular part by complete responses", () => {
+    for (let index = 0; index < 30; index++) {
+      nowMs += CRASH_PERIOD_MS;
+      ledger.recordCrash({
+        target: `target-${index}`,
+        suspects: [{ parts: ["common"], hasResponse: true, isAdvanced: true }],
+      }, nowMs);
+      ledger.recordSound(["common"], nowMs + 100);
+    }
+    expect(quarantinedParts()).toEqual([]);
+  });
+
   // Guards against daemons that decide differently by the order in which they
   // hear of a crash and of a response that began after it.
   it("ignores a report that arrives after the proof", () => {
--- a/packages/core/src/forwarding/crash_evidence/response_beginning.ts
+++ b/packages/core/src/forwarding/crash_evidence/response_beginning.ts
@@ -6,7 +6,9 @@
 
 /**
  * Whether a target went on after the beginning of a response. A later crash is
- * no evidence against the request, nor against the parts of its prompt.
+ * less evidence against the request and the parts of its prompt, since most
+ * crashes in the midst of responses have other causes. It proves nothing in
+ * their favour: only a complete response does.
  */
 export function hasSurvivedBeginning(eventsReceived: number): boolean {
   return eventsReceived >= EVENTS_OF_BEGINNING;
--- a/packages/core/src/poison/poison_ledger.ts
+++ b/packages/core/src/poison/poison_ledger.ts
@@ -2,7 +2,7 @@
 
 /** The limits of a `PoisonLedger`. */
 export interface PoisonSettings {
-  /** Number of crashes after which content is quarantined. */
+  /** Weight of the crashes after which content is quarantined; 1 for most. */
   readonly maxCrashes: number;
   /**
    * How long a crash counts as evidence against the requests that it
@@ -14,6 +14,11 @@
    * same crash.
    */
   readonly sameCrashWindowMs: number;
+  /**
+   * Crashes of less than full weight within this time count once: targets that
+   * are lost together interrupt the same content for a reason of their own.
+   */
+  readonly sameCauseWindowMs: number;
   /**
    * Maximum number of digests with evidence; the oldest evidence is evicted
    * first.
@@ -26,6 +31,7 @@
   maxCrashes: 2,
   evidenceTtlMs: 3_600_000,
   sameCrashWindowMs: 1_000,
+  sameCauseWindowMs: 200,
   maxDigests: 20_000,
 };
 
@@ -41,6 +47,7 @@
   readonly target: string;
   readonly reporter: string;
   readonly atMs: number;
+  readonly weight: number;
 }
 
 /**
@@ -76,15 +83,17 @@
 
   /** Records a crash report and returns the newly quarantined digests. */
   recordCrash(report: CrashReport, nowMs: number): string[] {
-    const crash: Crash = { ...report, atMs: nowMs };
+    const crash: Crash = { ...report, atMs: nowMs, weight: report.weight ?? 1 };
     const newlyQuarantined: string[] = [];
     for (const digest of new Set(report.digests)) {
       const crashes = this.#recentCrashes(digest, nowMs);
       if (crashes.some((entry) => this.#isSameCrash(entry, crash))) continue;
+      if (crashes.some((entry) => this.#isSameCause(entry, crash))) continue;
       crashes.push(crash);
       this.#evidence.delete(digest);
       this.#evidence.set(digest, crashes);
-      if (crashes.length < this.#settings.maxCrashes) continue;
+      const weight = crashes.reduce((sum, entry) => sum + entry.weight, 0);
+      if (weight < this.#settings.maxCrashes) continue;
       if (this.#quarantined.has(digest)) continue;
       this.#quarantined.set(digest, crashes.length);
       newlyQuarantined.push(digest);
@@ -139,6 +148,11 @@
     return crash.atMs - recorded.atMs <= this.#settings.sameCrashWindowMs;
   }
 
+  #isSameCause(recorded: Crash, { atMs, weight }: Crash): boolean {
+    if (weight >= 1) return false;
+    return atMs - recorded.atMs <= this.#settings.sameCauseWindowMs;
+  }
+
   #evictOldest(): void {
     for (const digest of this.#evidence.keys()) {
       if (this.#evidence.size <= this.#settings.maxDigests) return;
--- a/packages/core/src/poison/poison_messages.ts
+++ b/packages/core/src/poison/poison_messages.ts
@@ -28,6 +28,8 @@
   /** The daemon whose requests were interrupted by the crash. */
   reporter: z.string().min(1).max(200),
   digests: z.array(requestDigestSchema).max(MAX_DIGESTS_PER_REPORT),
+  /** How much the crash counts as evidence; 1 where not stated. */
+  weight: z.number().positive().max(1).optional(),
 });
 
 /** Suspects that completed, so their content does not crash targets. */
--- a/packages/daemon/src/forwarding/classify_attempt_end.ts
+++ b/packages/daemon/src/forwarding/classify_attempt_end.ts
@@ -1,6 +1,6 @@
 import type { AttemptFailure, AttemptOutcome } from "@coltsfootford/core";
 import type { ClientResponse } from "./client_response.ts";
-import type { AttemptEnd, BufferedResponse } from "./target_attempt.ts";
+import type { AttemptEnd, BufferedResponse } from "./attempt_end.ts";
 
 /** Statuses that guarantee the client that its request was not executed. */
 export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
@@ -10,6 +10,13 @@
   503,
 ]);
 const FIRST_SERVER_ERROR = 500;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/** Whether the status is a server error, and no time-out or rejection. */
+export function isServerError({ status }: BufferedResponse): boolean {
+  return status >= FIRST_SERVER_ERROR &&
+    status !== STATUS_GATEWAY_TIMEOUT && !NOT_EXECUTED_STATUSES.has(status);
+}
 
 /** Whether the status is a server error or unreliably denies an execution. */
 export function isFailureResponse({ status }: BufferedResponse): boolean {
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -8,7 +8,7 @@
 import { abortResponse } from "../connections/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
-import type { BufferedResponse, ResponseHead } from "./target_attempt.ts";
+import type { BufferedResponse, ResponseHead } from "./attempt_end.ts";
 
 /** The response to one client. Only the first response is written. */
 export class ClientResponse {
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -7,7 +7,8 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import type { ResponseHead, TargetAttempt } from "./target_attempt.ts";
+import type { ResponseHead } from "./attempt_end.ts";
+import type { TargetAttempt } from "./target_attempt.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
 /** The attempt of a request that is in flight. */
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -5,7 +5,6 @@
   EventSequence,
   expectedFirstByteMs,
   findQuarantinedParts,
-  hasSurvivedBeginning,
   isWaitFutile,
   jitteredRetryAfterMs,
   type Placement,
@@ -31,15 +30,16 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
+import { observeBroken, observeStreamEnd } from "./observe_crash.ts";
 import { logAttemptFailed, logEnded, logSent } from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
 import { TargetSelection } from "./target_selection.ts";
-import {
-  type AttemptEnd,
-  type BufferedResponse,
-  type ResponseHead,
-  TargetAttempt,
-} from "./target_attempt.ts";
+import type {
+  AttemptEnd,
+  BufferedResponse,
+  ResponseHead,
+} from "./attempt_end.ts";
+import { TargetAttempt } from "./target_attempt.ts";
 
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
@@ -67,8 +67,6 @@
   /** The head of the latest stream; sent to the client with the first event. */
   #streamHead: ResponseHead | undefined;
   #hasFinished = false;
-  /** Whether a target has gone on after the first event of its response. */
-  #hasBegun = false;
   /** The head of the last response of a target. */
   #lastHead: ResponseHead | undefined;
 
@@ -187,6 +185,8 @@
         },
         onEvents: (bytes) => this.#onEvents(current, bytes),
         onEnd: (end) => this.#onAttemptEnd(current, end),
+        onClosedAfterFailure: () =>
+          observeBroken(dependencies, accepted, current),
         onFault: (error) => this.#onFault(error),
       },
     );
@@ -218,12 +218,7 @@
   }
 
   #onEvents(current: CurrentAttempt, bytes: Buffer): void {
-    const { response, metadata } = this.#accepted;
-    const { eventsReceived } = current.inFlight;
-    if (!this.#hasBegun && hasSurvivedBeginning(eventsReceived)) {
-      this.#hasBegun = true;
-      this.#dependencies.promptObserver.onResponseBegan(metadata.prompt);
-    }
+    const { response } = this.#accepted;
     this.#startStream();
     if (response.write(bytes)) return;
     current.attempt.setPaused(true);
@@ -231,6 +226,8 @@
   }
 
   #onAttemptEnd(current: CurrentAttempt, reportedEnd: AttemptEnd): void {
+    const accepted = this.#accepted;
+    const dependencies = this.#dependencies;
     this.#current = undefined;
     current.target.record.attempts.delete(current.inFlight);
     if (this.#hasFinished) return;
@@ -243,7 +240,10 @@
     }
     if (end.kind === "unsent") this.#attemptsUnsent += 1;
     if (end.kind === "refused") this.#rejections += 1;
-    if (end.kind === "streamed") return this.#finishStream();
+    if (end.kind === "streamed") {
+      observeStreamEnd(dependencies, accepted, current, end.delimiter);
+      return this.#finishStream();
+    }
     if (end.kind === "whole" && !isFailureResponse(end.response)) {
       return this.#relayResponse(end.response);
     }
@@ -252,11 +252,7 @@
       this.#attemptsSent += 1;
     }
     if (end.kind === "broken" && outcome !== "silent") {
-      const { crashObserver, promptObserver } = this.#dependencies;
-      const { target, inFlight } = current;
-      const { prompt } = this.#accepted.metadata;
-      crashObserver.onAttemptBroken(this.#accepted, target.target, inFlight);
-      promptObserver.onAttemptBroken(prompt, target.target, inFlight);
+      observeBroken(dependencies, accepted, current);
     }
     this.#onFailure(current, end);
   }
@@ -295,10 +291,6 @@
   #finishStream(): void {
     this.#startStream();
     this.#accepted.response.end();
-    const { prompt } = this.#accepted.metadata;
-    if (!this.#hasBegun) {
-      this.#dependencies.promptObserver.onResponseBegan(prompt);
-    }
     this.#dependencies.crashObserver.onRequestServed(this.#accepted);
     this.#finish("served", 200);
   }
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -62,8 +62,17 @@
     target: RegisteredTarget,
     attempt: InFlightAttempt,
   ): void;
-  /** A response to the prompt has begun, and the target goes on with it. */
-  onResponseBegan(prompt: PromptDescription): void;
+  /** A target has responded to the prompt completely. */
+  onResponseCompleted(prompt: PromptDescription): void;
+  /**
+   * A stream has ended with its connection, which a crash of the target causes
+   * as well.
+   */
+  onResponseUnproven(
+    prompt: PromptDescription,
+    target: RegisteredTarget,
+    attempt: InFlightAttempt,
+  ): void;
 }
 
 /** Receives the loads that targets report with their responses. */
--- a/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/prompt_quarantine_controller.ts
@@ -51,6 +51,7 @@
   suspects: z.array(z.object({
     parts: z.array(PartSchema),
     hasResponse: z.boolean(),
+    isAdvanced: z.boolean().optional(),
   })),
 });
 
@@ -141,14 +142,14 @@
     target: RegisteredTarget,
     { hasResponse, eventsReceived }: InFlightAttempt,
   ): void {
-    if (hasSurvivedBeginning(eventsReceived)) return;
     const nowMs = this.#nowMs();
     const parts = sharedParts(prompt).map(({ id }) => id).filter((part) =>
       part.length <= MAX_PART_ID_LENGTH &&
       !this.#ledger.isProvenSound(part, nowMs)
     );
     if (parts.length === 0) return;
-    const suspect = { parts, hasResponse };
+    const isAdvanced = hasSurvivedBeginning(eventsReceived);
+    const suspect = { parts, hasResponse, isAdvanced };
     const collected = this.#unconfirmed.get(target.incarnation);
     if (collected) {
       collected.push(suspect);
@@ -158,7 +159,7 @@
     void this.#reportIfCrashed(target);
   }
 
-  onResponseBegan(prompt: PromptDescription): void {
+  onResponseCompleted(prompt: PromptDescription): void {
     const parts = sharedParts(prompt).map(({ id }) => id);
     const proofs = this.#ledger.recordSound(parts, this.#nowMs());
     if (proofs.length === 0) return;
@@ -168,6 +169,18 @@
     this.#write();
   }
 
+  onResponseUnproven(
+    prompt: PromptDescription,
+    target: RegisteredTarget,
+    attempt: InFlightAttempt,
+  ): void {
+    if (sharedParts(prompt).length === 0) return;
+    void this.#dependencies.crashCheck.isDown(target).then((isDown) => {
+      if (isDown) this.onAttemptBroken(prompt, target, attempt);
+      else this.onResponseCompleted(prompt);
+    });
+  }
+
   protected override applyEntries(
     entries: readonly KeyValueEntry[],
     { isRestored }: PrefixChange,
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -49,13 +49,21 @@
   maxCrashes: 3,
   evidenceTtlMs: 120_000,
   sameCrashWindowMs: 0,
+  sameCauseWindowMs: 200,
   maxDigests: 5_000,
 };
 
+/**
+ * Weight of a crash in the midst of a response. Five of them quarantine the
+ * content, which leaves two that reach targets after the third crash.
+ */
+const ADVANCED_WEIGHT = 0.625;
+
 const CrashSchema = z.object({
   digest: requestDigestSchema,
   target: z.string(),
   reporter: z.string(),
+  weight: z.number().positive().default(1),
 });
 type Crash = z.infer<typeof CrashSchema>;
 
@@ -141,8 +149,8 @@
     target: RegisteredTarget,
     { eventsReceived }: InFlightAttempt,
   ): void {
-    if (hasSurvivedBeginning(eventsReceived)) return;
-    void this.#reportIfCrashed(request, target);
+    const weight = hasSurvivedBeginning(eventsReceived) ? ADVANCED_WEIGHT : 1;
+    void this.#reportIfCrashed(request, target, weight);
   }
 
   /** Tracks only requests without a body, since these repeat often enough. */
@@ -167,18 +175,24 @@
   async #reportIfCrashed(
     request: RequestContent,
     target: RegisteredTarget,
+    weight: number,
   ): Promise<void> {
     if (this.#wasServedRecently(request)) return;
     if (!await this.#dependencies.crashCheck.isDown(target)) return;
-    this.#report(digestRequest(request), target.incarnation);
+    this.#report(digestRequest(request), target.incarnation, weight);
   }
 
-  #report(digest: string, targetIncarnation: string): void {
+  #report(digest: string, targetIncarnation: string, weight: number): void {
     const { self, blackboard } = this.#dependencies;
     const daemons = new Map(
       [...blackboard.peers.read(), self].map((daemon) => [daemon.name, daemon]),
     );
-    const crash = { digest, target: targetIncarnation, reporter: self.name };
+    const crash = {
+      digest,
+      target: targetIncarnation,
+      reporter: self.name,
+      weight,
+    };
     const order = orderByRendezvous(digest, [...daemons.keys()]);
     for (let index = 0; index < REPORT_RECIPIENTS; index++) {
       const recipients = order.filter((_, position) =>
@@ -277,10 +291,12 @@
     }
   }
 
-  async #recordCrash({ digest, target, reporter }: Crash): Promise<void> {
+  async #recordCrash(
+    { digest, target, reporter, weight }: Crash,
+  ): Promise<void> {
     const { timer, log } = this.#dependencies;
     const crashId = `${target}/${digest}`;
-    const report = { crashId, target, reporter, digests: [digest] };
+    const report = { crashId, target, reporter, digests: [digest], weight };
     const quarantined = this.#ledger.recordCrash(report, timer.nowMs());
     if (quarantined.length === 0) return;
     const crashes = this.#ledger.crashes(digest, timer.nowMs());
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller_test.ts
@@ -96,8 +96,9 @@
   count: number,
   port: number,
   eventsReceived = 0,
+  firstTarget = 0,
 ): Promise<void> {
-  for (let index = 0; index < count; index++) {
+  for (let index = firstTarget; index < firstTarget + count; index++) {
     controller.onAttemptBroken(
       REQUEST,
       target(`target-${index}`, port),
@@ -130,6 +131,16 @@
     expect(await isPublished()).toBe(false);
   });
 
+  // Guards against a request that crashes target after target, each in the midst
+  // of its response, and is forwarded for good.
+  it("counts crashes in the midst of responses one after the other", async () => {
+    for (let index = 0; index < 5; index++) {
+      await breakAttempts(1, deadPort, 2, index);
+      await new Promise((resolve) => setTimeout(resolve, 200));
+    }
+    expect(await isPublished()).toBe(true);
+  });
+
   // Guards against a request that crashes target after target, since each sends
   // the first event before it ends.
   it("counts crashes right after the first event", async () => {
--- /dev/null
+++ b/packages/daemon/src/forwarding/observe_crash.ts
@@ -0,0 +1,30 @@
+import { type BodyDelimiter, provesCompleteBody } from "@coltsfootford/core";
+import type { CurrentAttempt } from "./current_attempt.ts";
+import type {
+  AcceptedRequest,
+  ForwarderDependencies,
+} from "./forwarding_types.ts";
+
+/** Reports an attempt whose target may have crashed because of the request. */
+export function observeBroken(
+  { crashObserver, promptObserver }: ForwarderDependencies,
+  accepted: AcceptedRequest,
+  { target, inFlight }: CurrentAttempt,
+): void {
+  const { prompt } = accepted.metadata;
+  crashObserver.onAttemptBroken(accepted, target.target, inFlight);
+  promptObserver.onAttemptBroken(prompt, target.target, inFlight);
+}
+
+/** Reports the end of a stream, as far as its delimiter proves it complete. */
+export function observeStreamEnd(
+  { promptObserver }: ForwarderDependencies,
+  { metadata: { prompt } }: AcceptedRequest,
+  { target, inFlight }: CurrentAttempt,
+  delimiter: BodyDelimiter,
+): void {
+  if (provesCompleteBody(delimiter)) {
+    return promptObserver.onResponseCompleted(prompt);
+  }
+  promptObserver.onResponseUnproven(prompt, target.target, inFlight);
+}
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -8,7 +8,7 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import type { AttemptEnd } from "./target_attempt.ts";
+import type { AttemptEnd } from "./attempt_end.ts";
 
 /** Limit on a logged age, which is infinite until the first load report. */
 const MAX_LOGGED_AGE_MS = 99_999;
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -14,6 +14,13 @@
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import { findHeader } from "./http_headers.ts";
+import type {
+  AttemptEnd,
+  AttemptListener,
+  BufferedResponse,
+  ResponseHead,
+} from "./attempt_end.ts";
+import { isServerError } from "./classify_attempt_end.ts";
 import {
   endsInsideEvent,
   findHeadError,
@@ -28,38 +35,9 @@
   RequestCodec,
   ResponseMetadata,
 } from "./request_codec.ts";
+import { observeClose } from "./observe_close.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
-/** A complete response. */
-export interface BufferedResponse {
-  readonly status: number;
-  readonly metadata: ResponseMetadata;
-  readonly contentLength: string | undefined;
-  readonly delimiter: BodyDelimiter;
-  readonly body: Buffer;
-}
-
-/**
- * How an attempt ended. `unsent`: no byte was written. `refused`: the target
- * states that it did not execute the request. `broken`: the request may have
- * been executed, and no usable response arrived. `whole`: the complete response
- * is buffered. `streamed`: the stream ended between two events, and all of them
- * were relayed; `delimiter` tells whether that proves the stream complete.
- */
-export type AttemptEnd =
-  | { readonly kind: "unsent"; readonly cause: string }
-  | { readonly kind: "refused"; readonly status: number }
-  | { readonly kind: "broken"; readonly cause: string }
-  | { readonly kind: "whole"; readonly response: BufferedResponse }
-  | { readonly kind: "streamed"; readonly delimiter: BodyDelimiter };
-
-/** The head of a response. */
-export interface ResponseHead {
-  readonly status: number;
-  readonly metadata: ResponseMetadata;
-  readonly delimiter: BodyDelimiter;
-}
-
 /** Inputs of an attempt: the request to send, and its target. */
 export interface AttemptPlan {
   readonly requestId: string;
@@ -77,19 +55,6 @@
   readonly events: EventSequence;
 }
 
-/** Receives the events of an attempt. */
-export interface AttemptListener {
-  /** The head of a streamed response has arrived. */
-  onStreamHead(head: ResponseHead): void;
-  /** The next events of a stream have arrived, complete and in order. */
-  onEvents(bytes: Buffer): void;
-  /** The head of the target's response has arrived. */
-  onFirstByte(head: ResponseHead): void;
-  onEnd(end: AttemptEnd): void;
-  /** Handling the response has failed unexpectedly; `onEnd` may not follow. */
-  onFault(error: Error): void;
-}
-
 /** Time in which the rest of a rejection must arrive. */
 const DISCARD_TIMEOUT_MS = 500;
 const STATUS_OK = 200;
@@ -329,6 +294,13 @@
         delimiter: head.delimiter,
         body,
       };
+      if (isServerError(buffered)) {
+        observeClose(
+          this.#request.socket,
+          this.#timer,
+          () => this.#listener.onClosedAfterFailure(),
+        );
+      }
       this.#end({ kind: "whole", response: buffered });
     };
     response.on("data", this.#contain(onData));
--- a/packages/daemon/src/forwarding/target_attempt_test.ts
+++ b/packages/daemon/src/forwarding/target_attempt_test.ts
@@ -9,12 +9,8 @@
   type RequestMetadata,
   type ResponseMetadata,
 } from "./request_codec.ts";
-import {
-  type AttemptEnd,
-  type AttemptListener,
-  type AttemptPlan,
-  TargetAttempt,
-} from "./target_attempt.ts";
+import type { AttemptEnd, AttemptListener } from "./attempt_end.ts";
+import { type AttemptPlan, TargetAttempt } from "./target_attempt.ts";
 import { TargetConnections } from "./target_connections.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
@@ -108,6 +104,7 @@
         onEvents: () => {},
         onFirstByte: () => {},
         onEnd: resolve,
+        onClosedAfterFailure: () => {},
         onFault: resolve,
         ...handlers,
       },
--- a/packages/daemon/src/poison/poison_controller.ts
+++ b/packages/daemon/src/poison/poison_controller.ts
@@ -1,7 +1,6 @@
 import {
   type CancelTimer,
   type CrashReport,
-  hasSurvivedBeginning,
   MAX_DIGESTS_PER_REPORT,
   type PoisonDecision,
   PoisonLedger,
@@ -206,14 +205,11 @@
    * one of its own.
    */
   #listSuspects(interrupted: ReadonlySet<ExecutingRequest>): SuspectPrompt[] {
-    return [...interrupted].filter((request) =>
-      !hasSurvivedBeginning(request.receivedTokens())
-    )
-      .map(({ messages, isIsolated }) => ({
-        parts: this.#messages.listUnproven(messages),
-        hasResponse: isIsolated,
-        isIsolated,
-      }));
+    return [...interrupted].map(({ messages, isIsolated }) => ({
+      parts: this.#messages.listUnproven(messages),
+      hasResponse: isIsolated,
+      isIsolated,
+    }));
   }
 
   #recordCrash(report: CrashReport): void {
