Place work by the slowdown that contended targets report

The decoder of the load header accepted exactly three figures and dropped the header of targets that report a fourth, how long work takes now. Daemons placed work at these targets without any reported load.

Where a service reports slowdowns, the expected time to the first byte includes an execution at the reported speed. A reported slowdown fades with a half-life of 250 ms, since it changes many times a second, and the load of such a target with one of 700 ms. Where reports are old, the load is drawn by a hash of the request, so that daemons which know the same do not all choose the same target. Services without the figure are placed as before.

--- a/packages/core/src/forwarding/placement/choose_target.ts
+++ b/packages/core/src/forwarding/placement/choose_target.ts
@@ -46,6 +46,8 @@
   readonly cacheEstimates: CacheEstimates;
   /** Zones that take no requests while others do. */
   readonly unreachableZones?: ReadonlySet<string>;
+  /** Hash of the request; requests with the same knowledge spread by it. */
+  readonly requestHash?: number;
   readonly nowMs: number;
 }
 
@@ -88,6 +90,7 @@
 const MAX_FAILURE_SHARE = 0.95;
 /** Transfers to and from one engine are serialized and have a price. */
 const FETCH_COST_FACTOR = 2;
+const UINT32_RANGE = 2 ** 32;
 /** A cold target is up to this much slower for a while, by its data sheet. */
 const COLD_COST_MS = 50;
 
@@ -123,6 +126,7 @@
   const sharedTokens = countSharedTokens(query.prompt);
   const sources = findSources(query, order, cachedTokensByCandidate);
   const averageFailureShare = meanFailureShare(query);
+  const executionMs = usualExecutionMs(query);
   let best: Estimate | undefined;
   let runnerUpCostMs = Infinity;
   for (const candidate of withinBound.length > 0 ? withinBound : pool) {
@@ -137,7 +141,8 @@
         source: sources.sourceFor(candidate),
         isPreferred,
         averageFailureShare,
-        estimatedLoad: loads.of(candidate.record),
+        estimatedLoad: estimateLoad(candidate, loads, executionMs, query),
+        executionMs,
       },
       query,
       settings,
@@ -229,6 +234,7 @@
   readonly isPreferred: boolean;
   readonly averageFailureShare: number;
   readonly estimatedLoad: number;
+  readonly executionMs: number | undefined;
 }
 
 function estimatePlacement(
@@ -247,7 +253,7 @@
   const readTokens = missingTokens - fetchedTokens + record.unreadTokens;
   const permitWaitMs = Math.max(0, record.permitFromMs - nowMs);
   const costMs = readTokens / settings.promptTokensPerMs + transferMs +
-    loadCostMs(target, estimatedLoad) +
+    loadCostMs(estimates, nowMs) +
     (target.availabilityZone === settings.availabilityZone
       ? 0
       : OTHER_ZONE_COST_MS) +
@@ -279,11 +285,58 @@
     mixHash32(daemonHash, right.candidate.incarnationHash);
 }
 
-/** Cost of the load in ms; waiting requests add their share of a turnover. */
-function loadCostMs(target: RegisteredTarget, load: number): number {
-  const waiting = Math.max(0, load + 1 - target.slots);
-  const queueMs = (waiting / Math.max(1, target.slots)) * SLOT_TURNOVER_MS;
-  return load * COST_PER_REQUEST_MS + queueMs;
+/** The load of a target whose service reports slowdowns is drawn by request. */
+function estimateLoad(
+  { record, incarnationHash }: Candidate,
+  loads: LoadEstimates,
+  executionMs: number | undefined,
+  { requestHash }: PlacementQuery,
+): number {
+  if (executionMs === undefined || requestHash === undefined) {
+    return loads.of(record);
+  }
+  const random = mixHash32(requestHash, incarnationHash) / UINT32_RANGE;
+  return loads.sample(record, random);
+}
+
+/**
+ * Usual time of an execution at the targets of the service; undefined where no
+ * target reports its slowdown. One figure for all, since targets that were not
+ * heard would otherwise seem the fastest.
+ */
+function usualExecutionMs(
+  { candidates }: PlacementQuery,
+): number | undefined {
+  if (!candidates.some(({ record }) => record.reportsSlowdown)) {
+    return undefined;
+  }
+  let totalMs = 0;
+  let known = 0;
+  for (const { record: { usualFirstByteMs } } of candidates) {
+    if (usualFirstByteMs === undefined) continue;
+    totalMs += usualFirstByteMs;
+    known += 1;
+  }
+  return totalMs / Math.max(1, known);
+}
+
+/**
+ * Cost of the load in ms; waiting requests add their share of a turnover. Where
+ * targets report how long work takes, the turnover is an execution at that
+ * speed, and the execution itself is part of the cost.
+ */
+function loadCostMs(
+  { candidate: { target, record }, estimatedLoad, executionMs }:
+    CandidateEstimates,
+  nowMs: number,
+): number {
+  const waiting = Math.max(0, estimatedLoad + 1 - target.slots);
+  const queueShare = waiting / Math.max(1, target.slots);
+  const requestsMs = estimatedLoad * COST_PER_REQUEST_MS;
+  if (executionMs === undefined) {
+    return requestsMs + queueShare * SLOT_TURNOVER_MS;
+  }
+  return requestsMs + executionMs * record.slowdown(nowMs) * (1 + queueShare);
 }
 
 /**
--- a/packages/core/src/forwarding/placement/load_estimates.ts
+++ b/packages/core/src/forwarding/placement/load_estimates.ts
@@ -26,6 +26,17 @@
       ownRequests / Math.max(1, records.length);
   }
 
+  /**
+   * Estimated load, with a random part where the report is old. Daemons that
+   * each heard the same target as the least loaded spread their requests by it.
+   * `random` is from 0 to 1.
+   */
+  sample(record: TargetRecord, random: number): number {
+    const unknownShare = 1 - record.ownReportWeight(this.#nowMs);
+    const deviation = Math.sqrt(3 * this.mean) * unknownShare;
+    return Math.max(0, this.of(record) + deviation * (2 * random - 1));
+  }
+
   /** Estimated in-flight requests of all daemons at the target. */
   of(record: TargetRecord): number {
     return record.estimateLoad(this.#nowMs, this.#expectedOtherRequests);
--- a/packages/core/src/forwarding/targets/target_record.ts
+++ b/packages/core/src/forwarding/targets/target_record.ts
@@ -3,6 +3,11 @@
   readonly runningRequests: number;
   readonly waitingRequests: number;
   readonly slots: number;
+  /**
+   * How long work takes now, as a multiple of the usual (1: as usual). Undefined
+   * where the target does not report it.
+   */
+  readonly slowdown?: number | undefined;
 }
 
 /** Running and waiting requests of a reported load. */
@@ -30,6 +35,18 @@
 
 /** Half-life of the weight of a reported load against the expected load. */
 const REPORTED_LOAD_HALF_LIFE_MS = 2_000;
+/**
+ * Half-life of the reported load of targets that report their slowdown. Their
+ * work takes tens of ms, so their load changes sooner than that of engines.
+ */
+const CONTENDED_LOAD_HALF_LIFE_MS = 700;
+/**
+ * Half-life of a reported slowdown. Targets report another one many times a
+ * second, so a report of half a second ago says little about the present.
+ */
+const SLOWDOWN_HALF_LIFE_MS = 250;
+/** Weight of a new sample in the moving average of the usual first byte. */
+const USUAL_FIRST_BYTE_WEIGHT = 0.1;
 /** Weight of a new sample in the moving average of the failure share. */
 const FAILURE_WEIGHT = 0.15;
 /** Half-life of the failure share and the delay of a target. */
@@ -48,6 +65,9 @@
   #reportedAtMs = -Infinity;
   #announcedOtherRequests = 0;
   #announcedAtMs = -Infinity;
+  #slowdown: number | undefined;
+  #slowdownAtMs = -Infinity;
+  #usualFirstByteMs: number | undefined;
   #failureShare = 0;
   #failureAtMs = 0;
   #delayMs = 0;
@@ -105,9 +125,29 @@
     return this.#reportedOtherRequests;
   }
 
+  /** Whether the target states in its reports how long work takes. */
+  get reportsSlowdown(): boolean {
+    return this.#slowdown !== undefined;
+  }
+
+  /** How long work takes now, as a multiple of the usual; 1 if not reported. */
+  slowdown(nowMs: number): number {
+    const excess = (this.#slowdown ?? 1) - 1;
+    const ageMs = nowMs - this.#slowdownAtMs;
+    return 1 + decay(excess, ageMs, SLOWDOWN_HALF_LIFE_MS);
+  }
+
+  /**
+   * Moving average of the time to the first byte, without the slowdown that the
+   * response reported. Undefined until a response reported one.
+   */
+  get usualFirstByteMs(): number | undefined {
+    return this.#usualFirstByteMs;
+  }
+
   /** Weight of the last report to this daemon, from 1 when it is new to 0. */
   ownReportWeight(nowMs: number): number {
-    return reportWeight(this.#reportedAtMs, nowMs);
+    return this.#reportWeight(this.#reportedAtMs, nowMs);
   }
 
   /**
@@ -119,7 +159,7 @@
     const known = isAnnounced
       ? this.#announcedOtherRequests
       : this.#reportedOtherRequests;
-    const weight = reportWeight(this.reportedAtMs, nowMs);
+    const weight = this.#reportWeight(this.reportedAtMs, nowMs);
     return this.attempts.size + weight * known +
       (1 - weight) * expectedOtherRequests;
   }
@@ -140,6 +180,8 @@
       totalRequests(reported) - this.attempts.size,
     );
     this.#reportedAtMs = nowMs;
+    this.#slowdown = reported.slowdown;
+    this.#slowdownAtMs = nowMs;
   }
 
   /** Records a load that the target reported to another daemon. */
@@ -167,6 +209,14 @@
     this.#delayAtMs = nowMs;
   }
 
+  /** Records the time to the first byte of a response that reports a slowdown. */
+  recordSlowedFirstByte(actualMs: number, slowdown: number): void {
+    const usualMs = actualMs / slowdown;
+    const previous = this.#usualFirstByteMs ?? usualMs;
+    this.#usualFirstByteMs = previous +
+      USUAL_FIRST_BYTE_WEIGHT * (usualMs - previous);
+  }
+
   /** Records that the target wants no requests of this daemon for a time. */
   stayAway(forMs: number, nowMs: number): void {
     this.awayUntilMs = Math.max(this.awayUntilMs, nowMs + forMs);
@@ -210,10 +260,13 @@
     }
     return latestMs === -Infinity ? 0 : nowMs - latestMs;
   }
-}
 
-function reportWeight(reportedAtMs: number, nowMs: number): number {
-  return decay(1, nowMs - reportedAtMs, REPORTED_LOAD_HALF_LIFE_MS);
+  #reportWeight(reportedAtMs: number, nowMs: number): number {
+    const halfLifeMs = this.reportsSlowdown
+      ? CONTENDED_LOAD_HALF_LIFE_MS
+      : REPORTED_LOAD_HALF_LIFE_MS;
+    return decay(1, nowMs - reportedAtMs, halfLifeMs);
+  }
 }
 
 /** Decays `value` exponentially; the shortcut is for zero, the usual value. */
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -56,6 +56,8 @@
   if (metadata.isLeaving) leavingObserver.onLeaving(target.target);
   limits.onResponse(target.target, metadata, inFlight);
   if (metadata.wasNotExecuted) return;
+  const slowdown = metadata.load?.slowdown;
+  if (slowdown !== undefined) record.recordSlowedFirstByte(tookMs, slowdown);
   record.recordFirstByte(
     tookMs,
     expectedFirstByteMs + route.targetLatencyMs / 2,
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -2,6 +2,7 @@
   chooseTarget,
   excludeAfterDenial,
   findUnreachableZones,
+  hash32,
   isOverloadedAlternative,
   type Placement,
 } from "@coltsfootford/core";
@@ -85,6 +86,7 @@
       engine,
       cacheEstimates: pool.cacheEstimates,
       unreachableZones: findUnreachableZones(pool.all(), timer.nowMs()),
+      requestHash: hash32(metadata.requestId),
       nowMs: timer.nowMs(),
     }, placement());
   }
