Add the interface of the line of a contended target

A daemon asks the owner of a target for a slot; the line answers execute, wait or reject. Not tested yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./poison/index.ts";
 export * from "./response/index.ts";
 export * from "./retry/index.ts";
+export * from "./scarcity/index.ts";
 export * from "./shutdown/index.ts";
 export * from "./store/index.ts";
 export * from "./timer/index.ts";
--- /dev/null
+++ b/packages/core/src/scarcity/index.ts
@@ -0,0 +1,3 @@
+export * from "./admission_decision.ts";
+export * from "./slot_line.ts";
+export * from "./slot_request.ts";
