Order the requests to contended targets at their owners

138 daemons that each hear little of three targets with few slots fill one while others have room, and each target rejects what it cannot queue.

The owner of a target keeps one line of the requests of all daemons (SlotController). A daemon asks it before it sends a first attempt to a contended target of a plain service, waits for its turn within the time that the request has, and reports the end of the execution. Only targets that report their slowdown can be contended, and only while their slots may run out, so other services and calm traffic ask for nothing. A rejection is 503 with the time that the line states.

--- a/packages/core/src/forwarding/targets/index.ts
+++ b/packages/core/src/forwarding/targets/index.ts
@@ -1,3 +1,4 @@
+export * from "./contended_targets.ts";
 export * from "./overload_announcements.ts";
 export * from "./target_record.ts";
 export * from "./target_registry.ts";
--- a/packages/core/src/forwarding/targets/target_record.ts
+++ b/packages/core/src/forwarding/targets/target_record.ts
@@ -65,8 +65,7 @@
   #reportedAtMs = -Infinity;
   #announcedOtherRequests = 0;
   #announcedAtMs = -Infinity;
-  #slowdown: number | undefined;
-  #slowdownAtMs = -Infinity;
+  #lastReport: ReportedLoad | undefined;
   #usualFirstByteMs: number | undefined;
   #failureShare = 0;
   #failureAtMs = 0;
@@ -125,15 +124,25 @@
     return this.#reportedOtherRequests;
   }
 
+  /** The last load that the target reported to this daemon. */
+  get lastReport(): ReportedLoad | undefined {
+    return this.#lastReport;
+  }
+
+  /** When the target last reported its load to this daemon. */
+  get lastReportAtMs(): number {
+    return this.#reportedAtMs;
+  }
+
   /** Whether the target states in its reports how long work takes. */
   get reportsSlowdown(): boolean {
-    return this.#slowdown !== undefined;
+    return this.#lastReport?.slowdown !== undefined;
   }
 
   /** How long work takes now, as a multiple of the usual; 1 if not reported. */
   slowdown(nowMs: number): number {
-    const excess = (this.#slowdown ?? 1) - 1;
-    const ageMs = nowMs - this.#slowdownAtMs;
+    const excess = (this.#lastReport?.slowdown ?? 1) - 1;
+    const ageMs = nowMs - this.#reportedAtMs;
     return 1 + decay(excess, ageMs, SLOWDOWN_HALF_LIFE_MS);
   }
 
@@ -180,8 +189,7 @@
       totalRequests(reported) - this.attempts.size,
     );
     this.#reportedAtMs = nowMs;
-    this.#slowdown = reported.slowdown;
-    this.#slowdownAtMs = nowMs;
+    this.#lastReport = reported;
   }
 
   /** Records a load that the target reported to another daemon. */
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -36,7 +36,7 @@
 
 /** Records what the head of a response says about its target. */
 export function recordFirstByte(
-  { timer, metrics, loadObserver, leavingObserver, limits, random }:
+  { timer, metrics, loadObserver, leavingObserver, limits, slots, random }:
     ForwarderDependencies,
   { route }: AcceptedRequest,
   { inFlight, target, placement, expectedFirstByteMs }: CurrentAttempt,
@@ -55,6 +55,7 @@
   }
   if (metadata.isLeaving) leavingObserver.onLeaving(target.target);
   limits.onResponse(target.target, metadata, inFlight);
+  slots.onResponse(target, metadata);
   if (metadata.wasNotExecuted) return;
   const slowdown = metadata.load?.slowdown;
   if (slowdown !== undefined) record.recordSlowedFirstByte(tookMs, slowdown);
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -134,6 +134,7 @@
   }
 
   #startNextAttempt(): void {
+    this.#selection?.cancel();
     this.#selection = new TargetSelection(
       this.#accepted,
       this.#dependencies,
@@ -141,7 +142,8 @@
       () => this.#timeLeftMs(),
       {
         onSelected: (placement) => this.#sendAttempt(placement),
-        onNone: (reason, retryAfterMs) => this.#fail(reason, retryAfterMs),
+        onNone: (reason, retryAfterMs, isExact) =>
+          this.#fail(reason, retryAfterMs, isExact),
       },
     );
     this.#selection.start();
@@ -301,7 +303,7 @@
     this.#finish("served", response.status);
   }
 
-  #fail(reason: string, retryAfterMs = 0): void {
+  #fail(reason: string, retryAfterMs = 0, isExact = false): void {
     const { response } = this.#accepted;
     if (response.hasStarted) {
       response.abort();
@@ -316,7 +318,7 @@
       this.#dependencies.random(),
     );
     const headers = this.#dependencies.codec.encodeRetryAfter(
-      Math.max(afterMs, retryAfterMs),
+      isExact ? retryAfterMs : Math.max(afterMs, retryAfterMs),
     );
     response.reject(STATUS_UNAVAILABLE, reason, headers);
     this.#finish(reason, STATUS_UNAVAILABLE);
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -22,6 +22,7 @@
   PromptQuarantineController,
   QuarantineController,
   RoutesController,
+  SlotController,
   StoreContactController,
   StoreFollowerController,
   type StoreRecordCodec,
@@ -135,6 +136,15 @@
       log,
       metrics: this.#metrics,
     });
+    const slots = new SlotController({
+      self,
+      blackboard,
+      relay,
+      rpc,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const followed = [
       routes.followed,
       registry.followed,
@@ -177,6 +187,7 @@
       quarantine,
       promptQuarantine,
       limits,
+      slots,
       peerSync,
       overload,
       follower,
@@ -217,6 +228,7 @@
       loadObserver: overload,
       leavingObserver: registry,
       limits,
+      slots,
       random,
     });
     this.#server = new ForwardingServer({
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -102,6 +102,36 @@
   ): Promise<Permit>;
 }
 
+/** The end of the wait for a slot: the request may be sent, or is rejected. */
+export type SlotOutcome =
+  | { readonly kind: "execute" }
+  | {
+    readonly kind: "reject";
+    /** Undefined where the wait is over without a decision. */
+    readonly retryAfterMs: number | undefined;
+  };
+
+/** A slot that a request waits for or has. */
+export interface RequestedSlot {
+  readonly outcome: Promise<SlotOutcome>;
+  /** Ends the wait, or the execution; further calls have no effect. */
+  end(): void;
+}
+
+/** Orders the requests to contended targets, together with all other daemons. */
+export interface TargetSlots {
+  /** The head of a response has arrived, which may show contention. */
+  onResponse(candidate: Candidate, response: ResponseMetadata): void;
+  /** Whether the request needs a slot of the target. */
+  isContended(candidate: Candidate, request: AcceptedRequest): boolean;
+  /** Requests a slot. The wait for it ends after `maxWaitMs`. */
+  requestSlot(
+    candidate: Candidate,
+    request: AcceptedRequest,
+    limits: { readonly timeLeftMs: number; readonly maxWaitMs: number },
+  ): RequestedSlot;
+}
+
 /** Dependencies of the request forwarder. */
 export interface ForwarderDependencies {
   readonly codec: RequestCodec;
@@ -117,6 +147,7 @@
   readonly loadObserver: LoadObserver;
   readonly leavingObserver: LeavingObserver;
   readonly limits: TargetLimits;
+  readonly slots: TargetSlots;
   readonly retryShares: RetryShares;
   readonly random: () => number;
 }
--- a/packages/daemon/src/forwarding/knowledge/index.ts
+++ b/packages/daemon/src/forwarding/knowledge/index.ts
@@ -16,3 +16,4 @@
 export * from "./store_contact_controller.ts";
 export * from "./store_follower_controller.ts";
 export * from "./store_relay_controller.ts";
+export * from "./slot_controller.ts";
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -9,25 +9,36 @@
 import type {
   AcceptedRequest,
   ForwarderDependencies,
+  RequestedSlot,
 } from "./forwarding_types.ts";
 
 /** Longest wait for a permit; longer than the cost of most other targets. */
 const MAX_PERMIT_WAIT_MS = 1_000;
 /** Share of the remaining time that a request waits for a permit. */
 const MAX_WAIT_SHARE = 1 / 3;
+/**
+ * Longest wait for a slot of the preferred target while there is another one:
+ * some executions of a contended service, which take tens of ms.
+ */
+const PREFERRED_SLOT_WAIT_MS = 250;
+/** Targets at which a request asks for a slot; each costs a round trip. */
+const MAX_SLOT_REQUESTS = 4;
 
 /** Receives the result of a `TargetSelection`. */
 export interface SelectionListener {
   /** The request may be sent to the target now. */
   onSelected(placement: Placement): void;
-  /** No target may take the request; one might after `retryAfterMs`. */
-  onNone(reason: string, retryAfterMs: number): void;
+  /**
+   * No target may take the request; one might after `retryAfterMs`. The time is
+   * exact where the request was given a turn to return.
+   */
+  onNone(reason: string, retryAfterMs: number, isExact: boolean): void;
 }
 
 /**
  * Selects the target of one attempt. Where the cheapest target names a limit,
  * the request needs a permit. It waits for it as long as the next best target
- * costs more.
+ * costs more. Where the target is contended, the request also waits for a slot.
  */
 export class TargetSelection {
   readonly #accepted: AcceptedRequest;
@@ -37,6 +48,12 @@
   /** Targets that are not considered. */
   #excluded: ReadonlySet<string>;
   #denials = 0;
+  /** Whether there was an attempt before; such a request is not held back. */
+  readonly #isRetry: boolean;
+  #slot: RequestedSlot | undefined;
+  #slotRejections = 0;
+  /** Times after which targets that rejected the request might take it. */
+  readonly #slotRetriesMs: number[] = [];
   #isCancelled = false;
   #cancelWait: () => void = () => {};
 
@@ -50,6 +67,7 @@
     this.#accepted = accepted;
     this.#dependencies = dependencies;
     this.#excluded = attemptedIncarnations;
+    this.#isRetry = attemptedIncarnations.size > 0;
     this.#timeLeftMs = timeLeftMs;
     this.#listener = listener;
   }
@@ -63,15 +81,16 @@
       if (this.#denials > 0 && isOverloadedAlternative(placement)) {
         return this.#end();
       }
-      return this.#listener.onSelected(placement);
+      return this.#requestSlot(placement);
     }
     void this.#requestPermit(placement);
   }
 
-  /** Ends the selection without a result. */
+  /** Ends the selection without a result, or the use of the selected target. */
   cancel(): void {
     this.#isCancelled = true;
     this.#cancelWait();
+    this.#slot?.end();
   }
 
   #choose(): Placement | undefined {
@@ -127,19 +146,60 @@
     this.start();
   }
 
-  /** The target may have left, or turned requests away, while the request waited for the permit. */
   #onPermitDue(placement: Placement): void {
     if (this.#isCancelled) return;
-    const { target, record } = placement.candidate;
-    const isInPool = this.#dependencies.pool.find(target.incarnation);
-    if (isInPool && record.isTaking(this.#dependencies.timer.nowMs())) {
+    if (this.#isUsable(placement)) return this.#requestSlot(placement);
+    this.start();
+  }
+
+  /** The target may have left, or turned requests away, during a wait. */
+  #isUsable({ candidate: { target, record } }: Placement): boolean {
+    const { pool, timer } = this.#dependencies;
+    return pool.find(target.incarnation) !== undefined &&
+      record.isTaking(timer.nowMs());
+  }
+
+  #requestSlot(placement: Placement): void {
+    const { slots } = this.#dependencies;
+    const { candidate, runnerUpCostMs } = placement;
+    if (this.#isRetry || !slots.isContended(candidate, this.#accepted)) {
       return this.#listener.onSelected(placement);
     }
+    const timeLeftMs = Math.max(0, this.#timeLeftMs());
+    const maxWaitMs = Number.isFinite(runnerUpCostMs)
+      ? Math.min(PREFERRED_SLOT_WAIT_MS, timeLeftMs * MAX_WAIT_SHARE)
+      : timeLeftMs;
+    const slot = slots.requestSlot(candidate, this.#accepted, {
+      timeLeftMs,
+      maxWaitMs,
+    });
+    this.#slot = slot;
+    void slot.outcome.then((outcome) => {
+      if (this.#isCancelled) return;
+      if (outcome.kind === "execute") return this.#onSlot(placement, slot);
+      const { retryAfterMs } = outcome;
+      if (retryAfterMs !== undefined) this.#slotRetriesMs.push(retryAfterMs);
+      this.#slotRejections += 1;
+      if (this.#slotRejections >= MAX_SLOT_REQUESTS) return this.#end();
+      const { incarnation } = candidate.target;
+      this.#excluded = new Set([...this.#excluded, incarnation]);
+      this.start();
+    });
+  }
+
+  #onSlot(placement: Placement, slot: RequestedSlot): void {
+    if (this.#isUsable(placement)) return this.#listener.onSelected(placement);
+    slot.end();
     this.start();
   }
 
   #end(): void {
     const { pool, timer } = this.#dependencies;
+    if (this.#slotRejections > 0) {
+      const hasRetry = this.#slotRetriesMs.length > 0;
+      const retryMs = hasRetry ? Math.min(...this.#slotRetriesMs) : 0;
+      return this.#listener.onNone("no slot in time", retryMs, hasRetry);
+    }
     const nowMs = timer.nowMs();
     const waitsMs = pool.ofService(this.#accepted.service)
       .map(({ record: { permitFromMs, awayUntilMs } }) =>
@@ -147,6 +207,6 @@
       );
     const retryAfterMs = waitsMs.length > 0 ? Math.min(...waitsMs) : 0;
     const reason = this.#denials === 0 ? "no target" : "limits used up";
-    this.#listener.onNone(reason, retryAfterMs);
+    this.#listener.onNone(reason, retryAfterMs, false);
   }
 }
--- a/packages/daemon/src/forwarding/target_selection_test.ts
+++ b/packages/daemon/src/forwarding/target_selection_test.ts
@@ -1,5 +1,6 @@
 import { beforeEach, describe, expect, it } from "@jest/globals";
 import {
+  type Candidate,
   NO_PROMPT,
   type Permit,
   type Placement,
@@ -10,6 +11,7 @@
 import type {
   AcceptedRequest,
   ForwarderDependencies,
+  SlotOutcome,
 } from "./forwarding_types.ts";
 import { TargetPool } from "./target_pool.ts";
 import { TargetSelection } from "./target_selection.ts";
@@ -33,6 +35,11 @@
 let selected: string[];
 let rejected: string[];
 let retryAfterMs: number[];
+let areExact: boolean[];
+let contended: Set<string>;
+let slotOutcomes: SlotOutcome[];
+let slotWaits: { readonly target: string; readonly maxWaitMs: number }[];
+let slotsEnded: string[];
 
 function createTarget(id: string): RegisteredTarget {
   return {
@@ -62,9 +69,17 @@
   selected = [];
   rejected = [];
   retryAfterMs = [];
+  areExact = [];
+  contended = new Set();
+  slotOutcomes = [];
+  slotWaits = [];
+  slotsEnded = [];
 });
 
-function select(timeLeftMs: number): TargetSelection {
+function select(
+  timeLeftMs: number,
+  attempted: ReadonlySet<string> = new Set(),
+): TargetSelection {
   const accepted = {
     metadata: { requestId: "r", prompt: NO_PROMPT },
     route: { targetLatencyMs: 100 },
@@ -88,18 +103,36 @@
         return Promise.resolve(permits.shift() ?? { kind: "denied" });
       },
     },
+    slots: {
+      isContended: ({ target }: Candidate) => contended.has(target.id),
+      requestSlot: (
+        { target: { id } }: Candidate,
+        _: unknown,
+        { maxWaitMs }: { maxWaitMs: number },
+      ) => {
+        slotWaits.push({ target: id, maxWaitMs });
+        const outcome = slotOutcomes.shift();
+        return {
+          outcome: outcome
+            ? Promise.resolve(outcome)
+            : new Promise<never>(() => {}),
+          end: () => slotsEnded.push(id),
+        };
+      },
+    },
   } as unknown as ForwarderDependencies;
   const selection = new TargetSelection(
     accepted,
     dependencies,
-    new Set(),
+    attempted,
     () => timeLeftMs,
     {
       onSelected: ({ candidate }: Placement) =>
         selected.push(candidate.target.id),
-      onNone: (reason, afterMs) => {
+      onNone: (reason, afterMs, isExact) => {
         rejected.push(reason);
         retryAfterMs.push(afterMs);
+        areExact.push(isExact);
       },
     },
   );
@@ -107,6 +140,15 @@
   return selection;
 }
 
+/** Makes the target cost more than others without load. */
+function addLoad(id: string): void {
+  pool.find(id)!.record.recordReportedLoad({
+    runningRequests: 2,
+    waitingRequests: 0,
+    slots: 6,
+  }, 0);
+}
+
 const settle = () => new Promise((resolve) => setTimeout(resolve, 5));
 
 describe("TargetSelection", () => {
@@ -167,3 +209,105 @@
     expect([...selected, ...rejected]).toEqual([]);
   });
 });
+
+describe("TargetSelection of contended targets", () => {
+  const reject = (afterMs: number | undefined): SlotOutcome => ({
+    kind: "reject",
+    retryAfterMs: afterMs,
+  });
+
+  beforeEach(() => {
+    limited.clear();
+    contended = new Set(["a", "b"]);
+  });
+
+  // Guards against a round trip in calm traffic.
+  it("asks for no slot where the target is not contended", () => {
+    contended.clear();
+    select(1_000);
+    expect(slotWaits).toEqual([]);
+    expect(selected).toHaveLength(1);
+  });
+
+  // Guards against a rejection that is no longer truthful.
+  it("holds back no request that was sent before", () => {
+    select(1_000, new Set(["a"]));
+    expect(slotWaits).toEqual([]);
+    expect(selected).toEqual(["b"]);
+  });
+
+  it("selects the target once it has a slot", async () => {
+    slotOutcomes.push({ kind: "execute" });
+    select(1_000);
+    expect(selected).toEqual([]);
+    await settle();
+    expect(selected).toEqual([slotWaits[0]!.target]);
+    expect(slotsEnded).toEqual([]);
+  });
+
+  // Guards against a slot that stays taken after the end of its request.
+  it("ends the use of the slot when it is cancelled", async () => {
+    slotOutcomes.push({ kind: "execute" });
+    const selection = select(1_000);
+    await settle();
+    selection.cancel();
+    expect(slotsEnded).toEqual(selected);
+  });
+
+  it("waits a bounded time for one of two, then all its time", async () => {
+    slotOutcomes.push(reject(80), { kind: "execute" });
+    select(900);
+    await settle();
+    expect(slotWaits.map(({ maxWaitMs }) => maxWaitMs)).toEqual([250, 900]);
+    expect(selected).toEqual([slotWaits[1]!.target]);
+  });
+
+  it("goes to a target that is not contended after a rejection", async () => {
+    slotOutcomes.push(reject(80));
+    contended = new Set(["a"]);
+    addLoad("b");
+    select(900);
+    await settle();
+    expect(selected).toEqual(["b"]);
+  });
+
+  it("is rejected with the earliest time where no line has a slot", async () => {
+    slotOutcomes.push(reject(80), reject(30));
+    select(900);
+    await settle();
+    expect(selected).toEqual([]);
+    expect(rejected).toEqual(["no slot in time"]);
+    expect(retryAfterMs).toEqual([30]);
+    expect(areExact).toEqual([true]);
+  });
+
+  // Guards against a Retry-After of zero that no line has stated.
+  it("names no exact time where the waits ended without one", async () => {
+    slotOutcomes.push(reject(undefined), reject(undefined));
+    select(900);
+    await settle();
+    expect(areExact).toEqual([false]);
+  });
+
+  // Guards against a request to a target that left during the wait.
+  it("selects anew where the target has left during the wait", async () => {
+    slotOutcomes.push({ kind: "execute" });
+    select(900);
+    targets.write([createTarget("c")]);
+    await settle();
+    expect(selected).toEqual(["c"]);
+    expect(slotsEnded).toEqual([slotWaits[0]!.target]);
+  });
+
+  it("asks for a slot after the permit", async () => {
+    limited = new Set(["a", "b"]);
+    permits.push({ kind: "granted", waitMs: 10 });
+    slotOutcomes.push({ kind: "execute" });
+    select(900);
+    await settle();
+    expect(slotWaits).toEqual([]);
+    timer.advance(10);
+    await settle();
+    expect(selected).toEqual([slotWaits[0]!.target]);
+  });
+});
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -270,6 +270,16 @@
     level: "info",
     text: "request does not go to a target, whose limit is used up",
   },
+  targetContended: {
+    number: 6140,
+    level: "info",
+    text: "slots of a target may run out, so that requests ask for a slot",
+  },
+  slotWaitEnded: {
+    number: 6141,
+    level: "info",
+    text: "wait of a request for a slot of a target has ended",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
