--- a/packages/bench/src/claims/poison_message_test.ts
+++ b/packages/bench/src/claims/poison_message_test.ts
@@ -46,23 +46,41 @@
   );
 }
 
+/** Sends the chats to the daemons in turn. */
+async function sendChats(): Promise<void> {
+  for (let index = 0; index < CHATS; index++) {
+    await client.chat(fleet.daemon(ENTRIES[index % ENTRIES.length]!).url, {
+      team: "lots",
+      chat: `chat-${index}`,
+      model: "writer",
+      messages: [
+        { role: "system", content: POISON_MARKER },
+        { role: "user", content: `describe lot ${index}` },
+      ],
+      maxTokens: 50,
+      isStream: index % 2 === 0,
+    });
+  }
+}
+
 describe("a first message that crashes targets", () => {
   // Guards against chats that share the message and nothing else, which crash
   // one target after the other since no two of them are alike.
   it("is rejected after a few crashes, whatever follows it", async () => {
-    for (let index = 0; index < CHATS; index++) {
-      await client.chat(fleet.daemon(ENTRIES[index % ENTRIES.length]!).url, {
-        team: "lots",
-        chat: `chat-${index}`,
-        model: "writer",
-        messages: [
-          { role: "system", content: POISON_MARKER },
-          { role: "user", content: `describe lot ${index}` },
-        ],
-        maxTokens: 50,
-        isStream: index % 2 === 0,
-      });
-    }
+    await sendChats();
     expect(await countCrashes()).toBeLessThanOrEqual(MAX_CRASHES);
   });
+
+  // Guards against a message that is excused since its targets send some tokens
+  // of each response before they crash.
+  it.each([2, 10])(
+    "is rejected after a few crashes that follow %s tokens",
+    async (poisonAfterTokens) => {
+      for (const vm of WRITERS) {
+        await fleet.targets.setFaults(vm, { poisonAfterTokens });
+      }
+      await sendChats();
+      expect(await countCrashes()).toBeLessThanOrEqual(MAX_CRASHES);
+    },
+  );
 });
--- a/packages/standins/src/engine/chat_handler.ts
+++ b/packages/standins/src/engine/chat_handler.ts
@@ -68,9 +68,11 @@
   async handleChat(context: Context<NodeEnv>): Promise<Response> {
     const text = await context.req.text();
     const headers = readChatHeaders((name) => context.req.header(name));
-    if (this.#dependencies.crashOnPoison(text, headers.requestId)) {
-      return RESPONSE_ALREADY_SENT;
-    }
+    const crashesLater = this.#dependencies.faults().poisonAfterTokens > 0;
+    if (
+      !crashesLater &&
+      this.#dependencies.crashOnPoison(text, headers.requestId)
+    ) return RESPONSE_ALREADY_SENT;
     const body = parseJsonText(text, chatRequestSchema);
     if (!body.ok) return notRunResponse(400, "invalid_request", body.message);
     const rejection = this.#checkAdmission(body.value);
@@ -172,7 +174,11 @@
     const maxTokens = request.max_completion_tokens ?? request.max_tokens ??
       undefined;
     const completion = expectedCompletion(request.messages, maxTokens);
-    const faults = this.#dependencies.consumeResponseFaults();
+    const faults = withLaterCrash(
+      this.#dependencies.consumeResponseFaults(),
+      request,
+      headers.resumeAfterTokens,
+    );
     const prefillTokens = prompt.tokens - prompt.cachedTokens +
       headers.resumeAfterTokens;
     return new ChatJob({
@@ -235,3 +241,16 @@
     ]));
   }
 }
+
+/** Crashes the engine in the midst of a response to a poisoned request. */
+function withLaterCrash(
+  faults: EngineFaults,
+  { messages }: ChatRequest,
+  resumeAfterTokens: number,
+): EngineFaults {
+  const { poisonMarkers, poisonAfterTokens } = faults;
+  const text = JSON.stringify(messages);
+  const isPoisoned = poisonMarkers.some((marker) => text.includes(marker));
+  if (!isPoisoned || poisonAfterTokens === 0) return faults;
+  return { ...faults, killAfterTokens: resumeAfterTokens + poisonAfterTokens };
+}
--- a/packages/standins/src/engine/engine_faults.ts
+++ b/packages/standins/src/engine/engine_faults.ts
@@ -20,6 +20,11 @@
   wrongId: z.boolean().default(false),
   /** Crashes after sending this many tokens of a response. */
   killAfterTokens: z.int().nonnegative().nullable().default(null),
+  /**
+   * Crashes on a request with a poison marker only after sending this many
+   * tokens of its response.
+   */
+  poisonAfterTokens: z.int().nonnegative().default(0),
 });
 
 export type EngineFaults = z.infer<typeof engineFaultsSchema>;
