Add a byte budget that evicts stalled holders

Clients that stall just before the end of large bodies made a daemon run out of memory, because nothing limited what it held in total. core gets the account: holdings are charged and discharged, and a charge that exceeds the share of its kind evicts the holding with the most byte-milliseconds without progress. Small holdings are evicted last. Nothing uses the account yet.

--- /dev/null
+++ b/packages/core/src/byte_budget/index.ts
@@ -0,0 +1,2 @@
+export * from "./byte_budget.ts";
+export * from "./byte_holding.ts";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./admission/index.ts";
 export * from "./bound/index.ts";
+export * from "./byte_budget/index.ts";
 export * from "./claims/index.ts";
 export * from "./config/index.ts";
 export * from "./errors/index.ts";
