Keep a daemon within the memory of its machine

Crowds that stall at the end of large bodies, or read their responses slowly, made the platform interface run out of memory: bodies were kept as slices of the 64 KiB buffers in which they were read, responses in full until they were read, and nothing limited the sum.

With limits.memory_mb, bodies and responses are copied into pieces and charged to the byte budget. An evicted request gets 503 and Retry-After if it was not sent, else 502, or its connection is cut. Responses go to the connection piece by piece; while the response share is more than half used, large bodies are relayed before their end, so that a slow client holds up its target. A target that breaks off a response left unread for a second in total is not recorded as faulty. A client that takes nothing for 30 s is disconnected.

--- a/packages/core/src/byte_budget/byte_budget.ts
+++ b/packages/core/src/byte_budget/byte_budget.ts
@@ -45,8 +45,15 @@
     };
   }
 
-  /** `onEvicted` is called at most once, and never after `release`. */
-  open(kind: ByteKind, onEvicted: () => void, nowMs: number): ByteHolding {
+  /**
+   * `onEvicted` is called at most once, with the bytes that were held, and never
+   * after `release`.
+   */
+  open(
+    kind: ByteKind,
+    onEvicted: (heldBytes: number) => void,
+    nowMs: number,
+  ): ByteHolding {
     const holding = new ByteHolding(kind, onEvicted, this.#account, nowMs);
     this.#accounts[kind].holdings.add(holding);
     return holding;
@@ -79,9 +86,10 @@
   }
 
   #evict(account: KindAccount, holding: ByteHolding): void {
+    const { heldBytes } = holding;
     holding.release();
     account.evictions += 1;
-    holding.onEvicted();
+    holding.onEvicted(heldBytes);
   }
 
   #remove(holding: ByteHolding): void {
--- a/packages/core/src/byte_budget/byte_budget_test.ts
+++ b/packages/core/src/byte_budget/byte_budget_test.ts
@@ -1,4 +1,4 @@
-import { ByteBudget, type ByteHolding } from "./index.ts";
+import { ByteBudget, type ByteHolding, planByteBudget } from "./index.ts";
 import { expect, test } from "@jest/globals";
 
 function newBudget() {
@@ -103,3 +103,13 @@
   evicted.charge(901, 0);
   expect(budget.heldBytes("request")).toBe(900);
 });
+
+test("the plan has room for a body and a response of 4 MiB", () => {
+  const bodyBytes = 4_194_304;
+  for (const memoryMb of [64, 202, 602]) {
+    const budget = new ByteBudget(planByteBudget(memoryMb * 1_000_000));
+    for (const kind of ["request", "response"] as const) {
+      expect(budget.limitBytes(kind)).toBeGreaterThan(1.5 * bodyBytes);
+    }
+  }
+});
--- a/packages/core/src/byte_budget/byte_holding.ts
+++ b/packages/core/src/byte_budget/byte_holding.ts
@@ -24,7 +24,7 @@
 
   constructor(
     readonly kind: ByteKind,
-    readonly onEvicted: () => void,
+    readonly onEvicted: (heldBytes: number) => void,
     private readonly account: ByteAccount,
     nowMs: number,
   ) {
--- /dev/null
+++ b/packages/core/src/byte_budget/plan_byte_budget.ts
@@ -0,0 +1,22 @@
+import type { ByteBudgetOptions } from "./byte_budget.ts";
+
+const MIB = 1024 * 1024;
+/** What a daemon uses that holds nothing for clients: 60 to 110 MB. */
+const BASE_BYTES = 110_000_000;
+/**
+ * The part of the rest that may be held. The other part is for garbage that is
+ * not collected yet, and for what sockets buffer.
+ */
+const HELD_SHARE = 0.4;
+/** Room for a body and a response of 4 MiB each, whatever the memory is. */
+const MIN_TOTAL_BYTES = 16 * MIB;
+
+/** The byte budget of a daemon on a machine with this memory. */
+export function planByteBudget(memoryLimitBytes: number): ByteBudgetOptions {
+  const freeBytes = (memoryLimitBytes - BASE_BYTES) * HELD_SHARE;
+  return {
+    totalBytes: Math.max(MIN_TOTAL_BYTES, Math.floor(freeBytes)),
+    requestShare: 0.5,
+    responseShare: 0.5,
+  };
+}
--- a/packages/core/src/forwarding/targets/target_record.ts
+++ b/packages/core/src/forwarding/targets/target_record.ts
@@ -23,6 +23,8 @@
   hasResponse: boolean;
   /** Complete events of the response that were received. */
   eventsReceived: number;
+  /** Whether the response is not read, because its client reads slowly. */
+  isPaused?: boolean;
 }
 
 /** The outcome of an attempt, as far as it concerns the target's health. */
@@ -201,11 +203,12 @@
 
   /**
    * Time since the last byte of any in-flight response; 0 without in-flight
-   * requests.
+   * requests. A target can't send to an attempt that is paused.
    */
   silentForMs(nowMs: number): number {
     let latestMs = -Infinity;
     for (const attempt of this.attempts) {
+      if (attempt.isPaused) continue;
       latestMs = Math.max(latestMs, attempt.lastByteAtMs);
     }
     return latestMs === -Infinity ? 0 : nowMs - latestMs;
--- /dev/null
+++ b/packages/daemon/src/buffering/byte_holdings.ts
@@ -0,0 +1,47 @@
+import {
+  ByteBudget,
+  type ByteKind,
+  planByteBudget,
+  type TimerService,
+} from "@coltsfootford/core";
+import type { Logger } from "../log/index.ts";
+import type { Metrics } from "../metrics/index.ts";
+import { HeldBytes } from "./held_bytes.ts";
+
+const KINDS: readonly ByteKind[] = ["request", "response"];
+
+/** Dependencies of `ByteHoldings`. */
+export interface ByteHoldingsDependencies {
+  /** The memory of the machine; undefined for no budget. */
+  readonly memoryLimitBytes: number | undefined;
+  readonly timer: TimerService;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Opens the holdings of a daemon's account, and reports on them. */
+export class ByteHoldings {
+  readonly #dependencies: ByteHoldingsDependencies;
+  readonly #budget: ByteBudget | undefined;
+
+  constructor(dependencies: ByteHoldingsDependencies) {
+    this.#dependencies = dependencies;
+    const { memoryLimitBytes, metrics } = dependencies;
+    if (memoryLimitBytes === undefined) return;
+    const budget = new ByteBudget(planByteBudget(memoryLimitBytes));
+    this.#budget = budget;
+    for (const kind of KINDS) {
+      metrics.gauge(`held_${kind}_bytes`, () => budget.heldBytes(kind));
+      metrics.gauge(`held_${kind}_limit_bytes`, () => budget.limitBytes(kind));
+    }
+  }
+
+  /** Opens a holding; `requestId` is for the log alone. */
+  open(kind: ByteKind, requestId: string | undefined): HeldBytes {
+    const { timer, log, metrics } = this.#dependencies;
+    return new HeldBytes(this.#budget, kind, timer, (heldBytes) => {
+      metrics.count(`held_${kind}_evictions_total`);
+      log.event("heldBytesEvicted", { request: requestId, kind, heldBytes });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/buffering/index.ts
@@ -0,0 +1,4 @@
+export * from "./body_bytes.ts";
+export * from "./byte_holdings.ts";
+export * from "./held_bytes.ts";
+export * from "./piece_buffer.ts";
--- a/packages/daemon/src/forwarding/attempt_plan.ts
+++ b/packages/daemon/src/forwarding/attempt_plan.ts
@@ -49,5 +49,6 @@
     maxOutputTokens: metadata.prompt.maxOutputTokens,
     inFlight,
     events,
+    held: accepted.response.held,
   };
 }
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -5,9 +5,11 @@
   provesCompleteBody,
   type TimerService,
 } from "@coltsfootford/core";
+import type { HeldBytes } from "../buffering/index.ts";
 import { abortResponse } from "../connections/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
+import { ResponseWriter } from "./response_writer.ts";
 import type { BufferedResponse, ResponseHead } from "./target_attempt.ts";
 
 /** The response to one client. Only the first response is written. */
@@ -15,13 +17,28 @@
   readonly #outgoing: ServerResponse;
   readonly #method: string;
   readonly #timer: TimerService;
+  readonly #writer: ResponseWriter;
+  /** Charged for what is buffered for the client; released at the end. */
+  readonly held: HeldBytes;
   #hasStarted = false;
   #delimiter: BodyDelimiter | undefined;
 
-  constructor(outgoing: ServerResponse, method: string, timer: TimerService) {
+  constructor(
+    outgoing: ServerResponse,
+    method: string,
+    timer: TimerService,
+    held: HeldBytes,
+  ) {
     this.#outgoing = outgoing;
     this.#method = method;
     this.#timer = timer;
+    this.held = held;
+    this.#writer = new ResponseWriter(outgoing, held, timer, () => {
+      this.abort();
+    });
+    held.onEvicted(() => {
+      if (this.#hasStarted) this.abort();
+    });
   }
 
   /** What marks the end of the response; undefined before its start. */
@@ -51,7 +68,7 @@
       "application/json",
       "Content-Length",
       String(body.length),
-    ], body);
+    ], [body]);
   }
 
   /**
@@ -72,7 +89,9 @@
     } else if (this.#method === "HEAD" && contentLength !== undefined) {
       headers.push("Content-Length", contentLength);
     }
-    this.#sendBuffered(status, headers, body);
+    const { pieces } = body;
+    body.clear();
+    this.#sendBuffered(status, headers, pieces);
   }
 
   /**
@@ -80,30 +99,41 @@
    * is sent in chunks, so that a client can tell a broken stream from a complete
    * one, unless the target's own framing can't tell them apart.
    */
-  startStream({ status, metadata, delimiter }: ResponseHead): void {
+  startStream(
+    { status, metadata, delimiter, contentLength }: ResponseHead,
+  ): void {
     if (this.#hasStarted) return;
     const headers = [...metadata.headers];
     if (!provesCompleteBody(delimiter)) this.#delimitByConnectionClose(headers);
+    else if (contentLength !== undefined) {
+      headers.push("Content-Length", contentLength);
+    }
     this.#writeHead(status, headers);
   }
 
   /** Writes events; returns false if the client reads too slowly. */
   write(bytes: Buffer): boolean {
-    return this.#outgoing.write(bytes);
+    return this.#writer.write(bytes);
   }
 
   /** Calls `action` once the write buffer is empty. */
   onDrain(action: () => void): void {
-    this.#outgoing.once("drain", action);
+    this.#writer.onDrain(action);
   }
 
   /** Ends a stream as complete. */
   end(): void {
-    this.#outgoing.end();
+    this.#writer.end();
+  }
+
+  /** Makes sure that a complete response arrives if the connection ends now. */
+  flush(): void {
+    this.#writer.flush();
   }
 
   /** Ends the connection, so that the client detects a truncated stream. */
   abort(): void {
+    this.#writer.stop();
     abortResponse(this.#outgoing, this.#timer);
   }
 
@@ -117,10 +147,15 @@
     headers.push("Connection", "close");
   }
 
-  #sendBuffered(status: number, headers: string[], body: Buffer): void {
+  #sendBuffered(
+    status: number,
+    headers: string[],
+    pieces: readonly Buffer[],
+  ): void {
     if (this.#hasStarted) return;
     this.#writeHead(status, headers);
-    this.#outgoing.end(body);
+    for (const piece of pieces) this.#writer.write(piece);
+    this.#writer.end();
   }
 
   #writeHead(status: number, headers: string[]): void {
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -7,7 +7,11 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import type { ResponseHead, TargetAttempt } from "./target_attempt.ts";
+import type {
+  AttemptEnd,
+  ResponseHead,
+  TargetAttempt,
+} from "./target_attempt.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
 /** The attempt of a request that is in flight. */
@@ -61,3 +65,22 @@
     nowMs,
   );
 }
+
+/** Whether an attempt broke after its client had left the response unread. */
+export function wasLeftUnread(
+  { attempt }: CurrentAttempt,
+  { kind }: AttemptEnd,
+): boolean {
+  return kind === "broken" && attempt.wasLeftUnread;
+}
+
+/** Reports an attempt that broke, as a sign that its target has crashed. */
+export function reportBroken(
+  { crashObserver, promptObserver }: ForwarderDependencies,
+  accepted: AcceptedRequest,
+  { target, inFlight }: CurrentAttempt,
+): void {
+  crashObserver.onAttemptBroken(accepted, target.target, inFlight);
+  const { prompt } = accepted.metadata;
+  promptObserver.onAttemptBroken(prompt, target.target, inFlight);
+}
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -2,6 +2,7 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
+import { ByteHoldings } from "../buffering/index.ts";
 import { ClientConnections } from "../connections/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
@@ -226,6 +227,12 @@
       timer,
       log,
       metrics: this.#metrics,
+      holdings: new ByteHoldings({
+        memoryLimitBytes: settings.memoryLimitBytes,
+        timer,
+        log,
+        metrics: this.#metrics,
+      }),
       random,
     });
     this.#connections = new ClientConnections(this.#server.server, timer);
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -14,6 +14,7 @@
   type TimerService,
 } from "@coltsfootford/core";
 import { ResultAsync } from "neverthrow";
+import { type ByteHoldings, PieceBuffer } from "../buffering/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ForwardingBlackboard } from "./forwarding_blackboard.ts";
@@ -21,6 +22,7 @@
 import type { Forwarder } from "./forwarder.ts";
 import type { AcceptedRequest } from "./forwarding_types.ts";
 import { headerBytes } from "./http_headers.ts";
+import { PendingResponses } from "./pending_responses.ts";
 import { type BodyReadError, readRequestBody } from "./read_request_body.ts";
 import type { RequestCodec, RequestMetadata } from "./request_codec.ts";
 import { digestRequest } from "./request_digest.ts";
@@ -42,6 +44,9 @@
 /** The quarantine of a prompt part ends after ten minutes, or by an operator. */
 const PART_RETRY_AFTER_MS = 600_000;
 
+/** Ends a connection on which the rest of a body may still arrive. */
+const CLOSE = ["Connection", "close"];
+
 /** Dependencies of the client-facing server. */
 export interface ForwardingServerDependencies {
   readonly blackboard: ForwardingBlackboard;
@@ -50,6 +55,7 @@
   readonly timer: TimerService;
   readonly log: Logger;
   readonly metrics: Metrics;
+  readonly holdings: ByteHoldings;
   readonly random: () => number;
 }
 
@@ -57,6 +63,7 @@
 export class ForwardingServer {
   readonly server: Server;
   readonly #dependencies: ForwardingServerDependencies;
+  readonly #pending = new PendingResponses();
   #drainingSinceMs: number | undefined;
 
   constructor(dependencies: ForwardingServerDependencies) {
@@ -70,7 +77,10 @@
     this.server.on("request", (incoming, outgoing) => {
       this.#onRequest(incoming, outgoing);
     });
-    this.server.on("clientError", (error) => this.#onClientError(error));
+    this.server.on("clientError", (error, socket) => {
+      this.#pending.flush(socket);
+      this.#onClientError(error);
+    });
     dependencies.blackboard.lifecycle.subscribe((phase) => {
       if (phase === "draining") {
         this.#drainingSinceMs = dependencies.timer.nowMs();
@@ -87,11 +97,15 @@
   }
 
   #onRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    const { blackboard, codec, timer, metrics } = this.#dependencies;
+    const { blackboard, codec, timer, metrics, holdings } = this.#dependencies;
     const receivedAtMs = timer.nowMs();
     metrics.count("requests_received_total");
-    const response = new ClientResponse(outgoing, incoming.method ?? "", timer);
     const metadata = codec.decodeRequest(incoming.rawHeaders);
+    const requestId = metadata.isOk() ? metadata.value.requestId : undefined;
+    const held = holdings.open("response", requestId);
+    const method = incoming.method ?? "";
+    const response = new ClientResponse(outgoing, method, timer, held);
+    this.#pending.track(incoming, outgoing, response);
     if (metadata.isErr()) {
       return this.#reject(
         response,
@@ -163,18 +177,20 @@
         "daemon is ending",
       );
     }
-    const body = readRequestBody(incoming, {
+    const { timer, holdings } = this.#dependencies;
+    const held = holdings.open("request", metadata.requestId);
+    const body = readRequestBody(incoming, new PieceBuffer(held), {
       maxBytes: limits.maxBodyBytes,
       timeoutMs: maxDurationMs,
-      timer: this.#dependencies.timer,
+      timer,
     });
     void new ResultAsync(body).match(
-      (bytes) =>
+      (body) =>
         this.#forward({
           metadata,
           method: incoming.method ?? "",
           path,
-          body: bytes,
+          body,
           route,
           service,
           engine: routes.findService(service)?.engine,
@@ -191,6 +207,7 @@
     const quarantine = this.#dependencies.blackboard.quarantine.read();
     if (quarantine.size > 0 && quarantine.has(digestRequest(accepted))) {
       const { response, metadata, configVersion } = accepted;
+      accepted.body.release();
       const reason = "requests like this one have crashed their targets";
       return this.#reject(response, metadata, 503, reason, configVersion);
     }
@@ -200,6 +217,7 @@
     );
     if (parts !== undefined) {
       const { response, metadata, configVersion } = accepted;
+      accepted.body.release();
       const reason = `prompt parts ${parts.join(",")} have crashed targets`;
       const headers = this.#dependencies.codec.encodeRetryAfter(
         PART_RETRY_AFTER_MS,
@@ -231,21 +249,33 @@
     configVersion: number,
   ): void {
     if (error === "client-gone") return;
+    if (error === "evicted") {
+      const reason = "too many bytes of request bodies";
+      return this.#rejectTemporarily(response, metadata, reason, CLOSE);
+    }
     const status = error === "too-large" ? 413 : 408;
-    this.#reject(response, metadata, status, `body ${error}`, configVersion, [
-      "Connection",
-      "close",
-    ]);
+    this.#reject(
+      response,
+      metadata,
+      status,
+      `body ${error}`,
+      configVersion,
+      CLOSE,
+    );
   }
 
   #rejectTemporarily(
     response: ClientResponse,
     metadata: RequestMetadata,
     reason: string,
+    moreHeaders: readonly string[] = [],
   ): void {
     const leftMs = metadata.clientTimeoutMs ?? DEFAULT_CLIENT_TIMEOUT_MS;
     const afterMs = jitteredRetryAfterMs(leftMs, this.#dependencies.random());
-    const headers = this.#dependencies.codec.encodeRetryAfter(afterMs);
+    const headers = [
+      ...this.#dependencies.codec.encodeRetryAfter(afterMs),
+      ...moreHeaders,
+    ];
     this.#reject(response, metadata, 503, reason, undefined, headers);
   }
 
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -13,6 +13,7 @@
   TeamKeys,
   TimerService,
 } from "@coltsfootford/core";
+import type { PieceBuffer } from "../buffering/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ClientResponse } from "./client_response.ts";
@@ -30,7 +31,8 @@
   readonly method: string;
   /** Path and query as the client sent them. */
   readonly path: string;
-  readonly body: Buffer;
+  /** Charged to the byte budget until the request has ended. */
+  readonly body: PieceBuffer;
   readonly route: ForwardingRoute;
   readonly service: string;
   /** Undefined for plain services. */
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -169,8 +169,10 @@
     target: RegisteredTarget,
   ): Promise<void> {
     if (this.#wasServedRecently(request)) return;
+    // The body of the request is dropped when the request ends.
+    const digest = digestRequest(request);
     if (!await this.#dependencies.crashCheck.isDown(target)) return;
-    this.#report(digestRequest(request), target.incarnation);
+    this.#report(digest, target.incarnation);
   }
 
   #report(digest: string, targetIncarnation: string): void {
--- a/packages/daemon/src/forwarding/message_checks.ts
+++ b/packages/daemon/src/forwarding/message_checks.ts
@@ -4,6 +4,7 @@
   validateHeaderValue,
 } from "node:http";
 import { EventFramer } from "@coltsfootford/core";
+import { type BodyBytes, bodyPieces } from "../buffering/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders, ResponseMetadata } from "./request_codec.ts";
 
@@ -61,9 +62,9 @@
 }
 
 /** Whether a body of events ends before its last event does. */
-export function endsInsideEvent(body: Buffer): boolean {
+export function endsInsideEvent(body: BodyBytes): boolean {
   const framer = new EventFramer();
-  framer.push(body);
+  for (const piece of bodyPieces(body)) framer.push(piece);
   return framer.hasIncompleteEvent;
 }
 
@@ -81,7 +82,7 @@
 export function withContentLength(
   headers: RawHeaders,
   method: string,
-  body: Buffer,
+  body: BodyBytes,
 ): string[] {
   if (body.length === 0 && BODILESS_METHODS.has(method)) return [...headers];
   return [...headers, "Content-Length", String(body.length)];
--- a/packages/daemon/src/forwarding/request_digest.ts
+++ b/packages/daemon/src/forwarding/request_digest.ts
@@ -1,10 +1,11 @@
+import type { BodyBytes } from "../buffering/index.ts";
 import { digestContent } from "../poison/request_digest.ts";
 
 /** The properties that identify requests of the same content. */
 export interface RequestContent {
   readonly method: string;
   readonly path: string;
-  readonly body: Buffer;
+  readonly body: BodyBytes;
   readonly team: { readonly name: string } | undefined;
 }
 
--- a/packages/daemon/src/forwarding/settings.ts
+++ b/packages/daemon/src/forwarding/settings.ts
@@ -34,6 +34,10 @@
   seeds: z.array(AddressSchema),
   store: AddressSchema,
   limits: ForwardingLimitsSchema,
+  /** Memory of the machine; without it, held bytes are not limited. */
+  memoryLimitBytes: z.number().int().positive().optional(),
+  /** File descriptors that the machine allows the process. */
+  maxDescriptors: z.number().int().positive().optional(),
 });
 
 /** An address to listen on or to connect to. */
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -5,14 +5,20 @@
   type EventFault,
   type EventFrame,
   EventFramer,
-  type EventSequence,
   findBodyDelimiter,
-  type InFlightAttempt,
   isOwnRejection,
   ResponseLimits,
   type TimerService,
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
+import { bodyPieces, PieceBuffer } from "../buffering/index.ts";
+import type {
+  AttemptEnd,
+  AttemptListener,
+  AttemptPlan,
+  BufferedResponse,
+  ResponseHead,
+} from "./attempt_types.ts";
 import { findHeader } from "./http_headers.ts";
 import {
   endsInsideEvent,
@@ -23,77 +29,17 @@
   readContentLength,
   withContentLength,
 } from "./message_checks.ts";
-import type {
-  RawHeaders,
-  RequestCodec,
-  ResponseMetadata,
-} from "./request_codec.ts";
-import type { PooledTarget } from "./target_pool.ts";
-
-/** A complete response. */
-export interface BufferedResponse {
-  readonly status: number;
-  readonly metadata: ResponseMetadata;
-  readonly contentLength: string | undefined;
-  readonly delimiter: BodyDelimiter;
-  readonly body: Buffer;
-}
-
-/**
- * How an attempt ended. `unsent`: no byte was written. `refused`: the target
- * states that it did not execute the request. `broken`: the request may have
- * been executed, and no usable response arrived. `whole`: the complete response
- * is buffered. `streamed`: the stream ended between two events, and all of them
- * were relayed; `delimiter` tells whether that proves the stream complete.
- */
-export type AttemptEnd =
-  | { readonly kind: "unsent"; readonly cause: string }
-  | { readonly kind: "refused"; readonly status: number }
-  | { readonly kind: "broken"; readonly cause: string }
-  | { readonly kind: "whole"; readonly response: BufferedResponse }
-  | { readonly kind: "streamed"; readonly delimiter: BodyDelimiter };
+import { ReadPause } from "./read_pause.ts";
+import type { RequestCodec, ResponseMetadata } from "./request_codec.ts";
 
-/** The head of a response. */
-export interface ResponseHead {
-  readonly status: number;
-  readonly metadata: ResponseMetadata;
-  readonly delimiter: BodyDelimiter;
-}
-
-/** Inputs of an attempt: the request to send, and its target. */
-export interface AttemptPlan {
-  readonly requestId: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: RawHeaders;
-  readonly body: Buffer;
-  readonly target: PooledTarget;
-  readonly connectTimeoutMs: number;
-  readonly isStream: boolean;
-  /** Most tokens that the response may have; 0 if unknown. */
-  readonly maxOutputTokens: number;
-  readonly inFlight: InFlightAttempt;
-  /** The events of the response over all attempts. */
-  readonly events: EventSequence;
-}
-
-/** Receives the events of an attempt. */
-export interface AttemptListener {
-  /** The head of a streamed response has arrived. */
-  onStreamHead(head: ResponseHead): void;
-  /** The next events of a stream have arrived, complete and in order. */
-  onEvents(bytes: Buffer): void;
-  /** The head of the target's response has arrived. */
-  onFirstByte(head: ResponseHead): void;
-  onEnd(end: AttemptEnd): void;
-  /** Handling the response has failed unexpectedly; `onEnd` may not follow. */
-  onFault(error: Error): void;
-}
+export type * from "./attempt_types.ts";
 
 /** Time in which the rest of a rejection must arrive. */
 const DISCARD_TIMEOUT_MS = 500;
 const STATUS_OK = 200;
 const STATUS_MULTIPLE_CHOICES = 300;
+/** Larger bodies are relayed before their end while memory is scarce. */
+const MAX_BUFFERED_IF_SCARCE_BYTES = 128 * 1024;
 
 /** One attempt to send a request to a target. */
 export class TargetAttempt {
@@ -107,6 +53,8 @@
   #isConnected = false;
   #hasEnded = false;
   #cancelConnectTimer: () => void = () => {};
+  readonly #body: PieceBuffer;
+  readonly #pause: ReadPause;
 
   /**
    * Sends the request. Fails where it can't be encoded, for example for a
@@ -136,6 +84,8 @@
     this.#timer = timer;
     this.#listener = listener;
     this.#limits = new ResponseLimits(plan.maxOutputTokens);
+    this.#body = new PieceBuffer(plan.held);
+    this.#pause = new ReadPause(plan, timer);
     this.#request = this.#send();
   }
 
@@ -149,11 +99,20 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#cancelConnectTimer();
+    this.#pause.end();
+    this.#body.clear();
     this.#request.destroy();
   }
 
+  /** Whether a slow client has kept the target from sending for long. */
+  get wasLeftUnread(): boolean {
+    return this.#pause.wasLong;
+  }
+
   /** Pauses or resumes reading; applies backpressure of slow clients. */
   setPaused(isPaused: boolean): void {
+    if (this.#hasEnded) return;
+    this.#pause.set(isPaused);
     if (isPaused) this.#response?.pause();
     else this.#response?.resume();
   }
@@ -176,7 +135,8 @@
     );
     outgoing.on("error", (error) => this.#fail(error.message));
     outgoing.on("close", () => this.#fail("connection closed"));
-    outgoing.end(body);
+    for (const piece of bodyPieces(body)) outgoing.write(piece);
+    outgoing.end();
     return outgoing;
   }
 
@@ -226,7 +186,7 @@
       this.#discard(response);
       return this.#end({ kind: "refused", status });
     }
-    const isGood = status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+    const isGood = isSuccess(status);
     if (isGood) this.#limits.allowBody(readContentLength(response));
     const error = isGood ? findResponseError(metadata) : undefined;
     if (error !== undefined) return this.#fail(error);
@@ -307,26 +267,34 @@
   }
 
   #bufferBody(response: IncomingMessage, head: ResponseHead): void {
-    const chunks: Buffer[] = [];
+    let isRelayed = false;
+    const contentLength = response.headers["content-length"];
+    const isEvents = isEventStream(head.metadata);
     const onData = (chunk: Buffer) => {
       if (this.#hasEnded) return;
       this.#recordReceived();
       this.#limits.recordBody(chunk.length);
       if (this.#checkLimits()) return;
-      chunks.push(chunk);
+      this.#body.append(chunk);
+      if (!isRelayed && (isEvents || !this.#mustRelay(head))) return;
+      if (!isRelayed) this.#listener.onStreamHead({ ...head, contentLength });
+      isRelayed = true;
+      this.#relayBody();
     };
     const onEnd = () => {
       if (this.#hasEnded) return;
       if (!response.complete) return this.#fail("answer broken off");
-      const body = Buffer.concat(chunks);
-      if (isEventStream(head.metadata) && endsInsideEvent(body)) {
+      const { status, metadata, delimiter } = head;
+      if (isRelayed) return this.#end({ kind: "streamed", delimiter });
+      const body = this.#body;
+      if (isEvents && endsInsideEvent(body)) {
         return this.#fail("stream ended inside an event");
       }
       const buffered: BufferedResponse = {
-        status: head.status,
-        metadata: head.metadata,
-        contentLength: response.headers["content-length"],
-        delimiter: head.delimiter,
+        status,
+        metadata,
+        contentLength,
+        delimiter,
         body,
       };
       this.#end({ kind: "whole", response: buffered });
@@ -335,6 +303,22 @@
     response.on("end", this.#contain(onEnd));
   }
 
+  /**
+   * Whether to relay the rest of a body as it arrives, at the cost of a second
+   * attempt, so that the target waits for a slow client and not the memory.
+   */
+  #mustRelay({ status }: ResponseHead): boolean {
+    if (this.#plan.isStream || !isSuccess(status)) return false;
+    return this.#body.length > MAX_BUFFERED_IF_SCARCE_BYTES &&
+      this.#plan.held.isScarce;
+  }
+
+  #relayBody(): void {
+    const { pieces } = this.#body;
+    this.#body.clear();
+    for (const piece of pieces) this.#listener.onEvents(piece);
+  }
+
   /** Reads the rest of a rejection, so that its connection can be reused. */
   #discard(response: IncomingMessage): void {
     const cancelTimer = this.#timer.after(
@@ -390,6 +374,12 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#cancelConnectTimer();
+    this.#pause.end();
+    if (end.kind !== "whole") this.#body.clear();
     this.#listener.onEnd(end);
   }
 }
+
+function isSuccess(status: number): boolean {
+  return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+}
--- a/packages/daemon/src/forwarding/target_attempt_test.ts
+++ b/packages/daemon/src/forwarding/target_attempt_test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 import { EventSequence, type InFlightAttempt } from "@coltsfootford/core";
 import { SystemTimerService } from "@coltsfootford/key-value";
+import { HeldBytes } from "../buffering/index.ts";
 import {
   type AttemptMetadata,
   RequestCodec,
@@ -91,6 +92,7 @@
     maxOutputTokens: 0,
     inFlight,
     events: new EventSequence(undefined),
+    held: new HeldBytes(undefined, "response", new SystemTimerService()),
   };
 }
 
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -270,6 +270,11 @@
     level: "info",
     text: "request does not go to a target, whose limit is used up",
   },
+  heldBytesEvicted: {
+    number: 6130,
+    level: "warn",
+    text: "held bytes exceeded their budget, and a request was ended for it",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -8,6 +8,7 @@
 /** Counters and latency histograms of one daemon. */
 export class Metrics {
   readonly #counters = new Map<string, number>();
+  readonly #gauges = new Map<string, () => number>();
   readonly #histograms = new Map<string, Histogram>();
 
   /** Adds to a counter, with a name such as `requests_completed_total`. */
@@ -19,6 +20,11 @@
     return this.#counters.get(name) ?? 0;
   }
 
+  /** Reports what `read` returns whenever the metrics are read. */
+  gauge(name: string, read: () => number): void {
+    this.#gauges.set(name, read);
+  }
+
   /** Records a duration, in us so that short durations keep their precision. */
   recordMs(name: string, durationMs: number): void {
     let histogram = this.#histograms.get(name);
@@ -39,7 +45,10 @@
     for (const [name, histogram] of this.#histograms) {
       histograms[name] = this.#summarize(histogram);
     }
-    return { counters: Object.fromEntries(this.#counters), histograms };
+    const gauges: Record<string, number> = {};
+    for (const [name, read] of this.#gauges) gauges[name] = read();
+    const counters = Object.fromEntries(this.#counters);
+    return { counters, gauges, histograms };
   }
 
   /** All metrics in the Prometheus text format. */
@@ -49,6 +58,10 @@
       lines.push(`# TYPE coltsfoot_${name} counter`);
       lines.push(`coltsfoot_${name} ${value}`);
     }
+    for (const [name, read] of this.#gauges) {
+      lines.push(`# TYPE coltsfoot_${name} gauge`);
+      lines.push(`coltsfoot_${name} ${read()}`);
+    }
     for (const [name, histogram] of this.#histograms) {
       lines.push(`# TYPE coltsfoot_${name} summary`);
       for (const percentile of REPORTED_PERCENTILES) {
--- a/packages/daemon/src/poison/request_digest.ts
+++ b/packages/daemon/src/poison/request_digest.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { type BodyBytes, bodyPieces } from "../buffering/index.ts";
 import type { RequestContext } from "../entry/request_context.ts";
 
 /** Hex digits of a request digest: 128 bits. */
@@ -23,10 +24,8 @@
 }
 
 /** The digest of a request's head and body. */
-export function digestContent(head: string, body: Buffer): string {
-  return createHash("sha256")
-    .update(head)
-    .update(body)
-    .digest("hex")
-    .slice(0, DIGEST_HEX_DIGITS);
+export function digestContent(head: string, body: BodyBytes): string {
+  const hash = createHash("sha256").update(head);
+  for (const piece of bodyPieces(body)) hash.update(piece);
+  return hash.digest("hex").slice(0, DIGEST_HEX_DIGITS);
 }
