--- a/packages/daemon/src/forwarding/classify_attempt_end.ts
+++ b/packages/daemon/src/forwarding/classify_attempt_end.ts
@@ -1,6 +1,6 @@
 import type { AttemptFailure, AttemptOutcome } from "@coltsfootford/core";
 import type { ClientResponse } from "./client_response.ts";
-import type { AttemptEnd, BufferedResponse } from "./attempt_end.ts";
+import type { AttemptEnd, BufferedResponse } from "./attempt_types.ts";
 
 /** Statuses that guarantee the client that its request was not executed. */
 export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -7,7 +7,7 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import type { ResponseHead } from "./attempt_end.ts";
+import type { AttemptEnd, ResponseHead } from "./attempt_types.ts";
 import type { TargetAttempt } from "./target_attempt.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
@@ -18,6 +18,8 @@
   readonly target: PooledTarget;
   readonly placement: Placement;
   readonly expectedFirstByteMs: number;
+  /** The digest of a request that failed, whose body may be dropped by now. */
+  digest?: string;
 }
 
 /** State of an attempt that is being sent, to read `unreadTokens`. */
@@ -62,3 +64,11 @@
     nowMs,
   );
 }
+
+/** Whether an attempt broke after its client had left the response unread. */
+export function wasLeftUnread(
+  { attempt }: CurrentAttempt,
+  { kind }: AttemptEnd,
+): boolean {
+  return kind === "broken" && attempt.wasLeftUnread;
+}
--- a/packages/daemon/src/forwarding/observe_crash.ts
+++ b/packages/daemon/src/forwarding/observe_crash.ts
@@ -9,10 +9,11 @@
 export function observeBroken(
   { crashObserver, promptObserver }: ForwarderDependencies,
   accepted: AcceptedRequest,
-  { target, inFlight }: CurrentAttempt,
+  { target, inFlight, digest }: CurrentAttempt,
 ): void {
   const { prompt } = accepted.metadata;
-  crashObserver.onAttemptBroken(accepted, target.target, inFlight);
+  const content = { ...accepted, digest };
+  crashObserver.onAttemptBroken(content, target.target, inFlight);
   promptObserver.onAttemptBroken(prompt, target.target, inFlight);
 }
 
--- a/packages/daemon/src/forwarding/request_digest.ts
+++ b/packages/daemon/src/forwarding/request_digest.ts
@@ -1,16 +1,20 @@
+import type { BodyBytes } from "../buffering/index.ts";
 import { digestContent } from "../poison/request_digest.ts";
 
 /** The properties that identify requests of the same content. */
 export interface RequestContent {
   readonly method: string;
   readonly path: string;
-  readonly body: Buffer;
+  readonly body: BodyBytes;
   readonly team: { readonly name: string } | undefined;
+  /** The digest, where the body is no longer held. */
+  readonly digest?: string | undefined;
 }
 
 /** The digest of a request's team and content, the same at every daemon. */
 export function digestRequest(
-  { method, path, body, team }: RequestContent,
+  { method, path, body, team, digest }: RequestContent,
 ): string {
+  if (digest !== undefined) return digest;
   return digestContent(`${team?.name ?? ""}\n${method}\n${path}\n`, body);
 }
--- a/packages/daemon/src/forwarding/target_attempt_test.ts
+++ b/packages/daemon/src/forwarding/target_attempt_test.ts
@@ -3,14 +3,16 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 import { EventSequence, type InFlightAttempt } from "@coltsfootford/core";
 import { SystemTimerService } from "@coltsfootford/key-value";
+import { HeldBytes } from "../buffering/index.ts";
 import {
   type AttemptMetadata,
   RequestCodec,
   type RequestMetadata,
   type ResponseMetadata,
 } from "./request_codec.ts";
-import type { AttemptEnd, AttemptListener } from "./attempt_end.ts";
-import { type AttemptPlan, TargetAttempt } from "./target_attempt.ts";
+import type { AttemptEnd, AttemptListener } from "./attempt_types.ts";
+import type { AttemptPlan } from "./attempt_types.ts";
+import { TargetAttempt } from "./target_attempt.ts";
 import { TargetConnections } from "./target_connections.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
@@ -87,6 +89,7 @@
     maxOutputTokens: 0,
     inFlight,
     events: new EventSequence(undefined),
+    held: new HeldBytes(undefined, "response", new SystemTimerService()),
   };
 }
 
