Send no requests to evacuated zones

Nothing read the keys under op/evacuate/, so requests went on to the targets of a zone that an operator had evacuated.

EvacuationController follows the prefix and writes evacuatedZones. Placement chooses no target there and fetches no cached parts from one, and a request that waited for a permit selects anew. Where all targets of a service are evacuated, its requests get 503. The watch of the store covers all keys already, so the number of calls stays the same.

An evacuation whose key a restored store has lost was not removed.

--- a/packages/core/src/forwarding/placement/choose_target.ts
+++ b/packages/core/src/forwarding/placement/choose_target.ts
@@ -46,6 +46,8 @@
   readonly cacheEstimates: CacheEstimates;
   /** Zones that take no requests while others do. */
   readonly unreachableZones?: ReadonlySet<string>;
+  /** Zones whose targets take no requests and serve no cache fetches. */
+  readonly evacuatedZones?: ReadonlySet<string>;
   readonly nowMs: number;
 }
 
@@ -95,7 +97,7 @@
  * Chooses the target with the lowest expected time to the first byte. The cost
  * covers the uncached prompt tokens, the tokens queued before them, the load,
  * and the expected failed attempts. Targets above the load bound are excluded
- * while any target is within it.
+ * while any target is within it. Targets in evacuated zones always are.
  */
 export function chooseTarget(
   query: PlacementQuery,
@@ -103,6 +105,7 @@
 ): Placement | undefined {
   const remaining = query.candidates.filter(({ target, record }) =>
     !query.attemptedIncarnations.has(target.incarnation) &&
+    !query.evacuatedZones?.has(target.availabilityZone) &&
     record.isTaking(query.nowMs)
   );
   if (remaining.length === 0) return undefined;
@@ -164,10 +167,11 @@
 
 function isHealthy(
   { target, record }: Candidate,
-  { nowMs, unreachableZones }: PlacementQuery,
+  { nowMs, unreachableZones, evacuatedZones }: PlacementQuery,
 ): boolean {
   if (nowMs < record.suspendedUntilMs) return false;
   if (unreachableZones?.has(target.availabilityZone)) return false;
+  if (evacuatedZones?.has(target.availabilityZone)) return false;
   if (record.isOnTrial) return false;
   return record.silentForMs(nowMs) < UNRESPONSIVE_AFTER_MS;
 }
--- a/packages/core/src/forwarding/placement/choose_target_test.ts
+++ b/packages/core/src/forwarding/placement/choose_target_test.ts
@@ -232,6 +232,43 @@
     expect(placement?.costMs).toBeGreaterThanOrEqual(0);
   });
 
+  // Guards against requests to an evacuated zone, however its targets compare.
+  it("chooses no target in an evacuated zone", () => {
+    const [near, far] = [candidate("near", "a"), candidate("far", "b")];
+    addAttempts(far, 100);
+    far.record.suspend(1_000);
+    const evacuatedZones = new Set(["a"]);
+    expect(choose([near, far], { evacuatedZones })?.candidate).toBe(far);
+    expect(choose([near], { evacuatedZones })).toBeUndefined();
+  });
+
+  // Guards against engines that fetch from those of an evacuated zone, be they
+  // in use or about to leave.
+  it("fetches no cached parts from an evacuated zone", () => {
+    const [reader, holder] = [candidate("t1", "a"), candidate("t2", "b")];
+    const parts = PROMPT.parts.slice(0, 2);
+    cacheEstimates.recordRead(holder.target.incarnation, parts, 1_000);
+    // Several, since only those before the reader in its order are sources.
+    const departed = Array.from(
+      { length: 12 },
+      (_, index) => candidate(`d${index}`, "b"),
+    );
+    const sourceOf = (
+      fields: Partial<PlacementQuery>,
+      evacuatedZones: readonly string[],
+    ) =>
+      choose([reader], { ...fields, evacuatedZones: new Set(evacuatedZones) })
+        ?.source;
+    const inUse = {
+      candidates: [reader, holder],
+      attemptedIncarnations: new Set([holder.target.incarnation]),
+    };
+    for (const fields of [inUse, { departed }]) {
+      expect(sourceOf(fields, [])).toBeDefined();
+      expect(sourceOf(fields, ["b"])).toBeUndefined();
+    }
+  });
+
   it("adds the wait for a permit to the cost of a target", () => {
     const [limited, other] = [candidate("limited"), candidate("other")];
     limited.record.permitFromMs = 1_300;
--- a/packages/daemon/src/forwarding/forwarding_blackboard.ts
+++ b/packages/daemon/src/forwarding/forwarding_blackboard.ts
@@ -24,6 +24,8 @@
   readonly routes: Field<RouteTable | undefined>;
   /** The targets that may receive requests; undefined until the first update. */
   readonly targets: Field<readonly RegisteredTarget[] | undefined>;
+  /** Zones whose targets receive no requests, by an operator's order. */
+  readonly evacuatedZones: Field<ReadonlySet<string>>;
   readonly peers: Field<readonly PeerDaemon[]>;
   readonly storeContact: Field<StoreContact>;
   /**
@@ -52,6 +54,10 @@
       "targets",
       undefined,
     ),
+    evacuatedZones: new Field<ReadonlySet<string>>(
+      "evacuatedZones",
+      new Set(),
+    ),
     peers: new Field<readonly PeerDaemon[]>("peers", []),
     storeContact: new Field<StoreContact>("storeContact", {
       heardAtMs: 0,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -14,6 +14,7 @@
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
   CrashCheck,
+  EvacuationController,
   FleetRelay,
   LimitController,
   OverloadController,
@@ -96,6 +97,12 @@
       timer,
       log,
     );
+    const evacuation = new EvacuationController(
+      blackboard,
+      recordCodec,
+      timer,
+      log,
+    );
     const peers = new PeersController(self, blackboard, store, timer, log);
     const seeds = settings.seeds
       .map(({ host, port }) => ({ name: `${host}:${port}`, host, port }))
@@ -138,6 +145,7 @@
     const followed = [
       routes.followed,
       registry.followed,
+      evacuation.followed,
       peers.followed,
       quarantine.followed,
       promptQuarantine.followed,
@@ -155,7 +163,14 @@
       blackboard,
       followed,
       isAfterOutage,
-      retainedFacts: [routes, registry, quarantine, promptQuarantine, limits],
+      retainedFacts: [
+        routes,
+        registry,
+        evacuation,
+        quarantine,
+        promptQuarantine,
+        limits,
+      ],
       history: store.history,
       seeds,
       timer,
@@ -173,6 +188,7 @@
       new StoreContactController(blackboard, store, timer, log),
       routes,
       registry,
+      evacuation,
       peers,
       quarantine,
       promptQuarantine,
@@ -204,6 +220,7 @@
         maxLoadFactor: blackboard.limits.read().maxLoadFactor,
         promptTokensPerMs: PROMPT_TOKENS_PER_MS,
       }),
+      evacuatedZones: () => blackboard.evacuatedZones.read(),
       retryShares: new RetryShares(
         () => {
           const { repeatRatio, repeatSlack } = blackboard.limits.read();
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -110,6 +110,8 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly placement: () => PlacementSettings;
+  /** Zones whose targets receive no requests. */
+  readonly evacuatedZones: () => ReadonlySet<string>;
   readonly crashObserver: CrashObserver;
   readonly promptObserver: PromptObserver;
   /** Prompt parts with all of which no request is sent. */
--- a/packages/daemon/src/forwarding/knowledge/index.ts
+++ b/packages/daemon/src/forwarding/knowledge/index.ts
@@ -1,6 +1,7 @@
 /** Synchronizes a daemon's state with the store and with its peers. */
 export * from "./call_peer.ts";
 export * from "./crash_check.ts";
+export * from "./evacuation_controller.ts";
 export * from "./fleet_relay.ts";
 export * from "./followed_prefix.ts";
 export * from "./store_record_codec.ts";
--- a/packages/daemon/src/forwarding/knowledge/store_record_codec.ts
+++ b/packages/daemon/src/forwarding/knowledge/store_record_codec.ts
@@ -11,6 +11,8 @@
   abstract readonly configKey: string;
   /** The key prefix of target registrations. */
   abstract readonly registrationPrefix: string;
+  /** The key prefix of evacuated availability zones. */
+  abstract readonly evacuationPrefix: string;
 
   abstract decodeConfig(
     value: string,
@@ -20,4 +22,9 @@
     key: string,
     value: string,
   ): Result<TargetRegistration, StepError<"bad-record">>;
+
+  /** Decodes the availability zone of an evacuation. */
+  abstract decodeEvacuation(
+    key: string,
+  ): Result<string, StepError<"bad-record">>;
 }
--- a/packages/daemon/src/forwarding/knowledge/testing/json_record_codec.ts
+++ b/packages/daemon/src/forwarding/knowledge/testing/json_record_codec.ts
@@ -10,6 +10,7 @@
 export class JsonRecordCodec extends StoreRecordCodec {
   override readonly configKey = "config";
   override readonly registrationPrefix = "targets/";
+  override readonly evacuationPrefix = "evacuated/";
 
   override decodeConfig(value: string) {
     return parse<ForwardingConfig>(this.configKey, value);
@@ -18,6 +19,10 @@
   override decodeRegistration(key: string, value: string) {
     return parse<TargetRegistration>(key, value);
   }
+
+  override decodeEvacuation(key: string) {
+    return ok(key.slice(this.evacuationPrefix.length));
+  }
 }
 
 function parse<Value>(
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -85,6 +85,7 @@
       engine,
       cacheEstimates: pool.cacheEstimates,
       unreachableZones: findUnreachableZones(pool.all(), timer.nowMs()),
+      evacuatedZones: this.#dependencies.evacuatedZones(),
       nowMs: timer.nowMs(),
     }, placement());
   }
@@ -125,21 +126,35 @@
     this.start();
   }
 
-  /** The target may have left, or turned requests away, while the request waited for the permit. */
+  /**
+   * While the request waited for the permit, the target may have left or turned
+   * requests away, or its zone may have been evacuated.
+   */
   #onPermitDue(placement: Placement): void {
     if (this.#isCancelled) return;
     const { target, record } = placement.candidate;
-    const isInPool = this.#dependencies.pool.find(target.incarnation);
-    if (isInPool && record.isTaking(this.#dependencies.timer.nowMs())) {
+    const { pool, timer, evacuatedZones } = this.#dependencies;
+    const isUsable = pool.find(target.incarnation) &&
+      !evacuatedZones().has(target.availabilityZone);
+    if (isUsable && record.isTaking(timer.nowMs())) {
       return this.#listener.onSelected(placement);
     }
     this.start();
   }
 
   #end(): void {
-    const { pool, timer } = this.#dependencies;
+    const { pool, timer, metrics, evacuatedZones } = this.#dependencies;
     const nowMs = timer.nowMs();
-    const waitsMs = pool.ofService(this.#accepted.service)
+    const targets = pool.ofService(this.#accepted.service);
+    const evacuated = evacuatedZones();
+    const usable = targets.filter(({ target }) =>
+      !evacuated.has(target.availabilityZone)
+    );
+    if (targets.length > 0 && usable.length === 0) {
+      metrics.count("requests_without_zone_total");
+      return this.#listener.onNone("zones evacuated", 0);
+    }
+    const waitsMs = usable
       .map(({ record: { permitFromMs, awayUntilMs } }) =>
         Math.max(0, permitFromMs - nowMs, awayUntilMs - nowMs)
       );
--- a/packages/daemon/src/forwarding/target_selection_test.ts
+++ b/packages/daemon/src/forwarding/target_selection_test.ts
@@ -6,6 +6,7 @@
   type RegisteredTarget,
   VirtualTimerService,
 } from "@coltsfootford/core";
+import { Metrics } from "../metrics/index.ts";
 import { createForwardingBlackboard } from "./forwarding_blackboard.ts";
 import type {
   AcceptedRequest,
@@ -30,6 +31,7 @@
 let permits: Permit[];
 let askedWaitsMs: number[];
 let limited: Set<string>;
+let evacuated: Set<string>;
 let selected: string[];
 let rejected: string[];
 let retryAfterMs: number[];
@@ -59,6 +61,7 @@
   permits = [];
   askedWaitsMs = [];
   limited = new Set(["a", "b"]);
+  evacuated = new Set();
   selected = [];
   rejected = [];
   retryAfterMs = [];
@@ -75,12 +78,14 @@
     pool,
     timer,
     log: { event: () => {} },
+    metrics: new Metrics(),
     placement: () => ({
       availabilityZone: "a",
       daemonHash: 1,
       maxLoadFactor: 2,
       promptTokensPerMs: 50,
     }),
+    evacuatedZones: () => evacuated,
     limits: {
       isLimited: ({ id }: RegisteredTarget) => limited.has(id),
       requestPermit: (_: unknown, maxWaitMs: number) => {
@@ -136,6 +141,18 @@
     expect(selected).toEqual(["c"]);
   });
 
+  // Guards against a request that is sent to a zone that was evacuated while
+  // the request waited for its permit.
+  it("selects anew where the zone was evacuated during the wait", async () => {
+    permits.push({ kind: "granted", waitMs: 80 });
+    select(1_000);
+    await settle();
+    evacuated.add("a");
+    timer.advance(80);
+    expect(selected).toHaveLength(0);
+    expect(rejected).toEqual(["zones evacuated"]);
+  });
+
   it("rejects where every target denies a permit", async () => {
     select(1_000);
     await settle();
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -270,6 +270,11 @@
     level: "info",
     text: "request does not go to a target, whose limit is used up",
   },
+  evacuationChanged: {
+    number: 6131,
+    level: "warn",
+    text: "set of evacuated zones changed; their targets get no requests",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
