Keep the permits of a cold target within its bound of one second

The limit of a cold target holds in any one second, that of a limit that targets name over 4 s. Each daemon's own share gave one request at once after a pause: when all of 300 daemons lost the owners, 226 requests reached the target in a second (allowed: 21.5). And a new daemon that took over as owner while others still asked the former one gave 22 to 24 at 6 daemons.

--- a/packages/core/src/forwarding/limits/limit_owners.ts
+++ b/packages/core/src/forwarding/limits/limit_owners.ts
@@ -17,6 +17,9 @@
 /** Share of all daemons together that reach neither. */
 const OWN_SHARE = 0.15;
 
+/** Shares of all daemons and roles together. */
+export const TOTAL_SHARE = 1 + SUBSTITUTE_SHARE + OWN_SHARE;
+
 /**
  * The requests a second that one daemon hands out. Owner and substitute may both
  * be in use while daemons disagree on who lives, so the shares add up.
--- a/packages/core/src/forwarding/limits/rate_limiter.ts
+++ b/packages/core/src/forwarding/limits/rate_limiter.ts
@@ -18,6 +18,16 @@
 const BURST_MS = 250;
 const MS_PER_S = 1_000;
 
+/** Time between two requests at an even pace. */
+export function usedPeriodMs(requestsPerSecond: number): number {
+  return MS_PER_S / (requestsPerSecond * USED_SHARE);
+}
+
+/** The most requests that one limiter hands out for any one second. */
+export function worstSecondOf(requestsPerSecond: number): number {
+  return 1 + (MS_PER_S + BURST_MS) / usedPeriodMs(requestsPerSecond);
+}
+
 /**
  * Hands out the requests a second that a target takes from all daemons, by the
  * generic cell rate algorithm. A new limiter has no burst saved up, since
@@ -41,7 +51,7 @@
     maxWaitMs: number,
     nowMs: number,
   ): Reservation {
-    const periodMs = MS_PER_S / (requestsPerSecond * USED_SHARE);
+    const periodMs = usedPeriodMs(requestsPerSecond);
     if (periodMs !== this.#periodMs) this.#changePeriod(periodMs, nowMs);
     const waitMs = this.#waitMs(nowMs);
     if (waitMs > maxWaitMs) {
@@ -54,6 +64,11 @@
     };
   }
 
+  /** Hands out nothing before `untilMs`, and no burst afterwards. */
+  delayUntil(untilMs: number): void {
+    this.#dueAtMs = Math.max(this.#dueAtMs, untilMs + BURST_MS);
+  }
+
   /** What is reserved already takes more or less time at another limit. */
   #changePeriod(periodMs: number, nowMs: number): void {
     const backlogMs = Math.max(0, this.#dueAtMs - nowMs);
