--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -275,6 +275,11 @@
     level: "warn",
     text: "held bytes exceeded their budget, and a request was ended for it",
   },
+  evacuationChanged: {
+    number: 6131,
+    level: "warn",
+    text: "set of evacuated zones changed; their targets get no requests",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
