--- a/packages/daemon/src/buffering/held_bytes.ts
+++ b/packages/daemon/src/buffering/held_bytes.ts
@@ -37,6 +37,11 @@
     return this.#isEvicted;
   }
 
+  /** Whether a budget limits what is held. */
+  get isLimited(): boolean {
+    return this.#budget !== undefined;
+  }
+
   /** Whether all holdings of this kind take more than half of their share. */
   get isScarce(): boolean {
     if (!this.#budget) return false;
--- a/packages/daemon/src/forwarding/response_writer.ts
+++ b/packages/daemon/src/forwarding/response_writer.ts
@@ -110,7 +110,8 @@
   /** Bounds the time in which the client must read the next part. */
   #restartTimer(): void {
     this.#cancelTimer();
-    if (this.#isStopped || this.#openWrites === 0) return;
+    if (!this.#held.isLimited || this.#isStopped) return;
+    if (this.#openWrites === 0) return;
     this.#cancelTimer = this.#timer.after(MAX_UNREAD_MS, this.#onStalled);
   }
 }
