Drop the body of a request whose response has begun

The budget ended requests in flight for their bodies although, once a target has begun to respond, a body is needed only for a second attempt. Such a body is now dropped and the request goes on.

What the end of an attempt says about its target moves to current_attempt.ts, and is nothing if a slow client left the response unread; such an attempt is not suspended for its silence either.

--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -1,8 +1,10 @@
 import {
   type InFlightAttempt,
+  isWaitFutile,
   jitteredStayAwayMs,
   type Placement,
 } from "@coltsfootford/core";
+import { classifyOutcome } from "./classify_attempt_end.ts";
 import type {
   AcceptedRequest,
   ForwarderDependencies,
@@ -66,21 +68,69 @@
   );
 }
 
-/** Whether an attempt broke after its client had left the response unread. */
-export function wasLeftUnread(
-  { attempt }: CurrentAttempt,
-  { kind }: AttemptEnd,
+/** Whether to stop waiting for a target that has sent nothing for too long. */
+export function isAttemptFutile(
+  { timer }: ForwarderDependencies,
+  { route }: AcceptedRequest,
+  { inFlight, target }: CurrentAttempt,
+  request: { readonly isRetryable: boolean; readonly timeLeftMs: number },
 ): boolean {
-  return kind === "broken" && attempt.wasLeftUnread;
+  // A target can't send while its response is not read.
+  if (inFlight.isPaused) return false;
+  const nowMs = timer.nowMs();
+  return isWaitFutile({
+    ...request,
+    hasResponse: inFlight.hasResponse,
+    isStream: route.kind === "stream",
+    targetLatencyMs: route.targetLatencyMs,
+    targetPauseMs: route.targetPauseMs,
+    silentMs: nowMs - inFlight.lastByteAtMs,
+    targetSilentMs: target.record.silentForMs(nowMs),
+  });
+}
+
+/**
+ * Records what the end of an attempt says about its target. A target may break
+ * off a response that a slow client has left unread.
+ */
+export function recordEnd(
+  dependencies: ForwarderDependencies,
+  accepted: AcceptedRequest,
+  current: CurrentAttempt,
+  end: AttemptEnd,
+): void {
+  const { attempt, target } = current;
+  if (end.kind === "broken" && attempt.wasLeftUnread) return;
+  const nowMs = dependencies.timer.nowMs();
+  const outcome = classifyOutcome(end);
+  target.record.recordOutcome(outcome, nowMs);
+  if (end.kind === "unsent" || outcome === "silent") {
+    target.record.suspend(nowMs);
+  } else if (end.kind === "broken") {
+    reportBroken(dependencies, accepted, current);
+  }
 }
 
-/** Reports an attempt that broke, as a sign that its target has crashed. */
-export function reportBroken(
+/**
+ * Reports an attempt that broke, as a sign that its target has crashed. A request
+ * whose body was dropped can't be identified.
+ */
+function reportBroken(
   { crashObserver, promptObserver }: ForwarderDependencies,
   accepted: AcceptedRequest,
   { target, inFlight }: CurrentAttempt,
 ): void {
-  crashObserver.onAttemptBroken(accepted, target.target, inFlight);
-  const { prompt } = accepted.metadata;
-  promptObserver.onAttemptBroken(prompt, target.target, inFlight);
+  const { body, metadata } = accepted;
+  if (!body.held.isEvicted) {
+    crashObserver.onAttemptBroken(accepted, target.target, inFlight);
+  }
+  promptObserver.onAttemptBroken(metadata.prompt, target.target, inFlight);
+}
+
+/** Reports that a request was served, if it can still be identified. */
+export function reportServed(
+  { crashObserver }: ForwarderDependencies,
+  accepted: AcceptedRequest,
+): void {
+  if (!accepted.body.held.isEvicted) crashObserver.onRequestServed(accepted);
 }
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -6,25 +6,23 @@
   expectedFirstByteMs,
   findQuarantinedParts,
   hasSurvivedBeginning,
-  isWaitFutile,
   jitteredRetryAfterMs,
   type Placement,
   type RetryStopReason,
   sharedParts,
-  totalRequests,
 } from "@coltsfootford/core";
 import {
   type CurrentAttempt,
+  isAttemptFutile,
+  recordEnd,
   recordFirstByte,
-  reportBroken,
+  reportServed,
   startInFlight,
-  wasLeftUnread,
 } from "./current_attempt.ts";
 import { createAttemptPlan } from "./attempt_plan.ts";
 import { canRetryAfterAbort } from "./can_retry_after_abort.ts";
 import {
   classifyFailure,
-  classifyOutcome,
   isFailureResponse,
   NOT_EXECUTED_STATUSES,
   requireUsableEnd,
@@ -33,7 +31,12 @@
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import { logAttemptFailed, logEnded, logSent } from "./request_log.ts";
+import {
+  describeEnd,
+  logAttemptFailed,
+  logEnded,
+  logSent,
+} from "./request_log.ts";
 import type { PooledTarget } from "./target_pool.ts";
 import { TargetSelection } from "./target_selection.ts";
 import {
@@ -49,6 +52,7 @@
 
 /** Rejections by targets after which a request may still be retried. */
 const MAX_REJECTIONS = 3;
+const TOO_MANY_BYTES = "too many bytes held";
 
 /** Forwards one request: one attempt at a time, one timer for its deadline. */
 export class ForwardedRequest {
@@ -91,8 +95,8 @@
   start(): void {
     const { body, response } = this.#accepted;
     response.onDisconnect(() => this.#onDisconnect());
-    const evict = () => this.abort("too many bytes held");
-    for (const { held } of [body, response]) held.onEvicted(evict);
+    body.held.onEvicted(() => this.#onBodyEvicted());
+    response.held.onEvicted(() => this.abort(TOO_MANY_BYTES));
     this.#cancelDeadline = this.#dependencies.timer.after(
       Math.max(0, this.#timeLeftMs()),
       () => this.#onDeadline(),
@@ -113,24 +117,22 @@
   /** Aborts the attempt if its target has sent nothing for too long. */
   checkResponsiveness(): void {
     const current = this.#current;
-    if (!current || this.#hasFinished || current.inFlight.isPaused) return;
-    const nowMs = this.#dependencies.timer.nowMs();
-    const { route } = this.#accepted;
-    const isFutile = isWaitFutile({
-      isRetryable: canRetryAfterAbort(
-        this.#accepted,
-        this.#dependencies,
-        this.#attemptsSent,
-        this.#attemptedIncarnations,
-      ),
-      hasResponse: current.inFlight.hasResponse,
-      isStream: route.kind === "stream",
-      targetLatencyMs: route.targetLatencyMs,
-      targetPauseMs: route.targetPauseMs,
-      silentMs: nowMs - current.inFlight.lastByteAtMs,
-      targetSilentMs: current.target.record.silentForMs(nowMs),
-      timeLeftMs: this.#timeLeftMs(),
-    });
+    if (!current || this.#hasFinished) return;
+    const isRetryable = canRetryAfterAbort(
+      this.#accepted,
+      this.#dependencies,
+      this.#attemptsSent,
+      this.#attemptedIncarnations,
+    );
+    const isFutile = isAttemptFutile(
+      this.#dependencies,
+      this.#accepted,
+      current,
+      {
+        isRetryable,
+        timeLeftMs: this.#timeLeftMs(),
+      },
+    );
     if (!isFutile) return;
     current.attempt.abort();
     this.#onAttemptEnd(current, { kind: "broken", cause: "silent" });
@@ -212,6 +214,15 @@
     this.#current = current;
   }
 
+  /** Once a target has begun to respond, a second attempt is all that is lost. */
+  #onBodyEvicted(): void {
+    const { attempt, inFlight } = this.#current ?? {};
+    if (!inFlight?.hasResponse || !attempt?.isBodySent) {
+      return this.abort(TOO_MANY_BYTES);
+    }
+    this.#accepted.body.release();
+  }
+
   #onFirstByte(current: CurrentAttempt, head: ResponseHead): void {
     this.#lastHead = head;
     recordFirstByte(this.#dependencies, this.#accepted, current, head);
@@ -240,13 +251,7 @@
     current.target.record.attempts.delete(current.inFlight);
     if (this.#hasFinished) return;
     const end = requireUsableEnd(reportedEnd, this.#accepted.response);
-    const nowMs = this.#dependencies.timer.nowMs();
-    const outcome = classifyOutcome(end);
-    const isClientsFault = wasLeftUnread(current, end);
-    if (!isClientsFault) current.target.record.recordOutcome(outcome, nowMs);
-    if (end.kind === "unsent" || outcome === "silent") {
-      current.target.record.suspend(nowMs);
-    }
+    recordEnd(this.#dependencies, this.#accepted, current, end);
     if (end.kind === "unsent") this.#attemptsUnsent += 1;
     if (end.kind === "refused") this.#rejections += 1;
     if (end.kind === "streamed") return this.#finishStream();
@@ -257,15 +262,13 @@
       this.#mayHaveExecuted = true;
       this.#attemptsSent += 1;
     }
-    if (end.kind === "broken" && outcome !== "silent" && !isClientsFault) {
-      reportBroken(this.#dependencies, this.#accepted, current);
-    }
     this.#onFailure(current, end);
   }
 
   #onFailure(current: CurrentAttempt, end: AttemptEnd): void {
-    const { route, service, response } = this.#accepted;
-    const decision = this.#rejections > MAX_REJECTIONS
+    const { route, service, response, body } = this.#accepted;
+    const isFinal = this.#rejections > MAX_REJECTIONS || body.held.isEvicted;
+    const decision = isFinal
       ? { kind: "stop" as const, reason: "tries-used-up" as RetryStopReason }
       : decideRetry({
         failure: classifyFailure(end, response.hasStarted),
@@ -301,13 +304,13 @@
     if (!this.#hasBegun) {
       this.#dependencies.promptObserver.onResponseBegan(prompt);
     }
-    this.#dependencies.crashObserver.onRequestServed(this.#accepted);
+    reportServed(this.#dependencies, this.#accepted);
     this.#finish("served", 200);
   }
 
   #relayResponse(response: BufferedResponse): void {
     this.#accepted.response.relayResponse(response);
-    this.#dependencies.crashObserver.onRequestServed(this.#accepted);
+    reportServed(this.#dependencies, this.#accepted);
     this.#finish("served", response.status);
   }
 
@@ -383,16 +386,12 @@
     this.#accepted.body.release();
     this.#selection?.cancel();
     this.#cancelDeadline();
-    const { load, limitPerSecond } = this.#lastHead?.metadata ?? {};
     logEnded(this.#dependencies, this.#accepted, {
       outcome,
       status,
       tries: this.#attemptedIncarnations.size,
       mayHaveRun: this.#mayHaveExecuted,
-      reportedLoad: load && totalRequests(load),
-      namedLimit: limitPerSecond,
-      endMarkedBy: this.#lastHead?.delimiter,
-      clientEndMarkedBy: this.#accepted.response.delimiter,
+      ...describeEnd(this.#lastHead, this.#accepted.response),
     });
     this.#onFinished();
   }
--- a/packages/daemon/src/forwarding/request_log.ts
+++ b/packages/daemon/src/forwarding/request_log.ts
@@ -3,12 +3,14 @@
   type Placement,
   type RetryDecision,
   sharedParts,
+  totalRequests,
 } from "@coltsfootford/core";
+import type { ClientResponse } from "./client_response.ts";
 import type {
   AcceptedRequest,
   ForwarderDependencies,
 } from "./forwarding_types.ts";
-import type { AttemptEnd } from "./target_attempt.ts";
+import type { AttemptEnd, ResponseHead } from "./target_attempt.ts";
 
 /** Limit on a logged age, which is infinite until the first load report. */
 const MAX_LOGGED_AGE_MS = 99_999;
@@ -92,6 +94,20 @@
   readonly clientEndMarkedBy: BodyDelimiter | undefined;
 }
 
+/** What the last response of a target and that to the client say of the end. */
+export function describeEnd(
+  head: ResponseHead | undefined,
+  response: ClientResponse,
+) {
+  const { load, limitPerSecond } = head?.metadata ?? {};
+  return {
+    reportedLoad: load && totalRequests(load),
+    namedLimit: limitPerSecond,
+    endMarkedBy: head?.delimiter,
+    clientEndMarkedBy: response.delimiter,
+  } satisfies Partial<EndedRequest>;
+}
+
 /** Logs the end of a request, and counts it. */
 export function logEnded(
   { log, metrics, timer }: ForwarderDependencies,
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -94,6 +94,11 @@
     return this.#isConnected;
   }
 
+  /** Whether the whole request was given to the kernel. */
+  get isBodySent(): boolean {
+    return this.#isConnected && this.#request.writableFinished;
+  }
+
   /** Closes the connection to cancel the work; does not call `onEnd`. */
   abort(): void {
     if (this.#hasEnded) return;
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -273,7 +273,8 @@
   heldBytesEvicted: {
     number: 6130,
     level: "warn",
-    text: "held bytes exceeded their budget, and a request was ended for it",
+    text:
+      "held bytes exceeded their budget, and those of a request were dropped",
   },
   linesDropped: {
     number: 6201,
