--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -273,8 +273,7 @@
   heldBytesEvicted: {
     number: 6130,
     level: "warn",
-    text:
-      "held bytes exceeded their budget, and those of a request were dropped",
+    text: "held bytes exceeded their budget and were dropped",
   },
   linesDropped: {
     number: 6201,
