--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -273,7 +273,7 @@
   heldBytesEvicted: {
     number: 6130,
     level: "warn",
-    text: "held bytes exceeded their budget, and a request was ended for it",
+    text: "held bytes exceeded their budget and were dropped",
   },
   evacuationChanged: {
     number: 6131,
