--- a/packages/daemon/src/forwarding/attempt_plan.ts
+++ b/packages/daemon/src/forwarding/attempt_plan.ts
@@ -5,7 +5,7 @@
 } from "@coltsfootford/core";
 import type { AcceptedRequest } from "./forwarding_types.ts";
 import type { RequestCodec } from "./request_codec.ts";
-import type { AttemptPlan } from "./target_attempt.ts";
+import type { AttemptPlan } from "./attempt_types.ts";
 import type { PooledTarget } from "./target_pool.ts";
 
 /** Share of the remaining time that one connect may take. */
@@ -49,5 +49,6 @@
     maxOutputTokens: metadata.prompt.maxOutputTokens,
     inFlight,
     events,
+    held: accepted.response.held,
   };
 }
--- a/packages/daemon/src/forwarding/attempt_end.ts
+++ b/packages/daemon/src/forwarding/attempt_types.ts
@@ -1,5 +1,11 @@
-import type { BodyDelimiter } from "@coltsfootford/core";
-import type { ResponseMetadata } from "./request_codec.ts";
+import type {
+  BodyDelimiter,
+  EventSequence,
+  InFlightAttempt,
+} from "@coltsfootford/core";
+import type { BodyBytes, HeldBytes, PieceBuffer } from "../buffering/index.ts";
+import type { RawHeaders, ResponseMetadata } from "./request_codec.ts";
+import type { PooledTarget } from "./target_pool.ts";
 
 /** A complete response. */
 export interface BufferedResponse {
@@ -7,7 +13,7 @@
   readonly metadata: ResponseMetadata;
   readonly contentLength: string | undefined;
   readonly delimiter: BodyDelimiter;
-  readonly body: Buffer;
+  readonly body: PieceBuffer;
 }
 
 /**
@@ -29,6 +35,27 @@
   readonly status: number;
   readonly metadata: ResponseMetadata;
   readonly delimiter: BodyDelimiter;
+  /** The stated length, if the body is relayed unchanged from its start. */
+  readonly contentLength?: string | undefined;
+}
+
+/** Inputs of an attempt: the request to send, and its target. */
+export interface AttemptPlan {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: BodyBytes;
+  readonly target: PooledTarget;
+  readonly connectTimeoutMs: number;
+  readonly isStream: boolean;
+  /** Most tokens that the response may have; 0 if unknown. */
+  readonly maxOutputTokens: number;
+  readonly inFlight: InFlightAttempt;
+  /** The events of the response over all attempts. */
+  readonly events: EventSequence;
+  /** Charged for what is buffered of the response. */
+  readonly held: HeldBytes;
 }
 
 /** Receives the events of an attempt. */
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -2,6 +2,7 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
+import { ByteHoldings } from "../buffering/index.ts";
 import { ClientConnections } from "../connections/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
@@ -14,6 +15,7 @@
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
   CrashCheck,
+  EvacuationController,
   FleetRelay,
   LimitController,
   OverloadController,
@@ -97,6 +99,12 @@
       timer,
       log,
     );
+    const evacuation = new EvacuationController(
+      blackboard,
+      recordCodec,
+      timer,
+      log,
+    );
     const peers = new PeersController(self, blackboard, store, timer, log);
     const seeds = settings.seeds
       .map(({ host, port }) => ({ name: `${host}:${port}`, host, port }))
@@ -148,6 +156,7 @@
     const followed = [
       routes.followed,
       registry.followed,
+      evacuation.followed,
       peers.followed,
       quarantine.followed,
       promptQuarantine.followed,
@@ -165,7 +174,14 @@
       blackboard,
       followed,
       isAfterOutage,
-      retainedFacts: [routes, registry, quarantine, promptQuarantine, limits],
+      retainedFacts: [
+        routes,
+        registry,
+        evacuation,
+        quarantine,
+        promptQuarantine,
+        limits,
+      ],
       history: store.history,
       seeds,
       timer,
@@ -183,6 +199,7 @@
       new StoreContactController(blackboard, store, timer, log),
       routes,
       registry,
+      evacuation,
       peers,
       quarantine,
       promptQuarantine,
@@ -215,6 +232,7 @@
         maxLoadFactor: blackboard.limits.read().maxLoadFactor,
         promptTokensPerMs: PROMPT_TOKENS_PER_MS,
       }),
+      evacuatedZones: () => blackboard.evacuatedZones.read(),
       retryShares: new RetryShares(
         () => {
           const { repeatRatio, repeatSlack } = blackboard.limits.read();
@@ -238,6 +256,12 @@
       timer,
       log,
       metrics: this.#metrics,
+      holdings: new ByteHoldings({
+        memoryLimitBytes: settings.memoryLimitBytes,
+        timer,
+        log,
+        metrics: this.#metrics,
+      }),
       random,
     });
     this.#connections = new ClientConnections(this.#server.server, timer);
--- a/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/quarantine_controller.ts
@@ -178,8 +178,10 @@
     weight: number,
   ): Promise<void> {
     if (this.#wasServedRecently(request)) return;
+    // The body of the request is dropped when the request ends.
+    const digest = digestRequest(request);
     if (!await this.#dependencies.crashCheck.isDown(target)) return;
-    this.#report(digestRequest(request), target.incarnation, weight);
+    this.#report(digest, target.incarnation, weight);
   }
 
   #report(digest: string, targetIncarnation: string, weight: number): void {
--- a/packages/daemon/src/forwarding/observe_crash.ts
+++ b/packages/daemon/src/forwarding/observe_crash.ts
@@ -5,14 +5,20 @@
   ForwarderDependencies,
 } from "./forwarding_types.ts";
 
-/** Reports an attempt whose target may have crashed because of the request. */
+/**
+ * Reports an attempt whose target may have crashed because of the request. One
+ * whose body was dropped can't be identified.
+ */
 export function observeBroken(
   { crashObserver, promptObserver }: ForwarderDependencies,
   accepted: AcceptedRequest,
-  { target, inFlight }: CurrentAttempt,
+  { target, inFlight, digest }: CurrentAttempt,
 ): void {
-  const { prompt } = accepted.metadata;
-  crashObserver.onAttemptBroken(accepted, target.target, inFlight);
+  const { body, metadata: { prompt } } = accepted;
+  if (digest !== undefined || !body.held.isEvicted) {
+    const content = { ...accepted, digest };
+    crashObserver.onAttemptBroken(content, target.target, inFlight);
+  }
   promptObserver.onAttemptBroken(prompt, target.target, inFlight);
 }
 
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -21,6 +21,11 @@
  * some executions of a contended service, which take tens of ms.
  */
 const PREFERRED_SLOT_WAIT_MS = 250;
+/**
+ * Longest wait for a slot after a permit. Permits are spaced evenly, and requests
+ * that go later than their permits say would exceed the limit of one second.
+ */
+const MAX_WAIT_AFTER_PERMIT_MS = 50;
 /** Targets at which a request asks for a slot; each costs a round trip. */
 const MAX_SLOT_REQUESTS = 4;
 
@@ -105,6 +110,7 @@
       engine,
       cacheEstimates: pool.cacheEstimates,
       unreachableZones: findUnreachableZones(pool.all(), timer.nowMs()),
+      evacuatedZones: this.#dependencies.evacuatedZones(),
       requestHash: hash32(metadata.requestId),
       nowMs: timer.nowMs(),
     }, placement());
@@ -152,23 +158,30 @@
     this.start();
   }
 
-  /** The target may have left, or turned requests away, during a wait. */
+  /**
+   * During a wait, the target may have left or turned requests away, or its zone
+   * may have been evacuated.
+   */
   #isUsable({ candidate: { target, record } }: Placement): boolean {
-    const { pool, timer } = this.#dependencies;
+    const { pool, timer, evacuatedZones } = this.#dependencies;
     return pool.find(target.incarnation) !== undefined &&
+      !evacuatedZones().has(target.availabilityZone) &&
       record.isTaking(timer.nowMs());
   }
 
   #requestSlot(placement: Placement): void {
-    const { slots } = this.#dependencies;
+    const { slots, limits } = this.#dependencies;
     const { candidate, runnerUpCostMs } = placement;
     if (this.#isRetry || !slots.isContended(candidate, this.#accepted)) {
       return this.#listener.onSelected(placement);
     }
     const timeLeftMs = Math.max(0, this.#timeLeftMs());
-    const maxWaitMs = Number.isFinite(runnerUpCostMs)
+    const patienceMs = Number.isFinite(runnerUpCostMs)
       ? Math.min(PREFERRED_SLOT_WAIT_MS, timeLeftMs * MAX_WAIT_SHARE)
       : timeLeftMs;
+    const maxWaitMs = limits.isLimited(candidate.target)
+      ? Math.min(patienceMs, MAX_WAIT_AFTER_PERMIT_MS)
+      : patienceMs;
     const slot = slots.requestSlot(candidate, this.#accepted, {
       timeLeftMs,
       maxWaitMs,
@@ -194,14 +207,23 @@
   }
 
   #end(): void {
-    const { pool, timer } = this.#dependencies;
+    const { pool, timer, metrics, evacuatedZones } = this.#dependencies;
+    const nowMs = timer.nowMs();
+    const targets = pool.ofService(this.#accepted.service);
+    const evacuated = evacuatedZones();
+    const usable = targets.filter(({ target }) =>
+      !evacuated.has(target.availabilityZone)
+    );
+    if (targets.length > 0 && usable.length === 0) {
+      metrics.count("requests_without_zone_total");
+      return this.#listener.onNone("zones evacuated", 0, false);
+    }
     if (this.#slotRejections > 0) {
       const hasRetry = this.#slotRetriesMs.length > 0;
       const retryMs = hasRetry ? Math.min(...this.#slotRetriesMs) : 0;
       return this.#listener.onNone("no slot in time", retryMs, hasRetry);
     }
-    const nowMs = timer.nowMs();
-    const waitsMs = pool.ofService(this.#accepted.service)
+    const waitsMs = usable
       .map(({ record: { permitFromMs, awayUntilMs } }) =>
         Math.max(0, permitFromMs - nowMs, awayUntilMs - nowMs)
       );
--- a/packages/daemon/src/forwarding/target_selection_test.ts
+++ b/packages/daemon/src/forwarding/target_selection_test.ts
@@ -7,6 +7,7 @@
   type RegisteredTarget,
   VirtualTimerService,
 } from "@coltsfootford/core";
+import { Metrics } from "../metrics/index.ts";
 import { createForwardingBlackboard } from "./forwarding_blackboard.ts";
 import type {
   AcceptedRequest,
@@ -32,6 +33,7 @@
 let permits: Permit[];
 let askedWaitsMs: number[];
 let limited: Set<string>;
+let evacuated: Set<string>;
 let selected: string[];
 let rejected: string[];
 let retryAfterMs: number[];
@@ -66,6 +68,7 @@
   permits = [];
   askedWaitsMs = [];
   limited = new Set(["a", "b"]);
+  evacuated = new Set();
   selected = [];
   rejected = [];
   retryAfterMs = [];
@@ -90,12 +93,14 @@
     pool,
     timer,
     log: { event: () => {} },
+    metrics: new Metrics(),
     placement: () => ({
       availabilityZone: "a",
       daemonHash: 1,
       maxLoadFactor: 2,
       promptTokensPerMs: 50,
     }),
+    evacuatedZones: () => evacuated,
     limits: {
       isLimited: ({ id }: RegisteredTarget) => limited.has(id),
       requestPermit: (_: unknown, maxWaitMs: number) => {
@@ -178,6 +183,18 @@
     expect(selected).toEqual(["c"]);
   });
 
+  // Guards against a request that is sent to a zone that was evacuated while
+  // the request waited for its permit.
+  it("selects anew where the zone was evacuated during the wait", async () => {
+    permits.push({ kind: "granted", waitMs: 80 });
+    select(1_000);
+    await settle();
+    evacuated.add("a");
+    timer.advance(80);
+    expect(selected).toHaveLength(0);
+    expect(rejected).toEqual(["zones evacuated"]);
+  });
+
   it("rejects where every target denies a permit", async () => {
     select(1_000);
     await settle();
@@ -309,5 +326,7 @@
     timer.advance(10);
     await settle();
     expect(selected).toEqual([slotWaits[0]!.target]);
+    // Later requests would exceed the limit of one second.
+    expect(slotWaits[0]!.maxWaitMs).toBe(50);
   });
 });
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -270,6 +270,16 @@
     level: "info",
     text: "request does not go to a target, whose limit is used up",
   },
+  heldBytesEvicted: {
+    number: 6130,
+    level: "warn",
+    text: "held bytes exceeded their budget and were dropped",
+  },
+  evacuationChanged: {
+    number: 6131,
+    level: "warn",
+    text: "set of evacuated zones changed; their targets get no requests",
+  },
   targetContended: {
     number: 6140,
     level: "info",
