Count the slowdown of engines by what they read

For engines the figure multiplies the time to read a prompt and the turnover of their slots. The cost of a usual execution, the drawn load, the shorter half-life of the load and the signs of contention are for plain services alone, since the load of engines lasts for seconds and their prompts spread their requests.

--- a/packages/core/src/forwarding/placement/choose_target.ts
+++ b/packages/core/src/forwarding/placement/choose_target.ts
@@ -256,8 +256,9 @@
     : 0;
   const readTokens = missingTokens - fetchedTokens + record.unreadTokens;
   const permitWaitMs = Math.max(0, record.permitFromMs - nowMs);
-  const costMs = readTokens / settings.promptTokensPerMs + transferMs +
-    loadCostMs(estimates, nowMs) +
+  const slowdown = record.slowdown(nowMs);
+  const costMs = readTokens / settings.promptTokensPerMs * slowdown +
+    transferMs + loadCostMs(estimates, slowdown) +
     (target.availabilityZone === settings.availabilityZone
       ? 0
       : OTHER_ZONE_COST_MS) +
@@ -289,7 +290,10 @@
     mixHash32(daemonHash, right.candidate.incarnationHash);
 }
 
-/** The load of a target whose service reports slowdowns is drawn by request. */
+/**
+ * The load of a plain target that reports its slowdown is drawn by request.
+ * Prompts spread the requests to engines.
+ */
 function estimateLoad(
   { record, incarnationHash }: Candidate,
   loads: LoadEstimates,
@@ -304,16 +308,14 @@
 }
 
 /**
- * Usual time of an execution at the targets of the service; undefined where no
- * target reports its slowdown. One figure for all, since targets that were not
- * heard would otherwise seem the fastest.
+ * Usual time of an execution at the plain targets of the service; undefined for
+ * engines and where no target reports its slowdown. One figure for all, since
+ * targets that were not heard would otherwise seem the fastest.
  */
 function usualExecutionMs(
-  { candidates }: PlacementQuery,
+  { candidates, engine }: PlacementQuery,
 ): number | undefined {
-  if (!candidates.some(({ record }) => record.reportsSlowdown)) {
-    return undefined;
-  }
+  if (engine) return undefined;
   let totalMs = 0;
   let known = 0;
   for (const { record: { usualFirstByteMs } } of candidates) {
@@ -321,26 +323,25 @@
     totalMs += usualFirstByteMs;
     known += 1;
   }
-  return totalMs / Math.max(1, known);
+  return known === 0 ? undefined : totalMs / known;
 }
 
 /**
  * Cost of the load in ms; waiting requests add their share of a turnover. Where
- * targets report how long work takes, the turnover is an execution at that
- * speed, and the execution itself is part of the cost.
+ * plain targets report their slowdown, the turnover is an execution, and the
+ * execution itself is part of the cost.
  */
 function loadCostMs(
-  { candidate: { target, record }, estimatedLoad, executionMs }:
-    CandidateEstimates,
-  nowMs: number,
+  { candidate: { target }, estimatedLoad, executionMs }: CandidateEstimates,
+  slowdown: number,
 ): number {
   const waiting = Math.max(0, estimatedLoad + 1 - target.slots);
   const queueShare = waiting / Math.max(1, target.slots);
   const requestsMs = estimatedLoad * COST_PER_REQUEST_MS;
   if (executionMs === undefined) {
-    return requestsMs + queueShare * SLOT_TURNOVER_MS;
+    return requestsMs + queueShare * SLOT_TURNOVER_MS * slowdown;
   }
-  return requestsMs + executionMs * record.slowdown(nowMs) * (1 + queueShare);
+  return requestsMs + executionMs * slowdown * (1 + queueShare);
 }
 
 /**
--- a/packages/core/src/forwarding/placement/choose_target_test.ts
+++ b/packages/core/src/forwarding/placement/choose_target_test.ts
@@ -145,6 +145,16 @@
     expect(choose(targets)?.source?.candidate).toBe(preferred);
   });
 
+  // Guards against a prompt that waits for a slow engine while another is fast.
+  it("leaves a preferred target that has become slow", () => {
+    const targets = fleet();
+    const preferred = choose(targets)!.candidate;
+    const report = { runningRequests: 0, waitingRequests: 0, slots: 64 };
+    preferred.record.recordReportedLoad({ ...report, slowdown: 60 }, 1_000);
+    expect(choose(targets)?.candidate).not.toBe(preferred);
+    expect(choose(targets, { nowMs: 4_000 })?.candidate).toBe(preferred);
+  });
+
   it("moves a hot prompt once its target reaches the load bound", () => {
     const targets = fleet();
     const preferred = choose(targets)!.candidate;
--- a/packages/core/src/forwarding/targets/target_record.ts
+++ b/packages/core/src/forwarding/targets/target_record.ts
@@ -38,8 +38,8 @@
 /** Half-life of the weight of a reported load against the expected load. */
 const REPORTED_LOAD_HALF_LIFE_MS = 2_000;
 /**
- * Half-life of the reported load of targets that report their slowdown. Their
- * work takes tens of ms, so their load changes sooner than that of engines.
+ * Half-life of the reported load of plain targets that report their slowdown.
+ * Their work takes tens of ms, so their load changes sooner than that of engines.
  */
 const CONTENDED_LOAD_HALF_LIFE_MS = 700;
 /**
@@ -150,7 +150,7 @@
 
   /**
    * Moving average of the time to the first byte, without the slowdown that the
-   * response reported. Undefined until a response reported one.
+   * response reported. Undefined for engines, and until a response reported one.
    */
   get usualFirstByteMs(): number | undefined {
     return this.#usualFirstByteMs;
@@ -219,7 +219,7 @@
     this.#delayAtMs = nowMs;
   }
 
-  /** Records the time to the first byte of a response that reports a slowdown. */
+  /** Records the first byte of a plain target that reports its slowdown. */
   recordSlowedFirstByte(actualMs: number, slowdown: number): void {
     const usualMs = actualMs / slowdown;
     const previous = this.#usualFirstByteMs ?? usualMs;
@@ -273,9 +273,9 @@
   }
 
   #reportWeight(reportedAtMs: number, nowMs: number): number {
-    const halfLifeMs = this.reportsSlowdown
-      ? CONTENDED_LOAD_HALF_LIFE_MS
-      : REPORTED_LOAD_HALF_LIFE_MS;
+    const halfLifeMs = this.#usualFirstByteMs === undefined
+      ? REPORTED_LOAD_HALF_LIFE_MS
+      : CONTENDED_LOAD_HALF_LIFE_MS;
     return decay(1, nowMs - reportedAtMs, halfLifeMs);
   }
 }
--- a/packages/daemon/src/forwarding/current_attempt.ts
+++ b/packages/daemon/src/forwarding/current_attempt.ts
@@ -43,7 +43,7 @@
 export function recordFirstByte(
   { timer, metrics, loadObserver, leavingObserver, limits, slots, random }:
     ForwarderDependencies,
-  { route }: AcceptedRequest,
+  accepted: AcceptedRequest,
   { inFlight, target, placement, expectedFirstByteMs }: CurrentAttempt,
   { metadata }: ResponseHead,
 ): void {
@@ -60,13 +60,15 @@
   }
   if (metadata.isLeaving) leavingObserver.onLeaving(target.target);
   limits.onResponse(target.target, metadata, inFlight);
-  slots.onResponse(target, metadata);
+  slots.onResponse(target, metadata, accepted);
   if (metadata.wasNotExecuted) return;
   const slowdown = metadata.load?.slowdown;
-  if (slowdown !== undefined) record.recordSlowedFirstByte(tookMs, slowdown);
+  if (slowdown !== undefined && !accepted.engine) {
+    record.recordSlowedFirstByte(tookMs, slowdown);
+  }
   record.recordFirstByte(
     tookMs,
-    expectedFirstByteMs + route.targetLatencyMs / 2,
+    expectedFirstByteMs + accepted.route.targetLatencyMs / 2,
     nowMs,
   );
 }
--- a/packages/daemon/src/forwarding/forwarding_types.ts
+++ b/packages/daemon/src/forwarding/forwarding_types.ts
@@ -123,7 +123,11 @@
 /** Orders the requests to contended targets, together with all other daemons. */
 export interface TargetSlots {
   /** The head of a response has arrived, which may show contention. */
-  onResponse(candidate: Candidate, response: ResponseMetadata): void;
+  onResponse(
+    candidate: Candidate,
+    response: ResponseMetadata,
+    request: AcceptedRequest,
+  ): void;
   /** Whether the request needs a slot of the target. */
   isContended(candidate: Candidate, request: AcceptedRequest): boolean;
   /** Requests a slot. The wait for it ends after `maxWaitMs`. */
--- a/packages/daemon/src/forwarding/knowledge/slot_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/slot_controller.ts
@@ -119,8 +119,9 @@
   onResponse(
     { target, record }: Candidate,
     { load, wasNotExecuted }: ResponseMetadata,
+    { engine }: AcceptedRequest,
   ): void {
-    if (!record.reportsSlowdown) return;
+    if (engine || !record.reportsSlowdown) return;
     if (!wasNotExecuted && !(load && showsContention(load))) return;
     const { incarnation } = target;
     const nowMs = this.#nowMs();
--- a/packages/daemon/src/forwarding/knowledge/slot_controller_test.ts
+++ b/packages/daemon/src/forwarding/knowledge/slot_controller_test.ts
@@ -153,7 +153,7 @@
 function reportFull({ controller, candidate }: Daemon): void {
   candidate.record.recordReportedLoad(FULL, timer.nowMs());
   candidate.record.recordSlowedFirstByte(40, 1);
-  controller.onResponse(candidate, { load: FULL } as ResponseMetadata);
+  controller.onResponse(candidate, { load: FULL } as ResponseMetadata, REQUEST);
 }
 
 interface Sent {
@@ -187,7 +187,7 @@
     const { controller, candidate } = daemon!;
     const load = { ...FULL, slowdown: undefined };
     candidate.record.recordReportedLoad(load, 0);
-    controller.onResponse(candidate, { load } as ResponseMetadata);
+    controller.onResponse(candidate, { load } as ResponseMetadata, REQUEST);
     expect(controller.isContended(candidate, REQUEST)).toBe(false);
     reportFull(daemon!);
     expect(controller.isContended(candidate, REQUEST)).toBe(true);
