--- a/packages/core/src/scarcity/admission_decision.ts
+++ b/packages/core/src/scarcity/admission_decision.ts
@@ -15,8 +15,8 @@
    * more than the rejection of this one.
    */
   readonly isCheapestOfFullLine: boolean;
-  /** When the request should return if it is rejected. */
-  readonly retryAfterMs: number;
+  /** Returns the retry time of the request if it is rejected. */
+  readonly planRetryMs: () => number;
 }
 
 /**
@@ -28,18 +28,18 @@
   view: AdmissionView,
   nowMs: number,
 ): SlotDecision {
-  const reject: SlotDecision = {
-    kind: "reject",
-    retryAfterMs: view.retryAfterMs,
-  };
-  if (request.deadlineAtMs <= nowMs) return reject;
+  if (request.deadlineAtMs <= nowMs) return reject(view);
   if (view.waitingAhead < view.freeSlots) return { kind: "execute" };
-  if (view.isCheapestOfFullLine) return reject;
+  if (view.isCheapestOfFullLine) return reject(view);
   const untilMs = latestStartAtMs(request, view.expectedDurationMs);
-  if (nowMs + view.expectedWaitMs >= untilMs) return reject;
+  if (nowMs + view.expectedWaitMs >= untilMs) return reject(view);
   return { kind: "wait", untilMs };
 }
 
+function reject(view: AdmissionView): SlotDecision {
+  return { kind: "reject", retryAfterMs: view.planRetryMs() };
+}
+
 /**
  * The latest start with which the response can arrive before the deadline. A
  * request does not wait longer than that.
