--- a/packages/daemon/src/forwarding/knowledge/slot_lines.ts
+++ b/packages/daemon/src/forwarding/knowledge/slot_lines.ts
@@ -86,6 +86,7 @@
     this.#applyCapacity(owned, ask.capacity, nowMs);
     this.#startExpiry();
     const decision = owned.line.request(toSlotRequest(ask, nowMs), nowMs);
+    if (owned.line.hasRejections) this.#expire(owned, nowMs);
     if (decision.kind !== "wait") {
       this.#settle(owned, ask.id, decision);
       return Promise.resolve(decision);
