Limit the open connections of clients

Untrusted clients could hold as many connections as a daemon has descriptors, and then no ordinary client could connect.

ClientConnections closes a connection once there are more than a limit: first one that has been idle for at least a second, the longest first, then one whose request has made no progress for a second, then the longest idle or stalled of the others. A connection whose request has been received completely is never closed for the limit; if all are like that, the new connection is closed. The choice is made by ConnectionLine in core, from the order of events and the bytes received, in constant time as long as clients make no progress.

Without a limit nothing changes; no daemon sets one yet.

--- /dev/null
+++ b/packages/core/src/connections/index.ts
@@ -0,0 +1,3 @@
+/** Which client connections a daemon keeps open. */
+export * from "./connection_limit.ts";
+export * from "./connection_line.ts";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./bound/index.ts";
 export * from "./claims/index.ts";
 export * from "./config/index.ts";
+export * from "./connections/index.ts";
 export * from "./errors/index.ts";
 export * from "./forwarding/index.ts";
 export * from "./hash/index.ts";
--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -1,6 +1,10 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
-import type { TimerService } from "@coltsfootford/core";
+import {
+  type ConnectionActivity,
+  ConnectionLine,
+  type TimerService,
+} from "@coltsfootford/core";
 import {
   abortResponse,
   isTruncatedByClose,
@@ -19,6 +23,16 @@
   /** The responses that have not been delivered yet. */
   readonly responses: Set<ServerResponse>;
   idleSinceMs: number;
+  /** Bytes received when the last response ended; undefined before that. */
+  receivedBytesAtIdle: number | undefined;
+}
+
+/** How many client connections may be open. */
+export interface ConnectionLimitOptions {
+  /** Undefined for no limit. */
+  readonly maxConnections?: number | undefined;
+  /** Called for each connection that is closed because there are too many. */
+  readonly onLimitClosed?: () => void;
 }
 
 /**
@@ -35,11 +49,19 @@
   readonly #server: Server;
   readonly #timer: TimerService;
   readonly #connections = new Map<Socket, Connection>();
+  readonly #line: ConnectionLine<Socket>;
+  readonly #limit: ConnectionLimitOptions;
   #isClosing = false;
 
-  constructor(server: Server, timer: TimerService) {
+  constructor(
+    server: Server,
+    timer: TimerService,
+    limit: ConnectionLimitOptions = {},
+  ) {
     this.#server = server;
     this.#timer = timer;
+    this.#limit = limit;
+    this.#line = new ConnectionLine((socket) => this.#activityOf(socket));
     server.on("connection", (socket) => this.#track(socket));
     server.on("clientError", (error, socket) => {
       this.#rejectMalformed(error, socket as Socket);
@@ -114,12 +136,49 @@
   #track(socket: Socket): void {
     const responses = new Set<ServerResponse>();
     const idleSinceMs = this.#timer.nowMs();
-    this.#connections.set(socket, { responses, idleSinceMs });
-    socket.once("close", () => this.#connections.delete(socket));
+    const receivedBytesAtIdle = undefined;
+    this.#connections.set(socket, {
+      responses,
+      idleSinceMs,
+      receivedBytesAtIdle,
+    });
+    this.#line.observe(socket, idleSinceMs);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      this.#line.delete(socket);
+    });
     // This listener runs before that of Node.js, which ends the connection.
     socket.prependListener("end", () => {
       if ([...responses].some(isTruncatedByEnd)) socket.resetAndDestroy();
     });
+    this.#closeExcess(socket);
+  }
+
+  /**
+   * Closes a connection if there are too many: the new one if each of the others
+   * serves a request.
+   */
+  #closeExcess(added: Socket): void {
+    const { maxConnections, onLimitClosed } = this.#limit;
+    if (maxConnections === undefined || this.#line.size <= maxConnections) {
+      return;
+    }
+    const excess = this.#line.findNext(this.#timer.nowMs()) ?? added;
+    // The `close` event comes later, and other connections may come before it.
+    this.#line.delete(excess);
+    excess.destroy();
+    onLimitClosed?.();
+  }
+
+  #activityOf(socket: Socket): ConnectionActivity {
+    const { bytesRead: receivedBytes } = socket;
+    const { responses, receivedBytesAtIdle } = this.#connections.get(socket)!;
+    if ([...responses].some(isResponseToCompleteRequest)) {
+      return { phase: "serving", receivedBytes };
+    }
+    const isIdle = responses.size === 0 &&
+      receivedBytes === receivedBytesAtIdle;
+    return { phase: isIdle ? "idle" : "receiving", receivedBytes };
   }
 
   /**
@@ -152,6 +211,10 @@
     response.once("close", () => {
       connection.responses.delete(response);
       connection.idleSinceMs = this.#timer.nowMs();
+      connection.receivedBytesAtIdle = request.socket.bytesRead;
+      if (!request.socket.destroyed) {
+        this.#line.observe(request.socket, connection.idleSinceMs);
+      }
     });
   }
 
