--- a/packages/standins/src/service/plain_service.ts
+++ b/packages/standins/src/service/plain_service.ts
@@ -22,6 +22,8 @@
   readonly path: string;
   /** SHA-256 digest of the request body, in hex. */
   readonly body_sha256: string;
+  /** Makes the response larger; absent without a setting for it. */
+  readonly padding?: string;
 }
 
 /** A call, and the faults that apply to it. */
@@ -142,6 +144,7 @@
 
   #createResponseBody(call: ServiceCall): ServiceResponse {
     const { context, body } = call;
+    const { paddingBytes } = this.#options;
     return {
       target: this.name,
       request_id: call.requestId,
@@ -149,6 +152,7 @@
       method: context.req.method,
       path: context.req.path,
       body_sha256: createHash("sha256").update(body).digest("hex"),
+      ...(paddingBytes > 0 ? { padding: "p".repeat(paddingBytes) } : {}),
     };
   }
 
--- a/packages/standins/src/service/service_options.ts
+++ b/packages/standins/src/service/service_options.ts
@@ -27,6 +27,8 @@
   /** Execution time of a call. */
   runMs: z.number().nonnegative().default(10),
   maxRunningRequests: z.int().positive().default(256),
+  /** Bytes of padding in each response. */
+  paddingBytes: z.int().nonnegative().default(0),
   loadReportLagMs: z.number().nonnegative().default(200),
   faults: serviceFaultsSchema.prefault({}),
 });
