Apply the limit of open connections to both interfaces

With maxDescriptors of the settings (limits.max_fds on the platform's wire), 200 are reserved for files and clients may use 45 percent of the rest: a request needs a second descriptor for its target, and a tenth is left for peers and the store. Metric connection_limit_closed_total; the event connectionLimitReached (1008) is logged at most once a second. Without the setting nothing changes.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,7 +2,10 @@
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
 import { assembleDaemon } from "./assemble_daemon.ts";
-import { ClientConnections } from "./connections/index.ts";
+import {
+  ClientConnections,
+  createConnectionLimit,
+} from "./connections/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { listen, listenRaw, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
@@ -59,7 +62,14 @@
   };
   logger.event("daemonReady", { ports });
 
-  const connections = new ClientConnections(clientPort.value.server, timer);
+  const { server } = clientPort.value;
+  const limit = createConnectionLimit({
+    maxDescriptors: settings.maxDescriptors,
+    timer,
+    log: logger,
+    metrics: assembly.metrics,
+  });
+  const connections = new ClientConnections(server, timer, limit);
   const shutdown = new GracefulShutdown({
     lifecycle,
     timer,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -3,7 +3,10 @@
 import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
 import { ByteHoldings } from "../buffering/index.ts";
-import { ClientConnections } from "../connections/index.ts";
+import {
+  ClientConnections,
+  createConnectionLimit,
+} from "../connections/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 import { Metrics } from "../metrics/index.ts";
@@ -235,7 +238,17 @@
       }),
       random,
     });
-    this.#connections = new ClientConnections(this.#server.server, timer);
+    const limit = createConnectionLimit({
+      maxDescriptors: settings.maxDescriptors,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
+    this.#connections = new ClientConnections(
+      this.#server.server,
+      timer,
+      limit,
+    );
     this.#createStatusServers(rpc);
   }
 
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -19,6 +19,11 @@
     level: "warn",
     text: "hand-over step of the shutdown failed",
   },
+  connectionLimitReached: {
+    number: 1008,
+    level: "warn",
+    text: "connections of clients were closed to stay within their limit",
+  },
   configApplied: {
     number: 2001,
     level: "info",
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -61,6 +61,11 @@
   readinessGraceMs: z.int().nonnegative().default(
     DEFAULT_OPTIONS.readinessGraceMs,
   ),
+  /**
+   * File descriptors that the daemon may use; without it, the open connections
+   * of clients are not limited.
+   */
+  maxDescriptors: z.int().positive().optional(),
 });
 
 /** The validated settings of a daemon. */
