Keep the own interface within the memory of its machine

Bodies were kept as the chunks in which they arrived, and responses were buffered whole until their client had read them, without any limit on the sum.

With memoryLimitBytes of the settings, bodies and responses are copied into pieces and charged to the byte budget that the platform interface uses. Output is given to the connection piece by piece as the client reads it. A request whose body is evicted gets 503 with retry-after and outcome not-run if no target can have run it, else 502; a response in progress that is evicted gives 502, one that was begun is cut. The parsed form of a chat is no longer kept while the chat waits, and no more of a chat is read than the largest chat route accepts. A target that breaks off a stream which its slow client left unread for a second in total is not recorded as crashed or failed. Garbage is bounded as well.

Without the setting nothing is evicted. Two changes apply without it too: a body in chunks that is too large gets 413 where its connection was just closed, and a client that takes nothing of its response for 30 s is disconnected.

--- a/packages/daemon/src/assemble_daemon.ts
+++ b/packages/daemon/src/assemble_daemon.ts
@@ -7,12 +7,14 @@
   VmListClient,
 } from "@coltsfootford/key-value";
 import { type Blackboard, createBlackboard } from "./blackboard/index.ts";
+import { ByteHoldings } from "./buffering/index.ts";
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { EntryServer } from "./entry/index.ts";
+import { createGarbageLimit } from "./garbage/index.ts";
 import { createGuards } from "./guards.ts";
 import { OwnerPermitGate, OwnershipController } from "./ownership/index.ts";
-import type { Logger } from "./log/index.ts";
+import { LimitedLogger, type Logger } from "./log/index.ts";
 import {
   MembershipController,
   TargetHealthController,
@@ -24,6 +26,9 @@
 import { TargetClient } from "./targets/index.ts";
 import { VmListController } from "./vm_list/index.ts";
 
+/** A crowd of clients may have many thousands of requests evicted at once. */
+const MAX_EVICTION_EVENTS_PER_S = 20;
+
 /** The services that all components of a daemon share. */
 interface Services {
   readonly vm: string;
@@ -65,6 +70,17 @@
   const targetClient = new TargetClient();
   const entry = new EntryServer(services.vm, {
     ...services,
+    garbage: createGarbageLimit(settings.memoryLimitBytes),
+    holdings: new ByteHoldings({
+      memoryLimitBytes: settings.memoryLimitBytes,
+      timer: services.timer,
+      log: new LimitedLogger(
+        logger,
+        services.timer,
+        MAX_EVICTION_EVENTS_PER_S,
+      ),
+      metrics: services.metrics,
+    }),
     guards,
     targetClient,
     placement,
--- a/packages/daemon/src/claims/claimed_calls.ts
+++ b/packages/daemon/src/claims/claimed_calls.ts
@@ -6,6 +6,7 @@
   type TimerService,
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
+import { type BodyBytes, bodyPieces } from "../buffering/index.ts";
 import type { ResponseRelay } from "../entry/response_relay.ts";
 import type { RequestError } from "../entry/request_error.ts";
 import type { RequestContext } from "../entry/request_context.ts";
@@ -129,12 +130,13 @@
   return { kind: "done", summary, response };
 }
 
-function digest(...parts: (string | Buffer | undefined)[]): string {
+function digest(...parts: (string | BodyBytes | undefined)[]): string {
   const hash = createHash("sha256");
   for (const part of parts) {
-    const bytes = Buffer.from(part ?? "");
+    const body = typeof part === "object" ? part : Buffer.from(part ?? "");
     // The length prefix makes the concatenation of the parts unambiguous.
-    hash.update(`${bytes.length}:`).update(bytes);
+    hash.update(`${body.length}:`);
+    for (const piece of bodyPieces(body)) hash.update(piece);
   }
   return hash.digest("hex");
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { createStepError, type StepError } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
@@ -7,6 +8,7 @@
   createConnectionLimit,
 } from "./connections/index.ts";
 import type { Controller } from "./controllers/index.ts";
+import { flushOutputs } from "./entry/index.ts";
 import { listen, listenRaw, type OpenPort } from "./http/index.ts";
 import { createLogger } from "./log/index.ts";
 import type { Settings } from "./settings/index.ts";
@@ -63,6 +65,8 @@
   logger.event("daemonReady", { ports });
 
   const { server } = clientPort.value;
+  // Runs before the listener that ends the connection.
+  server.on("clientError", (_, socket) => flushOutputs(socket as Socket));
   const limit = createConnectionLimit({
     maxDescriptors: settings.maxDescriptors,
     timer,
--- a/packages/daemon/src/entry/buffered_relay.ts
+++ b/packages/daemon/src/entry/buffered_relay.ts
@@ -3,9 +3,13 @@
   type Outcome,
   provesCompleteBody,
   type RecordedResponse,
+  type TimerService,
 } from "@coltsfootford/core";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
+import type { BodyPieces, PieceBuffer } from "../buffering/index.ts";
+import { needsClaim } from "../claims/index.ts";
+import { ClientOutput } from "./client_output.ts";
 import {
   type AttemptResult,
   delimiterOf,
@@ -16,6 +20,7 @@
   ResponseRelay,
 } from "./response_relay.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { RequestMemory } from "./request_memory.ts";
 
 const FIRST_SERVER_ERROR = 500;
 const FIRST_CLIENT_ERROR = 400;
@@ -40,11 +45,19 @@
 /** Relays a response only after it has arrived completely and was validated. */
 export class BufferedRelay extends ResponseRelay {
   readonly #outgoing: ServerResponse;
+  readonly #timer: TimerService;
+  readonly #memory: RequestMemory;
   #relayed: RelayedResponse | undefined;
 
-  constructor(outgoing: ServerResponse) {
+  constructor(
+    outgoing: ServerResponse,
+    timer: TimerService,
+    memory: RequestMemory,
+  ) {
     super();
     this.#outgoing = outgoing;
+    this.#timer = timer;
+    this.#memory = memory;
   }
 
   override get hasRelayedPart(): boolean {
@@ -78,12 +91,31 @@
         message: `the target refused with status ${response.statusCode}`,
       };
     }
-    let body: Buffer;
+    const body = this.#memory.openResponse();
     try {
-      body = Buffer.from(await response.body.arrayBuffer());
+      return await this.#relayBody(response, body, context);
+    } finally {
+      body.release();
+    }
+  }
+
+  async #relayBody(
+    response: Dispatcher.ResponseData,
+    body: PieceBuffer,
+    context: RequestContext,
+  ): Promise<AttemptResult> {
+    try {
+      for await (const chunk of response.body) {
+        this.#memory.append(body, chunk);
+        if (body.held.isEvicted) break;
+      }
     } catch {
       return { kind: "unknown", message: "the answer broke off" };
     }
+    if (body.held.isEvicted) {
+      const message = "the daemon holds too many bytes for its clients";
+      return { kind: "unknown", message };
+    }
     if (response.statusCode >= FIRST_SERVER_ERROR) {
       return {
         kind: "unknown",
@@ -111,7 +143,7 @@
     this.#outgoing.setHeader(REPLAYED_HEADER, "true");
     this.#outgoing.setHeader("content-length", body.length);
     this.#outgoing.writeHead(recorded.status);
-    this.#outgoing.end(body);
+    this.#deliver([body]);
   }
 
   /**
@@ -120,21 +152,23 @@
    */
   #send(
     response: Dispatcher.ResponseData,
-    body: Buffer,
+    body: PieceBuffer,
     context: RequestContext,
   ): void {
     const contentType = response.headers["content-type"];
     const delimiter = delimiterOf(response, context.method);
     const isProvenComplete = provesCompleteBody(delimiter) ||
       isCheckedChat(response, context);
-    this.#relayed = {
-      isProvenComplete,
-      status: response.statusCode,
-      contentType: typeof contentType === "string"
-        ? contentType
-        : DEFAULT_CONTENT_TYPE,
-      body,
-    };
+    if (needsClaim(context)) {
+      this.#relayed = {
+        isProvenComplete,
+        status: response.statusCode,
+        contentType: typeof contentType === "string"
+          ? contentType
+          : DEFAULT_CONTENT_TYPE,
+        body: Buffer.concat(body.pieces),
+      };
+    }
     for (const [name, value] of Object.entries(response.headers)) {
       if (value === undefined || HOP_HEADERS.has(name)) continue;
       this.#outgoing.setHeader(name, value);
@@ -153,7 +187,17 @@
       }
     }
     this.#outgoing.writeHead(response.statusCode);
-    this.#outgoing.end(body);
+    const { pieces } = body;
+    // From here on, the pieces are charged as output.
+    body.clear();
+    this.#deliver(pieces);
+  }
+
+  /** Writes a body as its client reads it, and ends the response. */
+  #deliver(pieces: readonly Buffer[]): void {
+    const output = new ClientOutput(this.#outgoing, this.#timer, this.#memory);
+    for (const piece of pieces) output.write(piece);
+    output.end();
   }
 }
 
@@ -168,13 +212,13 @@
 /** Whether a chat response is complete JSON and carries the request's id. */
 function isBodyOfRequest(
   response: Dispatcher.ResponseData,
-  body: Buffer,
+  { pieces }: BodyPieces,
   context: RequestContext,
 ): boolean {
   if (!isCheckedChat(response, context)) return true;
   let value: unknown;
   try {
-    value = JSON.parse(body.toString("utf8"));
+    value = JSON.parse(Buffer.concat(pieces).toString("utf8"));
   } catch {
     return false;
   }
--- a/packages/daemon/src/entry/chat_body.ts
+++ b/packages/daemon/src/entry/chat_body.ts
@@ -2,6 +2,7 @@
 import { MAX_CHAT_MESSAGES } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
+import type { BodyPieces } from "../buffering/index.ts";
 import { digestContent } from "../poison/request_digest.ts";
 import { createRequestError, type RequestError } from "./request_error.ts";
 
@@ -18,6 +19,34 @@
 /** The fields of a chat request that the daemon uses. */
 export type ChatBody = z.infer<typeof chatBodySchema>;
 
+/** What the daemon uses of a chat request besides its body. */
+export interface ChatSummary {
+  readonly model: string;
+  /** The key that all requests of one chat share. */
+  readonly chatKey: string;
+  readonly isFollowUpTurn: boolean;
+  /** Digests of the messages that other chats may share. */
+  readonly sharedMessages: readonly string[];
+  readonly isStream: boolean;
+}
+
+/**
+ * Parses and validates a chat request. The parsed body takes several times the
+ * memory of its text, so it is not kept.
+ */
+export function summarizeChat(
+  { pieces }: BodyPieces,
+  chatHeader: string | undefined,
+): Result<ChatSummary, RequestError> {
+  return parseChatBody(Buffer.concat(pieces)).map((chat) => ({
+    model: chat.model,
+    chatKey: deriveChatKey(chat, chatHeader),
+    isFollowUpTurn: isFollowUpTurn(chat),
+    sharedMessages: digestSharedMessages(chat),
+    isStream: chat.stream === true,
+  }));
+}
+
 /** Parses and validates the body of a chat request. */
 export function parseChatBody(body: Buffer): Result<ChatBody, RequestError> {
   let value: unknown;
--- a/packages/daemon/src/entry/chat_handler.ts
+++ b/packages/daemon/src/entry/chat_handler.ts
@@ -1,29 +1,32 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, type Result } from "neverthrow";
 import { createClientSignal } from "./client_signal.ts";
-import {
-  deriveChatKey,
-  digestSharedMessages,
-  isFollowUpTurn,
-  parseChatBody,
-} from "./chat_body.ts";
+import { summarizeChat } from "./chat_body.ts";
 import type { EntryServices } from "./entry_server.ts";
-import { checkRouteTeam, findChatRoute } from "./find_route.ts";
+import {
+  checkRouteTeam,
+  findChatRoute,
+  findLargestChatBody,
+} from "./find_route.ts";
 import { readBody } from "./read_body.ts";
 import { readClientHeaders } from "./read_headers.ts";
 import { createRequestError, type RequestError } from "./request_error.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { BufferedRelay } from "./buffered_relay.ts";
 
-const MAX_CHAT_BODY_BYTES = 64 * 1024 * 1024;
 const CHAT_PATH = "/v1/chat/completions";
 
-/** Handles a chat completion request in the format of the OpenAI API. */
+/**
+ * Handles a chat completion request in the format of the OpenAI API. Its caller
+ * releases `memory`.
+ */
 export async function chatHandler(
   services: EntryServices,
   incoming: IncomingMessage,
   outgoing: ServerResponse,
+  memory: RequestMemory,
 ): Promise<Result<void, RequestError>> {
   const startedAtMs = services.timer.nowMs();
   if (incoming.method !== "POST") {
@@ -34,11 +37,17 @@
   if (headers.isErr()) return err(headers.error);
   const team = services.teams().identify(headers.value);
   if (team.isErr()) return err(team.error);
-  const body = await readBody(incoming, MAX_CHAT_BODY_BYTES);
+  const { objects } = services.config();
+  const maxBytes = findLargestChatBody(objects);
+  const body = await readBody(incoming, memory, maxBytes);
   if (body.isErr()) return err(body.error);
-  const chat = parseChatBody(body.value);
-  if (chat.isErr()) return err(chat.error);
-  const found = findChatRoute(services.config().objects, chat.value.model);
+  const summary = summarizeChat(
+    body.value,
+    headers.value["x-coltsfoot-chat"],
+  );
+  if (summary.isErr()) return err(summary.error);
+  const { model, chatKey, isStream } = summary.value;
+  const found = findChatRoute(services.config().objects, model);
   if (found.isErr()) return err(found.error);
   const { route, pool } = found.value;
   const allowed = checkRouteTeam(route, team.value);
@@ -53,8 +62,8 @@
   const deadlineMs = headers.value["x-coltsfoot-deadline-ms"] ??
     route.deadlineMs;
   const clientSignal = createClientSignal(outgoing, services.timer, deadlineMs);
-  const requestId = services.nextRequestId();
-  const chatKey = deriveChatKey(chat.value, headers.value["x-coltsfoot-chat"]);
+  memory.onEvicted(clientSignal.abort);
+  const { requestId } = memory;
   const priority = headers.value["x-coltsfoot-priority"];
   const context: RequestContext = {
     requestId,
@@ -62,8 +71,8 @@
     route,
     pool,
     chatKey,
-    isFollowUpTurn: isFollowUpTurn(chat.value),
-    sharedMessages: digestSharedMessages(chat.value),
+    isFollowUpTurn: summary.value.isFollowUpTurn,
+    sharedMessages: summary.value.sharedMessages,
     priority,
     deadlineAtMs: startedAtMs + deadlineMs,
     idempotencyKey: headers.value["idempotency-key"],
@@ -76,17 +85,17 @@
       "x-coltsfoot-priority": String(priority),
     },
     body: body.value,
-    isStream: chat.value.stream === true,
+    isStream,
     signal: clientSignal.signal,
   };
   const relay = context.isStream
-    ? new StreamRelay(outgoing, requestId, () => {
+    ? new StreamRelay(outgoing, services.timer, memory, () => {
       const elapsedMs = services.timer.nowMs() - startedAtMs;
       services.metrics.recordMs("first_token_ms", elapsedMs);
     })
-    : new BufferedRelay(outgoing);
+    : new BufferedRelay(outgoing, services.timer, memory);
   try {
-    return await services.dispatcher.dispatch(context, relay);
+    return memory.explain(await services.dispatcher.dispatch(context, relay));
   } finally {
     clientSignal.dispose();
   }
--- a/packages/daemon/src/entry/client_signal.ts
+++ b/packages/daemon/src/entry/client_signal.ts
@@ -4,6 +4,8 @@
 /** Aborts a request when its client disconnects or its deadline passes. */
 export interface ClientSignal {
   readonly signal: AbortSignal;
+  /** Aborts the request for another reason. */
+  abort(): void;
   /** Cancels the timer and the listener; call it when the request ends. */
   dispose(): void;
 }
@@ -27,6 +29,7 @@
   const cancelTimer = timer.after(deadlineMs, abort);
   return {
     signal: controller.signal,
+    abort,
     dispose: () => {
       cancelTimer();
       outgoing.off("close", onClose);
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -219,7 +219,7 @@
         result,
         context,
       );
-      if (result.kind !== "answered") {
+      if (result.kind !== "answered" && !isOfSlowClient(result)) {
         this.#logFailure(selected, context, result);
       }
       return { result, hasTargetCrashed };
@@ -242,9 +242,9 @@
   ): Promise<boolean> {
     if (result.kind === "answered") tracked.recordCompletion();
     const isLost = result.kind === "unknown" || result.kind === "cut";
-    // After an abort, this daemon itself closed the connection, so the loss is
-    // no evidence of a crash.
-    if (!isLost || context.signal.aborted) return false;
+    // After an abort, this daemon itself closed the connection, and targets abort
+    // responses that slow clients leave unread: both are no evidence of a crash.
+    if (!isLost || context.signal.aborted || result.isClientSlow) return false;
     return await tracked.recordConnectionLoss();
   }
 
@@ -310,6 +310,11 @@
   }
 }
 
+/** Whether the failure of an attempt may be due to its client alone. */
+function isOfSlowClient(result: AttemptResult): boolean {
+  return "isClientSlow" in result && result.isClientSlow === true;
+}
+
 function createFinalError(
   mayHaveExecuted: boolean,
   message: string,
--- a/packages/daemon/src/entry/entry_server.ts
+++ b/packages/daemon/src/entry/entry_server.ts
@@ -13,6 +13,7 @@
 import type { DispatcherDependencies } from "./dispatcher.ts";
 import { TeamDirectory } from "./identify_team.ts";
 import { RunningRequests } from "./running_requests.ts";
+import { type MemoryServices, RequestMemory } from "./request_memory.ts";
 import {
   createRequestError,
   renderErrorBody,
@@ -25,8 +26,12 @@
 const CHAT_PATH = "/v1/chat/completions";
 const SERVICE_PREFIX = "/services/";
 
+/** The services and controllers that the entry server uses. */
+export interface EntryDependencies
+  extends DispatcherDependencies, MemoryServices {}
+
 /** The services that the request handlers use. */
-export interface EntryServices extends DispatcherDependencies {
+export interface EntryServices extends EntryDependencies {
   readonly dispatcher: RequestDispatcher;
   readonly running: RunningRequests;
   readonly nextRequestId: () => string;
@@ -34,13 +39,15 @@
   readonly teams: () => TeamDirectory;
 }
 
+type RequestHandler = typeof chatHandler;
+
 /** Handles client requests. It reads `config`, `targets` and `lifecycle`. */
 export class EntryServer {
   readonly #services: EntryServices;
   readonly #cancelSubscription: CancelSubscription;
   readonly #blackboard: Blackboard;
 
-  constructor(vm: string, dependencies: DispatcherDependencies) {
+  constructor(vm: string, dependencies: EntryDependencies) {
     const { blackboard } = dependencies;
     this.#blackboard = blackboard;
     let teams = new TeamDirectory(blackboard.config.read().objects);
@@ -112,16 +119,31 @@
         "no configuration is in force yet",
       );
     }
-    if (path === CHAT_PATH) {
-      return chatHandler(this.#services, incoming, outgoing);
-    }
-    if (path.startsWith(SERVICE_PREFIX)) {
-      return serviceHandler(this.#services, incoming, outgoing);
-    }
+    const handler = this.#findHandler(path);
+    if (handler) return this.#runHandler(handler, incoming, outgoing);
     const message = `path ${path} is not served; use ${CHAT_PATH} or ` +
       `${SERVICE_PREFIX}ROUTE`;
     return createRejection(404, "unknown_path", message);
   }
+
+  #findHandler(path: string): RequestHandler | undefined {
+    if (path === CHAT_PATH) return chatHandler;
+    return path.startsWith(SERVICE_PREFIX) ? serviceHandler : undefined;
+  }
+
+  async #runHandler(
+    handler: RequestHandler,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<Result<void, RequestError>> {
+    const services = this.#services;
+    const memory = new RequestMemory(services, services.nextRequestId());
+    try {
+      return await handler(services, incoming, outgoing, memory);
+    } finally {
+      memory.release();
+    }
+  }
 }
 
 /** Writes an error response, or cuts a response that was partly sent. */
@@ -143,6 +165,7 @@
     const seconds = Math.ceil(error.retryAfterMs / MS_PER_S);
     outgoing.setHeader("retry-after", String(seconds));
   }
+  if (error.closesConnection) outgoing.setHeader("connection", "close");
   outgoing.writeHead(error.status);
   outgoing.end(body);
 }
--- a/packages/daemon/src/entry/find_route.ts
+++ b/packages/daemon/src/entry/find_route.ts
@@ -9,6 +9,9 @@
 import type { TargetView } from "../blackboard/index.ts";
 import { createRequestError, type RequestError } from "./request_error.ts";
 
+/** Largest chat body that is read even if each chat route accepts less. */
+const MIN_CHAT_BODY_BYTES = 64 * 1024;
+
 /** A route and its pool. */
 export interface RoutePair {
   readonly route: Route;
@@ -34,6 +37,17 @@
   return err(createModelError(requestedModel));
 }
 
+/** The largest body that any chat route accepts; the body names its route. */
+export function findLargestChatBody({ routes }: ObjectSet): number {
+  let largestBytes = MIN_CHAT_BODY_BYTES;
+  for (const { protocol, maxBodyBytes } of routes.values()) {
+    if (protocol === "chat") {
+      largestBytes = Math.max(largestBytes, maxBodyBytes);
+    }
+  }
+  return largestBytes;
+}
+
 /** Finds a service route by its name. */
 export function findServiceRoute(
   objects: ObjectSet,
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -1,3 +1,4 @@
+export { flushOutputs } from "./client_output.ts";
 export type { RequestGuards } from "./request_guards.ts";
 export * from "./retry_budgets.ts";
 export * from "./entry_server.ts";
--- a/packages/daemon/src/entry/request_context.ts
+++ b/packages/daemon/src/entry/request_context.ts
@@ -1,3 +1,4 @@
+import type { BodyBytes } from "../buffering/index.ts";
 import type { Pool, Route, Team } from "@coltsfootford/core";
 
 /** A validated request with its route, pool, team and deadline. */
@@ -22,7 +23,7 @@
   /** Path and query string sent to the target. */
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: Buffer;
+  readonly body: BodyBytes;
   /** Whether the client requested server-sent events. */
   readonly isStream: boolean;
   /** Aborted when the client disconnects or the deadline passes. */
--- a/packages/daemon/src/entry/request_error.ts
+++ b/packages/daemon/src/entry/request_error.ts
@@ -12,11 +12,13 @@
   readonly outcome: Outcome;
   /** Time after which a retry may succeed, if a retry makes sense. */
   readonly retryAfterMs?: number | undefined;
+  /** Whether the connection is closed, because the body is not read further. */
+  readonly closesConnection?: boolean | undefined;
 }
 
 /** The optional properties of a request error. */
 export type RequestErrorOptions = Partial<
-  Pick<RequestError, "param" | "outcome" | "retryAfterMs">
+  Pick<RequestError, "param" | "outcome" | "retryAfterMs" | "closesConnection">
 >;
 
 /** Creates a request error; its outcome defaults to `not-run`. */
--- a/packages/daemon/src/entry/response_relay.ts
+++ b/packages/daemon/src/entry/response_relay.ts
@@ -17,9 +17,18 @@
   /** The target reported that it did not execute the request. */
   | { readonly kind: "refused"; readonly message: string }
   /** The target may have executed the request; nothing was relayed. */
-  | { readonly kind: "unknown"; readonly message: string }
+  | {
+    readonly kind: "unknown";
+    readonly message: string;
+    readonly isClientSlow?: boolean;
+  }
   /** The response broke off after a part of it was relayed. */
-  | { readonly kind: "cut"; readonly message: string };
+  | {
+    readonly kind: "cut";
+    readonly message: string;
+    /** Whether the target may have aborted a response that was not read. */
+    readonly isClientSlow?: boolean;
+  };
 
 /** With value `no`: the target rejected the request without executing it. */
 export const TARGET_RAN_HEADER = "x-target-ran";
--- a/packages/daemon/src/entry/service_handler.ts
+++ b/packages/daemon/src/entry/service_handler.ts
@@ -8,15 +8,20 @@
 import { type ClientHeaders, readClientHeaders } from "./read_headers.ts";
 import type { RequestError } from "./request_error.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { BufferedRelay } from "./buffered_relay.ts";
 
 const SERVICE_PATH = /^\/services\/([^/?]+)(.*)$/;
 
-/** Handles a request to a plain service; the path names the route. */
+/**
+ * Handles a request to a plain service; the path names the route. Its caller
+ * releases `memory`.
+ */
 export async function serviceHandler(
   services: EntryServices,
   incoming: IncomingMessage,
   outgoing: ServerResponse,
+  memory: RequestMemory,
 ): Promise<Result<void, RequestError>> {
   const startedAtMs = services.timer.nowMs();
   const headers = readClientHeaders(incoming);
@@ -30,7 +35,7 @@
   const { route } = found.value;
   const allowed = checkRouteTeam(route, team.value);
   if (allowed.isErr()) return err(allowed.error);
-  const body = await readBody(incoming, route.maxBodyBytes);
+  const body = await readBody(incoming, memory, route.maxBodyBytes);
   if (body.isErr()) return err(body.error);
   const deadlineMs = headers.value["x-coltsfoot-deadline-ms"] ??
     route.deadlineMs;
@@ -42,9 +47,10 @@
     // response is recorded and a retry of the client can be served from it.
     !needsClaim({ route, idempotencyKey: headers.value["idempotency-key"] }),
   );
+  memory.onEvicted(clientSignal.abort);
   const targets = services.blackboard.targets.read().values();
   const pool = choosePool(objects, found.value, targets);
-  const requestId = services.nextRequestId();
+  const { requestId } = memory;
   const context: RequestContext = {
     requestId,
     team: team.value,
@@ -64,8 +70,8 @@
     signal: clientSignal.signal,
   };
   try {
-    const relay = new BufferedRelay(outgoing);
-    return await services.dispatcher.dispatch(context, relay);
+    const relay = new BufferedRelay(outgoing, services.timer, memory);
+    return memory.explain(await services.dispatcher.dispatch(context, relay));
   } finally {
     clientSignal.dispose();
   }
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { RecordedResponse } from "@coltsfootford/core";
+import type { RecordedResponse, TimerService } from "@coltsfootford/core";
 import type { Readable } from "node:stream";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { Dispatcher } from "undici";
@@ -13,6 +13,12 @@
 import { type ChunkCheck, ChunkSequence } from "./chunk_sequence.ts";
 import type { RequestContext } from "./request_context.ts";
 import { BufferedRelay } from "./buffered_relay.ts";
+import { ClientOutput } from "./client_output.ts";
+import type { RequestMemory } from "./request_memory.ts";
+import { UnreadTime } from "./unread_time.ts";
+
+/** An attempt whose stream did not end as a complete one. */
+type StreamFailure = Extract<AttemptResult, { kind: "cut" | "unknown" }>;
 
 const STATUS_OK = 200;
 const DONE = "[DONE]";
@@ -29,17 +35,23 @@
  */
 export class StreamRelay extends ResponseRelay {
   readonly #outgoing: ServerResponse;
+  readonly #timer: TimerService;
+  readonly #memory: RequestMemory;
   readonly #sequence: ChunkSequence;
   readonly #onFirstToken: () => void;
+  #output: ClientOutput | undefined;
 
   constructor(
     outgoing: ServerResponse,
-    requestId: string,
+    timer: TimerService,
+    memory: RequestMemory,
     onFirstToken: () => void,
   ) {
     super();
     this.#outgoing = outgoing;
-    this.#sequence = new ChunkSequence(requestId);
+    this.#timer = timer;
+    this.#memory = memory;
+    this.#sequence = new ChunkSequence(memory.requestId);
     this.#onFirstToken = onFirstToken;
   }
 
@@ -83,7 +95,7 @@
   }
 
   override replay(recorded: RecordedResponse): void {
-    new BufferedRelay(this.#outgoing).replay(recorded);
+    this.#createBuffered().replay(recorded);
   }
 
   /** Relays an error response of the target, unless a part was streamed. */
@@ -92,7 +104,7 @@
     context: RequestContext,
   ): Promise<AttemptResult> {
     if (!this.#outgoing.headersSent) {
-      return new BufferedRelay(this.#outgoing).relay(response, context);
+      return this.#createBuffered().relay(response, context);
     }
     discardBody(response);
     const status = response.statusCode;
@@ -107,6 +119,7 @@
     const events: EventSourceMessage[] = [];
     const parser = createParser({ onEvent: (event) => events.push(event) });
     const decoder = new TextDecoder();
+    const unread = new UnreadTime(this.#timer);
     return new Promise((resolve) => {
       let isSettled = false;
       let bytesAfterEnd = 0;
@@ -128,16 +141,16 @@
           : incompleteBytes + chunk.length;
         const result = incompleteBytes > MAX_EVENT_BYTES
           ? this.#createFailure("an event is too large")
-          : this.#forwardEvents(events.splice(0), body);
+          : this.#forwardEvents(events.splice(0), body, unread);
         if (!result) return;
         // After a complete response, the connection stays open for reuse.
         if (result.kind !== "answered") discardBody(response);
         settle(result);
       });
-      body.on(
-        "error",
-        () => settle(this.#createFailure("the stream broke off")),
-      );
+      body.on("error", () => {
+        const failure = this.#createFailure("the stream broke off");
+        settle({ ...failure, isClientSlow: unread.isLong });
+      });
       body.on("end", () => {
         settle(this.#createFailure("the stream ended before its end marker"));
       });
@@ -148,6 +161,7 @@
   #forwardEvents(
     events: readonly EventSourceMessage[],
     body: Readable,
+    unread: UnreadTime,
   ): AttemptResult | undefined {
     let text = "";
     let failure: string | undefined;
@@ -166,15 +180,15 @@
     if (isComplete) text += COMPLETED_TRAILER;
     // Write the valid events first: whether anything was relayed decides if the
     // failure counts as `cut` or `unknown`.
-    if (text !== "") this.#write(text, body);
+    if (text !== "") this.#write(text, body, unread);
     if (failure !== undefined) return this.#createFailure(failure);
     if (!isComplete) return undefined;
-    this.#outgoing.end();
+    this.#output?.end();
     return { kind: "answered" };
   }
 
   /** Writes to the client and pauses reading from the target while it is slow. */
-  #write(text: string, body: Readable): void {
+  #write(text: string, body: Readable, unread: UnreadTime): void {
     if (!this.#outgoing.headersSent) {
       this.#outgoing.writeHead(STATUS_OK, {
         "content-type": "text/event-stream; charset=utf-8",
@@ -182,13 +196,26 @@
       });
       this.#onFirstToken();
     }
-    const canWriteMore = this.#outgoing.write(text);
+    this.#output ??= new ClientOutput(
+      this.#outgoing,
+      this.#timer,
+      this.#memory,
+    );
+    const canWriteMore = this.#output.write(Buffer.from(text));
     if (canWriteMore) return;
     body.pause();
-    this.#outgoing.once("drain", () => body.resume());
+    unread.pause();
+    this.#output.onDrain(() => {
+      unread.resume();
+      body.resume();
+    });
+  }
+
+  #createBuffered(): BufferedRelay {
+    return new BufferedRelay(this.#outgoing, this.#timer, this.#memory);
   }
 
-  #createFailure(message: string): AttemptResult {
+  #createFailure(message: string): StreamFailure {
     if (this.#outgoing.headersSent) return { kind: "cut", message };
     return { kind: "unknown", message };
   }
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -4,6 +4,7 @@
 import { SystemTimerService } from "@coltsfootford/key-value";
 import { FakeKeyValue } from "@coltsfootford/key-value/testing";
 import { createBlackboard, type TargetView } from "../../blackboard/index.ts";
+import { ByteHoldings } from "../../buffering/index.ts";
 import { createGuards } from "../../guards.ts";
 import { listenRaw, type OpenPort } from "../../http/index.ts";
 import type { Logger } from "../../log/index.ts";
@@ -15,6 +16,8 @@
 
 const HOST = "127.0.0.1";
 const SHUTDOWN_LIMIT_MS = 8_000;
+/** A limit that leaves the smallest byte budget. */
+const MEMORY_LIMIT_BYTES = 1;
 
 /** The SHA-256 digest of the API key `key-of-sealed`. */
 const SEALED_KEY_SHA256 =
@@ -43,11 +46,21 @@
     teams: ["open"],
     maxBodyBytes: 2_000,
   },
+  {
+    kind: "route",
+    name: "uploads",
+    protocol: "service",
+    pool: "desks",
+    teams: ["open"],
+    idempotent: true,
+    maxBodyBytes: 4_194_304,
+  },
 ];
 
 /** An entry server on loopback with one target for each pool. */
 export interface EntryFixture {
   readonly baseUrl: string;
+  readonly metrics: Metrics;
   /** Names and incarnations of targets that stated that they leave. */
   readonly leavingNotices: readonly (readonly [string, string])[];
   /** Begins a planned shutdown. */
@@ -96,7 +109,15 @@
     logger,
     metrics,
   });
+  const holdings = new ByteHoldings({
+    memoryLimitBytes: MEMORY_LIMIT_BYTES,
+    timer,
+    log: logger,
+    metrics,
+  });
   const entry = new EntryServer("d1", {
+    holdings,
+    garbage: undefined,
     guards,
     blackboard,
     timer,
@@ -121,6 +142,7 @@
   ))._unsafeUnwrap();
   return {
     baseUrl: `http://${HOST}:${entryPort.port}`,
+    metrics,
     leavingNotices,
     startDraining: () => lifecycle.write("draining"),
     close: async () => {
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -61,6 +61,8 @@
   readinessGraceMs: z.int().nonnegative().default(
     DEFAULT_OPTIONS.readinessGraceMs,
   ),
+  /** Memory that the daemon may use; without it, held bytes are not limited. */
+  memoryLimitBytes: z.int().positive().optional(),
   /**
    * File descriptors that the daemon may use; without it, the open connections
    * of clients are not limited.
--- a/packages/daemon/src/targets/target_client.ts
+++ b/packages/daemon/src/targets/target_client.ts
@@ -1,6 +1,8 @@
+import { Readable } from "node:stream";
 import { Client, type Dispatcher, Pool } from "undici";
 import { err, ok, type Result } from "neverthrow";
 import { createStepError, type StepError } from "@coltsfootford/core";
+import { type BodyBytes, bodyPieces } from "../buffering/index.ts";
 import type { TargetView } from "../blackboard/index.ts";
 import { createBoundedConnector } from "./bounded_connector.ts";
 
@@ -27,7 +29,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: Buffer;
+  readonly body: BodyBytes;
   readonly signal: AbortSignal;
   /**
    * Opens a new connection for a request that must not execute twice, instead
@@ -64,8 +66,7 @@
       const response = await dispatcher.request({
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
-        headers: request.headers,
-        body: request.body.length > 0 ? request.body : null,
+        ...framedBody(request),
         signal: request.signal,
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -114,6 +115,18 @@
   };
 }
 
+/** The body, with its length if it is sent in several pieces. */
+function framedBody(
+  { headers, body }: TargetRequest,
+): Pick<Dispatcher.RequestOptions, "headers" | "body"> {
+  const pieces = bodyPieces(body);
+  if (pieces.length <= 1) return { headers, body: pieces[0] ?? null };
+  return {
+    headers: { ...headers, "content-length": String(body.length) },
+    body: Readable.from(pieces, { objectMode: false }),
+  };
+}
+
 function formatHost(host: string): string {
   return host.includes(":") ? `[${host}]` : host;
 }
