--- a/packages/daemon/src/forwarding/left_unread_test.ts
+++ b/packages/daemon/src/forwarding/left_unread_test.ts
@@ -147,7 +147,12 @@
     }),
     quarantinedParts: () => [],
     crashObserver: { onAttemptBroken, onRequestServed: () => {} },
-    promptObserver: { onAttemptBroken, onResponseBegan: () => {} },
+    promptObserver: {
+      onAttemptBroken,
+      onResponseCompleted: () => {},
+      onResponseUnproven: () => {},
+    },
+    evacuatedZones: () => new Set(),
     limits: { isLimited: () => false, onResponse: () => {} },
     retryShares: new RetryShares(() => ({ ratio: 1, slack: 1 }), () => 1),
     random: () => 0.5,
