Limit the requests that a cold target gets from the whole fleet

A target that is cold crashes when it gets more than it accepts, and daemons sent to it as to any other.

ColdTargetController knows which targets are cold, from their registrations, from X-Cold-Ms in responses, and from other daemons, who announce it. Where the service states cold_per_s, the lower one of the cold limit and the limit that the target names holds, by the permits that exist. A target that turns cold while in use gets its first permit a second later. The cost of a cold target rises with the urgency of the request.

--- a/packages/core/src/forwarding/limits/cold_targets.ts
+++ b/packages/core/src/forwarding/limits/cold_targets.ts
@@ -19,6 +19,8 @@
 
 interface KnownTarget {
   untilMs: number;
+  /** Whether a response stated that, not only the registration. */
+  isStated: boolean;
   /** The figure of the last registration, and when it was last stated. */
   registeredMs: number;
   registeredAtMs: number;
@@ -42,9 +44,13 @@
   }
 
   list(nowMs: number): ColdTarget[] {
-    return [...this.#known]
-      .map(([target, { untilMs }]) => ({ target, coldLeftMs: untilMs - nowMs }))
-      .filter(({ coldLeftMs }) => coldLeftMs > 0);
+    return listCold(this.#known, nowMs);
+  }
+
+  /** The targets that stated in a response that they are cold. */
+  listStated(nowMs: number): ColdTarget[] {
+    const stated = [...this.#known].filter(([, { isStated }]) => isStated);
+    return listCold(stated, nowMs);
   }
 
   /**
@@ -60,7 +66,7 @@
       nowMs - known.registeredAtMs < coldLeftMs;
     const change = isRenewed
       ? "none"
-      : this.recordStated({ target: incarnation, coldLeftMs }, nowMs);
+      : this.#record({ target: incarnation, coldLeftMs }, false, nowMs);
     const current = this.#known.get(incarnation);
     if (current) {
       current.registeredMs = coldLeftMs;
@@ -70,24 +76,42 @@
   }
 
   /** Records what a response or another daemon states. */
-  recordStated({ target, coldLeftMs }: ColdTarget, nowMs: number): ColdChange {
+  recordStated(stated: ColdTarget, nowMs: number): ColdChange {
+    return this.#record(stated, true, nowMs);
+  }
+
+  /** Forgets targets that are gone. */
+  keepOnly(targets: ReadonlySet<string>): void {
+    for (const target of this.#known.keys()) {
+      if (!targets.has(target)) this.#known.delete(target);
+    }
+  }
+
+  #record(
+    { target, coldLeftMs }: ColdTarget,
+    isStated: boolean,
+    nowMs: number,
+  ): ColdChange {
     const known = this.#known.get(target);
     const untilMs = coldLeftMs > 0 ? nowMs + coldLeftMs : -Infinity;
     if (!known) {
       const registered = { registeredMs: 0, registeredAtMs: -Infinity };
-      this.#known.set(target, { untilMs, ...registered });
+      this.#known.set(target, { untilMs, isStated, ...registered });
       return coldLeftMs > 0 ? "starts" : "none";
     }
     if (untilMs < known.untilMs + MIN_EXTENSION_MS) return "none";
     const isCold = nowMs < known.untilMs;
     known.untilMs = untilMs;
+    known.isStated = isStated;
     return isCold ? "extends" : "turns";
   }
+}
 
-  /** Forgets targets that are gone. */
-  keepOnly(targets: ReadonlySet<string>): void {
-    for (const target of this.#known.keys()) {
-      if (!targets.has(target)) this.#known.delete(target);
-    }
-  }
+function listCold(
+  known: Iterable<readonly [string, KnownTarget]>,
+  nowMs: number,
+): ColdTarget[] {
+  return [...known]
+    .map(([target, { untilMs }]) => ({ target, coldLeftMs: untilMs - nowMs }))
+    .filter(({ coldLeftMs }) => coldLeftMs > 0);
 }
--- a/packages/core/src/forwarding/placement/choose_target.ts
+++ b/packages/core/src/forwarding/placement/choose_target.ts
@@ -36,6 +36,8 @@
 export interface PlacementQuery {
   readonly prompt: PromptDescription;
   readonly targetLatencyMs: number;
+  /** 0 is the most urgent, the default. */
+  readonly rank?: number | undefined;
   /** Targets that this request was already sent to. */
   readonly attemptedIncarnations: ReadonlySet<string>;
   readonly candidates: readonly Candidate[];
@@ -92,6 +94,11 @@
 const FETCH_COST_FACTOR = 2;
 /** A cold target is up to this much slower for a while, by its data sheet. */
 const COLD_COST_MS = 50;
+/**
+ * Cost of a cold target that crashes above a limit, for the most urgent rank.
+ * Less urgent requests go there first, since they are the cheapest to lose.
+ */
+const COLD_RISK_COST_MS = 200;
 
 /**
  * Chooses the target with the lowest expected time to the first byte. The cost
@@ -256,6 +263,7 @@
       ? 0
       : OTHER_ZONE_COST_MS) +
     (target.coldLeftMs > 0 ? COLD_COST_MS : 0) +
+    coldRiskMs(record, query) +
     record.delayMs(nowMs) + permitWaitMs +
     failureCostMs(record, estimates.averageFailureShare, query);
   return {
@@ -290,6 +298,13 @@
   return load * COST_PER_REQUEST_MS + queueMs;
 }
 
+function coldRiskMs(
+  { coldUntilMs }: TargetRecord,
+  { rank = 0, nowMs }: PlacementQuery,
+): number {
+  return nowMs < coldUntilMs ? COLD_RISK_COST_MS / (1 + rank) : 0;
+}
+
 /**
  * Expected time lost to failed attempts beyond the average of all candidates.
  * Where all targets fail equally often, moving a prompt only makes another
--- a/packages/core/src/forwarding/routes/forwarding_config.ts
+++ b/packages/core/src/forwarding/routes/forwarding_config.ts
@@ -51,6 +51,10 @@
   readonly maxConnectionsPerTarget: number;
   /** Undefined for plain services. */
   readonly engine: EngineProperties | undefined;
+  /** Requests a second that a cold target accepts; no limit where absent. */
+  readonly coldRequestsPerSecond?: number | undefined;
+  /** Time for which a target is cold after its start. */
+  readonly warmupMs?: number | undefined;
 }
 
 /** Limits of the size and duration of client requests. */
--- a/packages/core/src/forwarding/targets/target_record.ts
+++ b/packages/core/src/forwarding/targets/target_record.ts
@@ -61,6 +61,9 @@
   /** When a permit may be had, if the target names a limit. */
   permitFromMs = -Infinity;
 
+  /** Until when the target is cold, where its service limits that. */
+  coldUntilMs = -Infinity;
+
   /** In-flight requests of this daemon at the target. */
   get ownRequests(): number {
     return this.attempts.size;
--- a/packages/core/src/forwarding/targets/target_registry.ts
+++ b/packages/core/src/forwarding/targets/target_registry.ts
@@ -2,7 +2,7 @@
 
 /** Most concurrent requests and longest start that a target can report. */
 const MAX_SLOTS = 1_000_000;
-const MAX_COLD_MS = 86_400_000;
+export const MAX_COLD_MS = 86_400_000;
 
 /**
  * The registration that a target writes for itself. Daemons connect to its
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -13,6 +13,7 @@
 import { Forwarder } from "./forwarder.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
+  ColdTargetController,
   CrashCheck,
   EvacuationController,
   FleetRelay,
@@ -132,11 +133,20 @@
     const daemonHash = hash32(settings.vm);
     const pool = new TargetPool(blackboard, timer);
     this.#pool = pool;
+    const coldTargets = new ColdTargetController({
+      blackboard,
+      pool,
+      relay,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const limits = new LimitController({
       self,
       blackboard,
       pool,
       relay,
+      coldTargets,
       rpc,
       timer,
       log,
@@ -170,6 +180,7 @@
         quarantine,
         promptQuarantine,
         limits,
+        coldTargets,
       ],
       history: store.history,
       seeds,
@@ -193,6 +204,7 @@
       quarantine,
       promptQuarantine,
       limits,
+      coldTargets,
       peerSync,
       overload,
       follower,
--- a/packages/daemon/src/forwarding/knowledge/index.ts
+++ b/packages/daemon/src/forwarding/knowledge/index.ts
@@ -1,5 +1,6 @@
 /** Synchronizes a daemon's state with the store and with its peers. */
 export * from "./call_peer.ts";
+export * from "./cold_target_controller.ts";
 export * from "./crash_check.ts";
 export * from "./evacuation_controller.ts";
 export * from "./fleet_relay.ts";
--- a/packages/daemon/src/forwarding/knowledge/limit_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/limit_controller.ts
@@ -6,10 +6,9 @@
   type NamedLimit,
   NamedLimits,
   type Permit,
-  RateLimiter,
+  PermitLimiters,
   type RegisteredTarget,
   type Reservation,
-  shareOfLimit,
   type TimerService,
 } from "@coltsfootford/core";
 import type { JSONRPCServer } from "json-rpc-2.0";
@@ -25,6 +24,7 @@
 import type { ResponseMetadata } from "../request_codec.ts";
 import type { TargetPool } from "../target_pool.ts";
 import { callPeer } from "./call_peer.ts";
+import type { ColdTargetController } from "./cold_target_controller.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
 import type { RetainedFacts } from "./retained_facts.ts";
 
@@ -36,8 +36,11 @@
 const UNREACHABLE_MS = 1_000;
 /** Wait after which to ask again where no owner responds. */
 const NO_OWNER_WAIT_MS = 250;
-/** Limit of the limiters; the oldest are evicted first. */
-const MAX_LIMITERS = 10_000;
+/**
+ * Pause before the first permit of a target that has turned cold. The requests
+ * that were sent to it without a permit count in the same second.
+ */
+const TURNED_COLD_PAUSE_MS = 1_000;
 
 const LimitSchema = z.object({
   target: z.string(),
@@ -50,6 +53,8 @@
   /** The limit as the asking daemon knows it. */
   requestsPerSecond: z.number().nonnegative(),
   maxWaitMs: z.number().nonnegative(),
+  /** Whether the limit holds in each second, as that of a cold target. */
+  isStrict: z.boolean().default(false),
   role: z.enum(["owner", "substitute"]),
 });
 type ReserveRequest = z.infer<typeof ReserveSchema>;
@@ -68,6 +73,7 @@
   readonly blackboard: ForwardingBlackboard;
   readonly pool: TargetPool;
   readonly relay: FleetRelay;
+  readonly coldTargets: ColdTargetController;
   readonly rpc: JSONRPCServer;
   readonly timer: TimerService;
   readonly log: Logger;
@@ -75,7 +81,8 @@
 }
 
 /**
- * Keeps to the limits that targets name. Changes of a limit are announced to all
+ * Keeps to the limits that targets name, and to those of cold targets; the lower
+ * one holds. Changes of a limit are announced to all
  * daemons. One daemon, the owner of the target's limit, hands out permits, so
  * that the requests of all daemons add up.
  */
@@ -85,12 +92,28 @@
   readonly topic = TOPIC;
   readonly #dependencies: LimitDependencies;
   readonly #limits = new NamedLimits();
-  readonly #limiters = new Map<string, RateLimiter>();
+  readonly #limiters: PermitLimiters;
   readonly #passedOverUntilMs = new Map<string, number>();
 
   constructor(dependencies: LimitDependencies) {
     super();
     this.#dependencies = dependencies;
+    this.#limiters = new PermitLimiters(
+      dependencies.self.name,
+      dependencies.timer.nowMs(),
+    );
+    dependencies.coldTargets.subscribe({
+      onTurnedCold: (target) => {
+        const nowMs = this.#nowMs();
+        const untilMs = nowMs + TURNED_COLD_PAUSE_MS;
+        this.#limiters.delayUntil(target, untilMs, nowMs);
+      },
+      onWarm: (target) => {
+        if (this.#limits.requestsPerSecondOf(target) === undefined) {
+          this.#forgetWait(target);
+        }
+      },
+    });
     dependencies.relay.subscribe(TOPIC, LimitSchema, (limit, origin) => {
       this.#onAnnounced(limit, origin);
     });
@@ -131,9 +154,12 @@
   /** A rejection that names no limit does not end one. */
   onResponse(
     { incarnation }: RegisteredTarget,
-    { limitPerSecond, wasNotExecuted }: ResponseMetadata,
+    { limitPerSecond, wasNotExecuted, coldLeftMs }: ResponseMetadata,
     { startedAtMs }: InFlightAttempt,
   ): void {
+    if (coldLeftMs !== undefined) {
+      this.#dependencies.coldTargets.onStated(incarnation, coldLeftMs);
+    }
     if (wasNotExecuted && limitPerSecond === undefined) return;
     const { relay, log } = this.#dependencies;
     const limit = { target: incarnation, requestsPerSecond: limitPerSecond };
@@ -147,7 +173,7 @@
   }
 
   isLimited({ incarnation }: RegisteredTarget): boolean {
-    return this.#limits.requestsPerSecondOf(incarnation) !== undefined;
+    return this.#limitOf(incarnation) !== undefined;
   }
 
   async requestPermit(
@@ -156,12 +182,13 @@
   ): Promise<Permit> {
     const { metrics } = this.#dependencies;
     const { incarnation } = target;
-    const requestsPerSecond = this.#limits.requestsPerSecondOf(incarnation);
+    const requestsPerSecond = this.#limitOf(incarnation);
     if (requestsPerSecond === undefined) return { kind: "granted", waitMs: 0 };
     const { permit, nextWaitMs } = await this.#reserve(target, {
       target: incarnation,
       requestsPerSecond,
       maxWaitMs,
+      isStrict: this.#isStrict(incarnation),
     });
     record.permitFromMs = this.#nowMs() + nextWaitMs;
     metrics.count(`permits_${permit.kind}_total`);
@@ -223,30 +250,49 @@
     }
   }
 
-  /** The owner's own knowledge of the limit goes before the asking daemon's. */
+  /** The lower one of the limits that hold; undefined without any. */
+  #limitOf(incarnation: string): number | undefined {
+    const named = this.#limits.requestsPerSecondOf(incarnation);
+    const cold = this.#dependencies.coldTargets.limitOf(incarnation);
+    if (named === undefined || cold === undefined) return named ?? cold;
+    return Math.min(named, cold);
+  }
+
+  #isStrict(incarnation: string): boolean {
+    return this.#dependencies.coldTargets.limitOf(incarnation) !== undefined;
+  }
+
+  /**
+   * The owner's own knowledge of the limit goes before the asking daemon's, but
+   * a target that is cold to either of them is cold.
+   */
   #reserveFor(request: ReserveRequest): Reservation {
-    const requestsPerSecond =
-      this.#limits.requestsPerSecondOf(request.target) ??
-        request.requestsPerSecond;
-    return this.#reserveHere({ ...request, requestsPerSecond }, request.role);
+    const own = this.#limitOf(request.target) ?? request.requestsPerSecond;
+    const requestsPerSecond = request.isStrict
+      ? Math.min(own, request.requestsPerSecond)
+      : own;
+    const isStrict = request.isStrict || this.#isStrict(request.target);
+    return this.#reserveHere(
+      { ...request, requestsPerSecond, isStrict },
+      request.role,
+    );
   }
 
   #reserveHere(
-    { target, requestsPerSecond, maxWaitMs }: Omit<ReserveRequest, "role">,
+    { target, requestsPerSecond, maxWaitMs, isStrict }: Omit<
+      ReserveRequest,
+      "role"
+    >,
     role: LimitRole,
   ): Reservation {
-    const key = `${role} ${target}`;
-    const nowMs = this.#nowMs();
-    const limiter = this.#limiters.get(key) ?? new RateLimiter(nowMs);
-    this.#limiters.delete(key);
-    this.#limiters.set(key, limiter);
-    if (this.#limiters.size > MAX_LIMITERS) {
-      const oldest = this.#limiters.keys().next();
-      if (!oldest.done) this.#limiters.delete(oldest.value);
-    }
-    const daemons = this.#dependencies.blackboard.peers.read().length + 1;
-    const share = shareOfLimit(requestsPerSecond, role, daemons);
-    return limiter.reserve(share, maxWaitMs, nowMs);
+    return this.#limiters.reserve({
+      target,
+      requestsPerSecond,
+      maxWaitMs,
+      role,
+      daemons: this.#dependencies.blackboard.peers.read().length + 1,
+      isStrict,
+    }, this.#nowMs());
   }
 
   #onAnnounced(
--- a/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/target_registry_controller.ts
@@ -141,9 +141,12 @@
   #publish(): void {
     const nowMs = this.#timer.nowMs();
     const targets = this.#registry.eligible(nowMs);
-    // A heartbeat changes only the sequence number and needs no write.
+    // A heartbeat changes only the sequence number and needs no write, unless it
+    // may state that a target is cold once more.
     const serialized = JSON.stringify(
-      targets.map((target) => ({ ...target, sequence: 0 })),
+      targets.map((target) =>
+        target.coldLeftMs > 0 ? target : { ...target, sequence: 0 }
+      ),
     );
     if (serialized !== this.#lastWritten || targets.length === 0) {
       this.#lastWritten = serialized;
--- a/packages/daemon/src/forwarding/request_codec.ts
+++ b/packages/daemon/src/forwarding/request_codec.ts
@@ -54,6 +54,8 @@
    * daemon; undefined where it states none.
    */
   readonly stayAwayMs: number | undefined;
+  /** Time for which the target stays cold; undefined where it states none. */
+  readonly coldLeftMs?: number | undefined;
   /** Whether the target states that it leaves. */
   readonly isLeaving: boolean;
   /** The headers to forward to the client. */
--- a/packages/daemon/src/forwarding/settings.ts
+++ b/packages/daemon/src/forwarding/settings.ts
@@ -19,6 +19,10 @@
   repeatSlack: z.number().nonnegative(),
   /** Limit on the load of a target, as a multiple of the mean load. */
   maxLoadFactor: z.number().positive(),
+  /** Multiple of what a cold target accepts in a second, over all daemons. */
+  coldOverage: z.number().positive().optional(),
+  /** Requests allowed in any one second in addition to the multiple. */
+  coldSlack: z.number().nonnegative().optional(),
 });
 
 /** Settings of a daemon that forwards requests, independent of the platform. */
--- a/packages/daemon/src/forwarding/target_selection.ts
+++ b/packages/daemon/src/forwarding/target_selection.ts
@@ -74,11 +74,12 @@
   }
 
   #choose(): Placement | undefined {
-    const { metadata, route, service, engine } = this.#accepted;
+    const { metadata, route, service, engine, team } = this.#accepted;
     const { pool, timer, placement } = this.#dependencies;
     return chooseTarget({
       prompt: metadata.prompt,
       targetLatencyMs: route.targetLatencyMs,
+      rank: team?.rank ?? route.rank,
       attemptedIncarnations: this.#excluded,
       candidates: pool.ofService(service),
       departed: pool.departedOf(service),
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -275,6 +275,11 @@
     level: "warn",
     text: "set of evacuated zones changed; their targets get no requests",
   },
+  targetTurnedCold: {
+    number: 6132,
+    level: "info",
+    text: "target in use turned cold; permits of it have a limit",
+  },
   linesDropped: {
     number: 6201,
     level: "warn",
