--- a/packages/daemon/src/forwarding/knowledge/testing/knowledge_fleet.ts
+++ b/packages/daemon/src/forwarding/knowledge/testing/knowledge_fleet.ts
@@ -12,6 +12,7 @@
   type PeerDaemon,
 } from "../../forwarding_blackboard.ts";
 import type { CallPeer } from "../call_peer.ts";
+import { EvacuationController } from "../evacuation_controller.ts";
 import { PeersController } from "../peers_controller.ts";
 import { PeerSyncController } from "../peer_sync_controller.ts";
 import { RoutesController } from "../routes_controller.ts";
@@ -69,7 +70,13 @@
       LOG,
     );
     const peers = new PeersController(self, blackboard, store, timer, LOG);
-    const followed = [routes.followed, registry.followed, peers.followed];
+    const evacuation = new EvacuationController(blackboard, CODEC, timer, LOG);
+    const followed = [
+      routes.followed,
+      registry.followed,
+      evacuation.followed,
+      peers.followed,
+    ];
     const isAfterOutage = () => registry.isAfterOutage();
     const callPeer: CallPeer = (peer, method, params) =>
       fleet.call(this, peer, method, params);
@@ -98,12 +105,13 @@
       new StoreContactController(blackboard, store, timer, LOG),
       routes,
       registry,
+      evacuation,
       peers,
       new PeerSyncController({
         rpc,
         blackboard,
         followed,
-        retainedFacts: [routes, registry],
+        retainedFacts: [routes, registry, evacuation],
         history: store.history,
         isAfterOutage,
         callPeer,
@@ -130,6 +138,10 @@
     return this.blackboard.routes.read()?.config.version;
   }
 
+  get evacuatedZones(): readonly string[] {
+    return [...this.blackboard.evacuatedZones.read()];
+  }
+
   get targetIds(): readonly string[] {
     return this.blackboard.targets.read()?.map(({ id }) => id) ?? [];
   }
@@ -236,6 +248,14 @@
     });
   }
 
+  evacuate(zone: string): void {
+    this.write(CODEC.evacuationPrefix + zone, {});
+  }
+
+  takeBack(zone: string): void {
+    this.remove(CODEC.evacuationPrefix + zone);
+  }
+
   register(id: string, fields: Partial<TargetRegistration> = {}): void {
     this.write(CODEC.registrationPrefix + id, {
       id,
