--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -17,6 +17,7 @@
 import { Forwarder } from "./forwarder.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
+  ColdTargetController,
   CrashCheck,
   EvacuationController,
   FleetRelay,
@@ -136,11 +137,20 @@
     const daemonHash = hash32(settings.vm);
     const pool = new TargetPool(blackboard, timer);
     this.#pool = pool;
+    const coldTargets = new ColdTargetController({
+      blackboard,
+      pool,
+      relay,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const limits = new LimitController({
       self,
       blackboard,
       pool,
       relay,
+      coldTargets,
       rpc,
       timer,
       log,
@@ -174,6 +184,7 @@
         quarantine,
         promptQuarantine,
         limits,
+        coldTargets,
       ],
       history: store.history,
       seeds,
@@ -197,6 +208,7 @@
       quarantine,
       promptQuarantine,
       limits,
+      coldTargets,
       peerSync,
       overload,
       follower,
