--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -278,7 +278,7 @@
   heldBytesEvicted: {
     number: 6130,
     level: "warn",
-    text: "held bytes exceeded their budget, and a request was ended for it",
+    text: "held bytes exceeded their budget and were dropped",
   },
   linesDropped: {
     number: 6201,
