Test that a stream left unread by its client blames no target

The daemon notices the abort only once its client reads on, because it does not read from the target meanwhile.

--- a/packages/daemon/src/entry/stream_relay_test.ts
+++ b/packages/daemon/src/entry/stream_relay_test.ts
@@ -1,5 +1,7 @@
 import { afterEach, describe, expect, it } from "@jest/globals";
 import type { IncomingMessage, RequestListener } from "node:http";
+import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   type EntryFixture,
   startEntryFixture,
@@ -17,6 +19,9 @@
   return `${idLine}data: ${JSON.stringify({ id, choices })}\n\n`;
 }
 
+/** Longer than the pause after which a target may have aborted for it. */
+const UNREAD_TIMEOUT_MS = 1_500;
+const SETTLE_MS = 300;
 const CHAT_PATH = "/v1/chat/completions";
 const FOREIGN_CHUNK = 'data: {"id":"chatcmpl-other","choices":[]}\n\n';
 
@@ -76,6 +81,53 @@
     expect(resumeHeaders.slice(0, 2)).toEqual([undefined, "1"]);
   });
 
+  // Guards against healthy targets that are taken for faulty because they abort
+  // responses which slow clients leave unread.
+  it("does not blame a target for a stream that its client left unread", async () => {
+    let resolveAborted = () => {};
+    const aborted = new Promise<void>((resolve) => resolveAborted = resolve);
+    let attempts = 0;
+    fixture = await startEntryFixture((incoming, outgoing) => {
+      if (incoming.url !== CHAT_PATH) return void outgoing.end("{}");
+      attempts += 1;
+      if (attempts > 1) return;
+      outgoing.writeHead(200, { "content-type": "text/event-stream" });
+      let index = 0;
+      const send = () => {
+        const token = formatTokenEvent(incoming, "t".repeat(10_000), index++);
+        if (outgoing.write(token)) return void setImmediate(send);
+        const abort = () => {
+          outgoing.destroy();
+          resolveAborted();
+        };
+        const timeout = setTimeout(abort, UNREAD_TIMEOUT_MS);
+        outgoing.once("drain", () => {
+          clearTimeout(timeout);
+          send();
+        });
+      };
+      send();
+    });
+    const { hostname, port } = new URL(fixture.baseUrl);
+    const socket = connect({ host: hostname, port: Number(port) });
+    const body = JSON.stringify({
+      model: "writer",
+      messages: [{ role: "user", content: "a" }],
+      stream: true,
+    });
+    socket.write(
+      `POST ${CHAT_PATH} HTTP/1.1\r\nHost: a\r\nX-Coltsfoot-Team: open\r\n` +
+        `Content-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    await aborted;
+    // The daemon notices the abort once its client reads on.
+    socket.resume();
+    await sleep(SETTLE_MS);
+    expect(attempts).toBe(2);
+    expect(fixture.metrics.counter("attempts_failed_total")).toBe(0);
+    socket.destroy();
+  });
+
   // Guards against a daemon that buffers an event which never ends.
   it("leaves a target that sends an event without end", async () => {
     let openResponses = 0;
