--- a/packages/daemon/src/buffering/held_bytes.ts
+++ b/packages/daemon/src/buffering/held_bytes.ts
@@ -49,9 +49,10 @@
     return this.#budget.heldBytes(kind) > this.#budget.limitBytes(kind) / 2;
   }
 
-  /** Calls `action` if the budget takes these bytes back. */
+  /** Calls `action` if the budget takes these bytes back, or has done so. */
   onEvicted(action: () => void): void {
-    this.#evictionActions.push(action);
+    if (this.#isEvicted) action();
+    else this.#evictionActions.push(action);
   }
 
   /** May evict this holding or others. */
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -97,6 +97,7 @@
     response.onDisconnect(() => this.#onDisconnect());
     body.held.onEvicted(() => this.#onBodyEvicted());
     response.held.onEvicted(() => this.abort(TOO_MANY_BYTES));
+    if (this.#hasFinished) return;
     this.#cancelDeadline = this.#dependencies.timer.after(
       Math.max(0, this.#timeLeftMs()),
       () => this.#onDeadline(),
