Bound the garbage of both interfaces

The own interface reported its copies to the garbage limit itself, and the platform interface had none: without a limit of the heap, on a machine of 32 GB, the crowds of platform/src/crowd_test.ts took up to 217 MB of 202 MB.

HeldBytes reports what it is charged, so both interfaces are bounded.

--- a/packages/daemon/src/assemble_daemon.ts
+++ b/packages/daemon/src/assemble_daemon.ts
@@ -11,7 +11,6 @@
 import { ConfigController, RpcConfigPeers } from "./config/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { EntryServer } from "./entry/index.ts";
-import { createGarbageLimit } from "./garbage/index.ts";
 import { createGuards } from "./guards.ts";
 import { OwnerPermitGate, OwnershipController } from "./ownership/index.ts";
 import { LimitedLogger, type Logger } from "./log/index.ts";
@@ -70,7 +69,6 @@
   const targetClient = new TargetClient();
   const entry = new EntryServer(services.vm, {
     ...services,
-    garbage: createGarbageLimit(settings.memoryLimitBytes),
     holdings: new ByteHoldings({
       memoryLimitBytes: settings.memoryLimitBytes,
       timer: services.timer,
--- a/packages/daemon/src/buffering/byte_holdings.ts
+++ b/packages/daemon/src/buffering/byte_holdings.ts
@@ -4,6 +4,7 @@
   planByteBudget,
   type TimerService,
 } from "@coltsfootford/core";
+import { createGarbageLimit, type GarbageLimit } from "../garbage/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import { HeldBytes } from "./held_bytes.ts";
@@ -23,10 +24,12 @@
 export class ByteHoldings {
   readonly #dependencies: ByteHoldingsDependencies;
   readonly #budget: ByteBudget | undefined;
+  readonly #garbage: GarbageLimit | undefined;
 
   constructor(dependencies: ByteHoldingsDependencies) {
     this.#dependencies = dependencies;
     const { memoryLimitBytes, metrics } = dependencies;
+    this.#garbage = createGarbageLimit(memoryLimitBytes);
     if (memoryLimitBytes === undefined) return;
     const budget = new ByteBudget(planByteBudget(memoryLimitBytes));
     this.#budget = budget;
@@ -39,9 +42,10 @@
   /** Opens a holding; `requestId` is for the log alone. */
   open(kind: ByteKind, requestId: string | undefined): HeldBytes {
     const { timer, log, metrics } = this.#dependencies;
-    return new HeldBytes(this.#budget, kind, timer, (heldBytes) => {
+    const onEvicted = (heldBytes: number) => {
       metrics.count(`held_${kind}_evictions_total`);
       log.event("heldBytesEvicted", { request: requestId, kind, heldBytes });
-    });
+    };
+    return new HeldBytes(this.#budget, kind, timer, onEvicted, this.#garbage);
   }
 }
--- a/packages/daemon/src/buffering/held_bytes.ts
+++ b/packages/daemon/src/buffering/held_bytes.ts
@@ -4,6 +4,7 @@
   ByteKind,
   TimerService,
 } from "@coltsfootford/core";
+import type { GarbageLimit } from "../garbage/index.ts";
 
 /**
  * What a daemon holds for one request or one response. Without a budget nothing
@@ -14,6 +15,7 @@
   readonly #kind: ByteKind;
   readonly #timer: TimerService;
   readonly #holding: ByteHolding | undefined;
+  readonly #garbage: GarbageLimit | undefined;
   readonly #evictionActions: (() => void)[] = [];
   #isEvicted = false;
 
@@ -22,7 +24,9 @@
     kind: ByteKind,
     timer: TimerService,
     onEvicted: (heldBytes: number) => void = () => {},
+    garbage?: GarbageLimit,
   ) {
+    this.#garbage = garbage;
     this.#budget = budget;
     this.#kind = kind;
     this.#timer = timer;
@@ -57,6 +61,8 @@
 
   /** May evict this holding or others. */
   charge(bytes: number): void {
+    // Most charges are for copies of chunks, which are garbage now.
+    this.#garbage?.onAllocated(bytes);
     this.#holding?.charge(bytes, this.#timer.nowMs());
   }
 
--- a/packages/daemon/src/entry/buffered_relay.ts
+++ b/packages/daemon/src/entry/buffered_relay.ts
@@ -106,7 +106,7 @@
   ): Promise<AttemptResult> {
     try {
       for await (const chunk of response.body) {
-        this.#memory.append(body, chunk);
+        body.append(chunk);
         if (body.held.isEvicted) break;
       }
     } catch {
--- a/packages/daemon/src/entry/entry_server.ts
+++ b/packages/daemon/src/entry/entry_server.ts
@@ -8,12 +8,13 @@
   ConfigView,
 } from "../blackboard/index.ts";
 import { abortResponse } from "../connections/index.ts";
+import type { ByteHoldings } from "../buffering/index.ts";
 import { chatHandler } from "./chat_handler.ts";
 import { RequestDispatcher } from "./dispatcher.ts";
 import type { DispatcherDependencies } from "./dispatcher.ts";
 import { TeamDirectory } from "./identify_team.ts";
 import { RunningRequests } from "./running_requests.ts";
-import { type MemoryServices, RequestMemory } from "./request_memory.ts";
+import { RequestMemory } from "./request_memory.ts";
 import {
   createRequestError,
   renderErrorBody,
@@ -27,8 +28,9 @@
 const SERVICE_PREFIX = "/services/";
 
 /** The services and controllers that the entry server uses. */
-export interface EntryDependencies
-  extends DispatcherDependencies, MemoryServices {}
+export interface EntryDependencies extends DispatcherDependencies {
+  readonly holdings: ByteHoldings;
+}
 
 /** The services that the request handlers use. */
 export interface EntryServices extends EntryDependencies {
@@ -137,7 +139,10 @@
     outgoing: ServerResponse,
   ): Promise<Result<void, RequestError>> {
     const services = this.#services;
-    const memory = new RequestMemory(services, services.nextRequestId());
+    const memory = new RequestMemory(
+      services.holdings,
+      services.nextRequestId(),
+    );
     try {
       return await handler(services, incoming, outgoing, memory);
     } finally {
--- a/packages/daemon/src/entry/read_body.ts
+++ b/packages/daemon/src/entry/read_body.ts
@@ -27,7 +27,7 @@
     };
     const onData = (chunk: Buffer) => {
       if (body.length + chunk.length <= maxBytes) {
-        return memory.append(body, chunk);
+        return body.append(chunk);
       }
       const error = createTooLargeError(maxBytes);
       finish(err({ ...error, closesConnection: true }));
--- a/packages/daemon/src/entry/request_memory.ts
+++ b/packages/daemon/src/entry/request_memory.ts
@@ -4,33 +4,20 @@
   type HeldBytes,
   PieceBuffer,
 } from "../buffering/index.ts";
-import type { GarbageLimit } from "../garbage/index.ts";
 import { createRequestError, type RequestError } from "./request_error.ts";
 
 const RETRY_AFTER_MS = 1_000;
 
-/** What accounts for the memory of requests. */
-export interface MemoryServices {
-  readonly holdings: ByteHoldings;
-  /** Undefined if the memory is not limited. */
-  readonly garbage: GarbageLimit | undefined;
-}
-
 /** What the daemon holds for one request until it has ended. */
 export class RequestMemory {
   /** The body of the request. */
   readonly body: PieceBuffer;
   readonly #holdings: ByteHoldings;
-  readonly #garbage: GarbageLimit | undefined;
   readonly requestId: string;
   readonly #evictionActions: (() => void)[] = [];
 
-  constructor(
-    { holdings, garbage }: MemoryServices,
-    requestId: string,
-  ) {
+  constructor(holdings: ByteHoldings, requestId: string) {
     this.#holdings = holdings;
-    this.#garbage = garbage;
     this.requestId = requestId;
     this.body = new PieceBuffer(holdings.open("request", requestId));
     this.body.held.onEvicted(() => {
@@ -44,13 +31,6 @@
     this.#evictionActions.push(action);
   }
 
-  /** Copies a chunk that has arrived into one of the request's buffers. */
-  append(buffer: PieceBuffer, chunk: Buffer): void {
-    buffer.append(chunk);
-    // The chunk is garbage now, and the copy is soon.
-    this.#garbage?.onAllocated(chunk.length);
-  }
-
   /** Opens a buffer for a response; its eviction ends the request. */
   openResponse(): PieceBuffer {
     const held = this.#holdings.open("response", this.requestId);
--- a/packages/daemon/src/entry/testing/entry_fixture.ts
+++ b/packages/daemon/src/entry/testing/entry_fixture.ts
@@ -117,7 +117,6 @@
   });
   const entry = new EntryServer("d1", {
     holdings,
-    garbage: undefined,
     guards,
     blackboard,
     timer,
