Order the requests of one team in the fair queue by the shared order

Cause: the fair queue of the own interface and the line of a contended target had separate orders.

Change: TeamQueue uses CostOrder with the priority as the rank. Work and deadlines are left out, since the queue promises priority and then arrival, so the order stays the same.

Measured: 29 of 29 tests of admission pass unchanged.

--- a/packages/core/src/admission/team_queue.ts
+++ b/packages/core/src/admission/team_queue.ts
@@ -1,3 +1,9 @@
+import {
+  comparePrecedence,
+  CostOrder,
+  type OrderConditions,
+  type OrderedRequest,
+} from "../scarcity/index.ts";
 import { TeamDemand } from "./team_demand.ts";
 
 /** A request that waits for capacity of a pool. */
@@ -14,7 +20,20 @@
   readonly deadlineMs: number;
 }
 
-/** The queued requests of one team, ordered by priority and then by arrival. */
+const HIGHEST_PRIORITY = 9;
+const ORDER = new CostOrder();
+/** Without expected work and objectives, the order does not depend on these. */
+const CONDITIONS: OrderConditions = {
+  nowMs: 0,
+  durationFactor: 1,
+  backlogMs: 0,
+};
+
+/**
+ * The queued requests of one team, in the order of `CostOrder`. Only priorities
+ * differ, because the queue promises priority and then arrival, so neither the
+ * work nor the deadline of a request counts.
+ */
 export class TeamQueue {
   weight: number;
   running = 0;
@@ -57,14 +76,22 @@
 
   /** Returns the oldest request of the highest priority. */
   first(): QueuedRequest | undefined {
-    const highest = this.#findPriority(Math.max);
+    const highest = this.#findPriority((left, right) =>
+      comparePrecedence(
+        ORDER.precedence(asOrdered(left), CONDITIONS),
+        ORDER.precedence(asOrdered(right), CONDITIONS),
+      )
+    );
     if (highest === undefined) return undefined;
     return this.#byPriority.get(highest)?.values().next().value;
   }
 
   /** Removes the newest request of the lowest priority. */
   removeNewest(): QueuedRequest | undefined {
-    const lowest = this.#findPriority(Math.min);
+    const lowest = this.#findPriority((left, right) =>
+      ORDER.rejectionCost(asOrdered(left), CONDITIONS) -
+      ORDER.rejectionCost(asOrdered(right), CONDITIONS)
+    );
     if (lowest === undefined) return undefined;
     let newest: QueuedRequest | undefined;
     for (const request of this.#byPriority.get(lowest) ?? []) newest = request;
@@ -83,8 +110,24 @@
     return expired;
   }
 
-  #findPriority(pick: (...values: number[]) => number): number | undefined {
-    if (this.#byPriority.size === 0) return undefined;
-    return pick(...this.#byPriority.keys());
+  /** Returns the first priority in the order of `compare`. */
+  #findPriority(
+    compare: (left: number, right: number) => number,
+  ): number | undefined {
+    let first: number | undefined;
+    for (const priority of this.#byPriority.keys()) {
+      if (first === undefined || compare(priority, first) < 0) first = priority;
+    }
+    return first;
   }
 }
+
+function asOrdered(priority: number): OrderedRequest {
+  return {
+    rank: HIGHEST_PRIORITY - priority,
+    team: undefined,
+    expectedWorkMs: 0,
+    objectiveAtMs: Infinity,
+    deadlineAtMs: Infinity,
+  };
+}
