--- a/packages/core/src/scarcity/slot_request.ts
+++ b/packages/core/src/scarcity/slot_request.ts
@@ -1,4 +1,7 @@
-/** A request for a slot of a contended target. All times are of one clock. */
+/**
+ * A request for a slot of a contended target. All times are of the owner's
+ * clock; the expected work must be finite and not negative.
+ */
 export interface SlotRequest {
   readonly id: string;
   /** The team's rank takes precedence over the route's; 0 is most urgent. */
