--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -96,6 +96,7 @@
     response.onDisconnect(() => this.#onDisconnect());
     body.held.onEvicted(() => this.#onBodyEvicted());
     response.held.onEvicted(() => this.abort(TOO_MANY_BYTES));
+    if (this.#hasFinished) return;
     this.#cancelDeadline = this.#dependencies.timer.after(
       Math.max(0, this.#timeLeftMs()),
       () => this.#onDeadline(),
@@ -325,11 +326,9 @@
       response.reject(STATUS_BAD_GATEWAY, reason);
       return this.#finish(reason, STATUS_BAD_GATEWAY);
     }
-    const afterMs = jitteredRetryAfterMs(
-      this.#timeLeftMs(),
-      this.#dependencies.random(),
-    );
-    const headers = this.#dependencies.codec.encodeRetryAfter(
+    const { codec, random } = this.#dependencies;
+    const afterMs = jitteredRetryAfterMs(this.#timeLeftMs(), random());
+    const headers = codec.encodeRetryAfter(
       isExact ? retryAfterMs : Math.max(afterMs, retryAfterMs),
     );
     response.reject(STATUS_UNAVAILABLE, reason, headers);
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -3,7 +3,10 @@
 import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
 import { ByteHoldings } from "../buffering/index.ts";
-import { ClientConnections } from "../connections/index.ts";
+import {
+  ClientConnections,
+  createConnectionLimit,
+} from "../connections/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 import { Metrics } from "../metrics/index.ts";
@@ -14,6 +17,7 @@
 import { Forwarder } from "./forwarder.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 import {
+  ColdTargetController,
   CrashCheck,
   EvacuationController,
   FleetRelay,
@@ -134,11 +138,20 @@
     const daemonHash = hash32(settings.vm);
     const pool = new TargetPool(blackboard, timer);
     this.#pool = pool;
+    const coldTargets = new ColdTargetController({
+      blackboard,
+      pool,
+      relay,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const limits = new LimitController({
       self,
       blackboard,
       pool,
       relay,
+      coldTargets,
       rpc,
       timer,
       log,
@@ -181,6 +194,7 @@
         quarantine,
         promptQuarantine,
         limits,
+        coldTargets,
       ],
       history: store.history,
       seeds,
@@ -205,6 +219,7 @@
       promptQuarantine,
       limits,
       slots,
+      coldTargets,
       peerSync,
       overload,
       follower,
@@ -264,7 +279,17 @@
       }),
       random,
     });
-    this.#connections = new ClientConnections(this.#server.server, timer);
+    const limit = createConnectionLimit({
+      maxDescriptors: settings.maxDescriptors,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
+    this.#connections = new ClientConnections(
+      this.#server.server,
+      timer,
+      limit,
+    );
     this.#createStatusServers(rpc);
   }
 
--- a/packages/daemon/src/forwarding/left_unread_test.ts
+++ b/packages/daemon/src/forwarding/left_unread_test.ts
@@ -147,8 +147,14 @@
     }),
     quarantinedParts: () => [],
     crashObserver: { onAttemptBroken, onRequestServed: () => {} },
-    promptObserver: { onAttemptBroken, onResponseBegan: () => {} },
+    promptObserver: {
+      onAttemptBroken,
+      onResponseCompleted: () => {},
+      onResponseUnproven: () => {},
+    },
+    evacuatedZones: () => new Set(),
     limits: { isLimited: () => false, onResponse: () => {} },
+    slots: { isContended: () => false, onResponse: () => {} },
     retryShares: new RetryShares(() => ({ ratio: 1, slack: 1 }), () => 1),
     random: () => 0.5,
   } as unknown as ForwarderDependencies;
--- a/packages/daemon/src/log/events.ts
+++ b/packages/daemon/src/log/events.ts
@@ -19,6 +19,11 @@
     level: "warn",
     text: "hand-over step of the shutdown failed",
   },
+  connectionLimitReached: {
+    number: 1008,
+    level: "warn",
+    text: "connections of clients were closed to stay within their limit",
+  },
   configApplied: {
     number: 2001,
     level: "info",
@@ -280,6 +285,11 @@
     level: "warn",
     text: "set of evacuated zones changed; their targets get no requests",
   },
+  targetTurnedCold: {
+    number: 6132,
+    level: "info",
+    text: "target in use turned cold; permits of it have a limit",
+  },
   targetContended: {
     number: 6140,
     level: "info",
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -61,6 +61,13 @@
   readinessGraceMs: z.int().nonnegative().default(
     DEFAULT_OPTIONS.readinessGraceMs,
   ),
+  /** Memory that the daemon may use; without it, held bytes are not limited. */
+  memoryLimitBytes: z.int().positive().optional(),
+  /**
+   * File descriptors that the daemon may use; without it, the open connections
+   * of clients are not limited.
+   */
+  maxDescriptors: z.int().positive().optional(),
 });
 
 /** The validated settings of a daemon. */
