--- a/packages/core/src/forwarding/placement/choose_target.ts
+++ b/packages/core/src/forwarding/placement/choose_target.ts
@@ -50,6 +50,8 @@
   readonly unreachableZones?: ReadonlySet<string>;
   /** Zones whose targets take no requests and serve no cache fetches. */
   readonly evacuatedZones?: ReadonlySet<string>;
+  /** Hash of the request; requests with the same knowledge spread by it. */
+  readonly requestHash?: number;
   readonly nowMs: number;
 }
 
@@ -92,6 +94,7 @@
 const MAX_FAILURE_SHARE = 0.95;
 /** Transfers to and from one engine are serialized and have a price. */
 const FETCH_COST_FACTOR = 2;
+const UINT32_RANGE = 2 ** 32;
 /** A cold target is up to this much slower for a while, by its data sheet. */
 const COLD_COST_MS = 50;
 /**
@@ -133,6 +136,7 @@
   const sharedTokens = countSharedTokens(query.prompt);
   const sources = findSources(query, order, cachedTokensByCandidate);
   const averageFailureShare = meanFailureShare(query);
+  const executionMs = usualExecutionMs(query);
   let best: Estimate | undefined;
   let runnerUpCostMs = Infinity;
   for (const candidate of withinBound.length > 0 ? withinBound : pool) {
@@ -147,7 +151,8 @@
         source: sources.sourceFor(candidate),
         isPreferred,
         averageFailureShare,
-        estimatedLoad: loads.of(candidate.record),
+        estimatedLoad: estimateLoad(candidate, loads, executionMs, query),
+        executionMs,
       },
       query,
       settings,
@@ -240,6 +245,7 @@
   readonly isPreferred: boolean;
   readonly averageFailureShare: number;
   readonly estimatedLoad: number;
+  readonly executionMs: number | undefined;
 }
 
 function estimatePlacement(
@@ -257,8 +263,9 @@
     : 0;
   const readTokens = missingTokens - fetchedTokens + record.unreadTokens;
   const permitWaitMs = Math.max(0, record.permitFromMs - nowMs);
-  const costMs = readTokens / settings.promptTokensPerMs + transferMs +
-    loadCostMs(target, estimatedLoad) +
+  const slowdown = record.slowdown(nowMs);
+  const costMs = readTokens / settings.promptTokensPerMs * slowdown +
+    transferMs + loadCostMs(estimates, slowdown) +
     (target.availabilityZone === settings.availabilityZone
       ? 0
       : OTHER_ZONE_COST_MS) +
@@ -291,11 +298,58 @@
     mixHash32(daemonHash, right.candidate.incarnationHash);
 }
 
-/** Cost of the load in ms; waiting requests add their share of a turnover. */
-function loadCostMs(target: RegisteredTarget, load: number): number {
-  const waiting = Math.max(0, load + 1 - target.slots);
-  const queueMs = (waiting / Math.max(1, target.slots)) * SLOT_TURNOVER_MS;
-  return load * COST_PER_REQUEST_MS + queueMs;
+/**
+ * The load of a plain target that reports its slowdown is drawn by request.
+ * Prompts spread the requests to engines.
+ */
+function estimateLoad(
+  { record, incarnationHash }: Candidate,
+  loads: LoadEstimates,
+  executionMs: number | undefined,
+  { requestHash }: PlacementQuery,
+): number {
+  if (executionMs === undefined || requestHash === undefined) {
+    return loads.of(record);
+  }
+  const random = mixHash32(requestHash, incarnationHash) / UINT32_RANGE;
+  return loads.sample(record, random);
+}
+
+/**
+ * Usual time of an execution at the plain targets of the service; undefined for
+ * engines and where no target reports its slowdown. One figure for all, since
+ * targets that were not heard would otherwise seem the fastest.
+ */
+function usualExecutionMs(
+  { candidates, engine }: PlacementQuery,
+): number | undefined {
+  if (engine) return undefined;
+  let totalMs = 0;
+  let known = 0;
+  for (const { record: { usualFirstByteMs } } of candidates) {
+    if (usualFirstByteMs === undefined) continue;
+    totalMs += usualFirstByteMs;
+    known += 1;
+  }
+  return known === 0 ? undefined : totalMs / known;
+}
+
+/**
+ * Cost of the load in ms; waiting requests add their share of a turnover. Where
+ * plain targets report their slowdown, the turnover is an execution, and the
+ * execution itself is part of the cost.
+ */
+function loadCostMs(
+  { candidate: { target }, estimatedLoad, executionMs }: CandidateEstimates,
+  slowdown: number,
+): number {
+  const waiting = Math.max(0, estimatedLoad + 1 - target.slots);
+  const queueShare = waiting / Math.max(1, target.slots);
+  const requestsMs = estimatedLoad * COST_PER_REQUEST_MS;
+  if (executionMs === undefined) {
+    return requestsMs + queueShare * SLOT_TURNOVER_MS * slowdown;
+  }
+  return requestsMs + executionMs * slowdown * (1 + queueShare);
 }
 
 function coldRiskMs(
--- a/packages/core/src/forwarding/targets/target_record.ts
+++ b/packages/core/src/forwarding/targets/target_record.ts
@@ -3,6 +3,11 @@
   readonly runningRequests: number;
   readonly waitingRequests: number;
   readonly slots: number;
+  /**
+   * How long work takes now, as a multiple of the usual (1: as usual). Undefined
+   * where the target does not report it.
+   */
+  readonly slowdown?: number | undefined;
 }
 
 /** Running and waiting requests of a reported load. */
@@ -32,6 +37,18 @@
 
 /** Half-life of the weight of a reported load against the expected load. */
 const REPORTED_LOAD_HALF_LIFE_MS = 2_000;
+/**
+ * Half-life of the reported load of plain targets that report their slowdown.
+ * Their work takes tens of ms, so their load changes sooner than that of engines.
+ */
+const CONTENDED_LOAD_HALF_LIFE_MS = 700;
+/**
+ * Half-life of a reported slowdown. Targets report another one many times a
+ * second, so a report of half a second ago says little about the present.
+ */
+const SLOWDOWN_HALF_LIFE_MS = 250;
+/** Weight of a new sample in the moving average of the usual first byte. */
+const USUAL_FIRST_BYTE_WEIGHT = 0.1;
 /** Weight of a new sample in the moving average of the failure share. */
 const FAILURE_WEIGHT = 0.15;
 /** Half-life of the failure share and the delay of a target. */
@@ -50,6 +67,8 @@
   #reportedAtMs = -Infinity;
   #announcedOtherRequests = 0;
   #announcedAtMs = -Infinity;
+  #lastReport: ReportedLoad | undefined;
+  #usualFirstByteMs: number | undefined;
   #failureShare = 0;
   #failureAtMs = 0;
   #delayMs = 0;
@@ -110,9 +129,39 @@
     return this.#reportedOtherRequests;
   }
 
+  /** The last load that the target reported to this daemon. */
+  get lastReport(): ReportedLoad | undefined {
+    return this.#lastReport;
+  }
+
+  /** When the target last reported its load to this daemon. */
+  get lastReportAtMs(): number {
+    return this.#reportedAtMs;
+  }
+
+  /** Whether the target states in its reports how long work takes. */
+  get reportsSlowdown(): boolean {
+    return this.#lastReport?.slowdown !== undefined;
+  }
+
+  /** How long work takes now, as a multiple of the usual; 1 if not reported. */
+  slowdown(nowMs: number): number {
+    const excess = (this.#lastReport?.slowdown ?? 1) - 1;
+    const ageMs = nowMs - this.#reportedAtMs;
+    return 1 + decay(excess, ageMs, SLOWDOWN_HALF_LIFE_MS);
+  }
+
+  /**
+   * Moving average of the time to the first byte, without the slowdown that the
+   * response reported. Undefined for engines, and until a response reported one.
+   */
+  get usualFirstByteMs(): number | undefined {
+    return this.#usualFirstByteMs;
+  }
+
   /** Weight of the last report to this daemon, from 1 when it is new to 0. */
   ownReportWeight(nowMs: number): number {
-    return reportWeight(this.#reportedAtMs, nowMs);
+    return this.#reportWeight(this.#reportedAtMs, nowMs);
   }
 
   /**
@@ -124,7 +173,7 @@
     const known = isAnnounced
       ? this.#announcedOtherRequests
       : this.#reportedOtherRequests;
-    const weight = reportWeight(this.reportedAtMs, nowMs);
+    const weight = this.#reportWeight(this.reportedAtMs, nowMs);
     return this.attempts.size + weight * known +
       (1 - weight) * expectedOtherRequests;
   }
@@ -145,6 +194,7 @@
       totalRequests(reported) - this.attempts.size,
     );
     this.#reportedAtMs = nowMs;
+    this.#lastReport = reported;
   }
 
   /** Records a load that the target reported to another daemon. */
@@ -172,6 +222,14 @@
     this.#delayAtMs = nowMs;
   }
 
+  /** Records the first byte of a plain target that reports its slowdown. */
+  recordSlowedFirstByte(actualMs: number, slowdown: number): void {
+    const usualMs = actualMs / slowdown;
+    const previous = this.#usualFirstByteMs ?? usualMs;
+    this.#usualFirstByteMs = previous +
+      USUAL_FIRST_BYTE_WEIGHT * (usualMs - previous);
+  }
+
   /** Records that the target wants no requests of this daemon for a time. */
   stayAway(forMs: number, nowMs: number): void {
     this.awayUntilMs = Math.max(this.awayUntilMs, nowMs + forMs);
@@ -216,10 +274,13 @@
     }
     return latestMs === -Infinity ? 0 : nowMs - latestMs;
   }
-}
 
-function reportWeight(reportedAtMs: number, nowMs: number): number {
-  return decay(1, nowMs - reportedAtMs, REPORTED_LOAD_HALF_LIFE_MS);
+  #reportWeight(reportedAtMs: number, nowMs: number): number {
+    const halfLifeMs = this.#usualFirstByteMs === undefined
+      ? REPORTED_LOAD_HALF_LIFE_MS
+      : CONTENDED_LOAD_HALF_LIFE_MS;
+    return decay(1, nowMs - reportedAtMs, halfLifeMs);
+  }
 }
 
 /** Decays `value` exponentially; the shortcut is for zero, the usual value. */
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -143,6 +143,7 @@
   }
 
   #startNextAttempt(): void {
+    this.#selection?.cancel();
     this.#selection = new TargetSelection(
       this.#accepted,
       this.#dependencies,
@@ -150,7 +151,7 @@
       () => this.#timeLeftMs(),
       {
         onSelected: (placement) => this.#sendAttempt(placement),
-        onNone: (reason, retryAfterMs) => this.#fail(reason, retryAfterMs),
+        onNone: (...rejection) => this.#fail(...rejection),
       },
     );
     this.#selection.start();
@@ -315,7 +316,7 @@
     this.#finish("served", response.status);
   }
 
-  #fail(reason: string, retryAfterMs = 0): void {
+  #fail(reason: string, retryAfterMs = 0, isExact = false): void {
     const { response } = this.#accepted;
     if (response.hasStarted) {
       response.abort();
@@ -330,7 +331,7 @@
       this.#dependencies.random(),
     );
     const headers = this.#dependencies.codec.encodeRetryAfter(
-      Math.max(afterMs, retryAfterMs),
+      isExact ? retryAfterMs : Math.max(afterMs, retryAfterMs),
     );
     response.reject(STATUS_UNAVAILABLE, reason, headers);
     this.#finish(reason, STATUS_UNAVAILABLE);
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -28,6 +28,7 @@
   PromptQuarantineController,
   QuarantineController,
   RoutesController,
+  SlotController,
   StoreContactController,
   StoreFollowerController,
   type StoreRecordCodec,
@@ -156,6 +157,15 @@
       log,
       metrics: this.#metrics,
     });
+    const slots = new SlotController({
+      self,
+      blackboard,
+      relay,
+      rpc,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     const followed = [
       routes.followed,
       registry.followed,
@@ -209,6 +219,7 @@
       promptQuarantine,
       limits,
       coldTargets,
+      slots,
       peerSync,
       overload,
       follower,
@@ -250,6 +261,7 @@
       loadObserver: overload,
       leavingObserver: registry,
       limits,
+      slots,
       random,
     });
     this.#server = new ForwardingServer({
--- a/packages/daemon/src/forwarding/left_unread_test.ts
+++ b/packages/daemon/src/forwarding/left_unread_test.ts
@@ -154,6 +154,7 @@
     },
     evacuatedZones: () => new Set(),
     limits: { isLimited: () => false, onResponse: () => {} },
+    slots: { isContended: () => false, onResponse: () => {} },
     retryShares: new RetryShares(() => ({ ratio: 1, slack: 1 }), () => 1),
     random: () => 0.5,
   } as unknown as ForwarderDependencies;
