Check a forwarding configuration for faults and differences

A configuration with routes that never match, missing services or limits that contradict each other was accepted and showed its faults only in traffic. checkForwardingConfig finds all of them at once, each with its field and a remedy, and lists the differences from the active configuration.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./byte_budget/index.ts";
 export * from "./claims/index.ts";
 export * from "./config/index.ts";
+export * from "./config_check/index.ts";
 export * from "./connections/index.ts";
 export * from "./errors/index.ts";
 export * from "./forwarding/index.ts";
