Compare with the published set in coltsfoot check

A check and a comparison before a publication took two commands. The exit code still states only whether the files are in order: a platform that does not respond is reported in a line.

--- a/packages/bench/src/config/publishing_test.ts
+++ b/packages/bench/src/config/publishing_test.ts
@@ -111,4 +111,22 @@
     const republished = await ana.runCommand("publish", ana.pathOf("pulled"));
     expect(republished).toMatchObject({ exitCode: 0, json: { revision: 6 } });
   }, TEST_LIMIT_MS);
+
+  // Guards against a check that publishes, or that omits the comparison although
+  // the platform responds.
+  it("compares checked files with the published set", async () => {
+    ana.writeObjects("more", [team("carpenters", 4)]);
+    const checked = await ana.runCommand("check", "--compare");
+    expect(checked).toMatchObject({
+      exitCode: 0,
+      json: {
+        comparison: {
+          revision: 6,
+          changes: [{ key: "team/carpenters", fields: ["shareWeight"] }],
+        },
+      },
+    });
+    const compared = await ana.runCommand("diff");
+    expect(compared.json).toMatchObject({ revision: 6 });
+  }, TEST_LIMIT_MS);
 });
--- a/packages/cli/src/run_cli_test.ts
+++ b/packages/cli/src/run_cli_test.ts
@@ -115,6 +115,17 @@
     expect(() => readFileSync(join(objects, ".published.json"))).toThrow();
   });
 
+  // Guards against a check that fails where only the comparison can't be made.
+  it("checks files without a platform to compare them with", async () => {
+    const objects = writeObjects({ "a.json": '{"kind":"team","name":"t"}' });
+    const unreachable = ["--platform", "http://127.0.0.1:1"];
+    for (const options of [[], unreachable]) {
+      const checked = await run("check", objects, "--compare", ...options);
+      expect(checked).toMatchObject({ exitCode: 0, errors: "" });
+      expect(checked.printed).toMatch(/is in order: .*\nnot compared: /);
+    }
+  });
+
   it("prints a JSON Schema with descriptions", async () => {
     const schema = JSON.parse((await run("schema", "route")).printed);
     expect(schema.properties.pool.description).toBeDefined();
