--- a/packages/daemon/src/buffering/index.ts
+++ b/packages/daemon/src/buffering/index.ts
@@ -2,3 +2,4 @@
 export * from "./byte_holdings.ts";
 export * from "./held_bytes.ts";
 export * from "./piece_buffer.ts";
+export * from "./response_writer.ts";
--- a/packages/daemon/src/forwarding/response_writer.ts
+++ b/packages/daemon/src/buffering/response_writer.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { CancelTimer, TimerService } from "@coltsfootford/core";
-import { type HeldBytes, PIECE_OVERHEAD_BYTES } from "../buffering/index.ts";
+import type { HeldBytes } from "./held_bytes.ts";
+import { PIECE_OVERHEAD_BYTES } from "./piece_buffer.ts";
 
 /**
  * Longest time in which a client may take nothing of what is ready for it. It is
--- a/packages/daemon/src/forwarding/response_writer_test.ts
+++ b/packages/daemon/src/buffering/response_writer_test.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { beforeEach, describe, expect, it } from "@jest/globals";
 import { ByteBudget, VirtualTimerService } from "@coltsfootford/core";
-import { HeldBytes } from "../buffering/index.ts";
+import { HeldBytes } from "./held_bytes.ts";
 import { MAX_UNREAD_MS, ResponseWriter } from "./response_writer.ts";
 
 const SHARE_BYTES = 1_000_000;
--- a/packages/daemon/src/entry/client_output.ts
+++ b/packages/daemon/src/entry/client_output.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import type { TimerService } from "@coltsfootford/core";
 import { abortResponse } from "../connections/index.ts";
-import { ResponseWriter } from "../forwarding/response_writer.ts";
+import { ResponseWriter } from "../buffering/index.ts";
 import type { RequestMemory } from "./request_memory.ts";
 
 /** The outputs of each connection that its client has not read to the end. */
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -5,12 +5,11 @@
   provesCompleteBody,
   type TimerService,
 } from "@coltsfootford/core";
-import type { HeldBytes } from "../buffering/index.ts";
+import { type HeldBytes, ResponseWriter } from "../buffering/index.ts";
 import { abortResponse } from "../connections/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
 import type { BufferedResponse, ResponseHead } from "./attempt_types.ts";
-import { ResponseWriter } from "./response_writer.ts";
 
 /** The response to one client. Only the first response is written. */
 export class ClientResponse {
