--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -203,6 +203,8 @@
       random,
     });
     const overload = new OverloadController({
+      self,
+      blackboard,
       pool,
       relay,
       timer,
--- a/packages/daemon/src/forwarding/knowledge/overload_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/overload_controller.ts
@@ -1,4 +1,5 @@
 import {
+  isLoadReporter,
   OverloadAnnouncements,
   type Placement,
   type ReportedLoad,
@@ -9,6 +10,10 @@
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { Metrics } from "../../metrics/index.ts";
+import type {
+  ForwardingBlackboard,
+  PeerDaemon,
+} from "../forwarding_blackboard.ts";
 import type { LoadObserver } from "../forwarding_types.ts";
 import type { TargetPool } from "../target_pool.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
@@ -24,6 +29,8 @@
 
 /** Dependencies of an `OverloadController`. */
 export interface OverloadDependencies {
+  readonly self: PeerDaemon;
+  readonly blackboard: ForwardingBlackboard;
   readonly pool: TargetPool;
   readonly relay: FleetRelay;
   readonly timer: TimerService;
@@ -78,6 +85,9 @@
     const nowMs = timer.nowMs();
     const announcements = this.#announcements;
     if (!announcements.isNews(incarnation, requests, loadBound, nowMs)) return;
+    const isReported = load.slowdown === undefined ||
+      this.#isReporter(incarnation);
+    if (!isReported) return;
     log.event("overloadAnnounced", {
       target: incarnation,
       load: requests,
@@ -88,6 +98,12 @@
     relay.announce(TOPIC, { target: incarnation, requests });
   }
 
+  #isReporter(incarnation: string): boolean {
+    const { self, blackboard } = this.#dependencies;
+    const peers = blackboard.peers.read().map(({ name }) => name);
+    return isLoadReporter(incarnation, self.name, peers);
+  }
+
   #onAnnounced({ target, requests }: Announcement, origin: string): void {
     const { pool, timer, log } = this.#dependencies;
     const nowMs = timer.nowMs();
--- a/packages/daemon/src/forwarding/knowledge/slot_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/slot_controller.ts
@@ -1,6 +1,7 @@
 import {
   type Candidate,
   ContendedTargets,
+  isLoadReporter,
   limitOwners,
   type RegisteredTarget,
   showsContention,
@@ -127,7 +128,9 @@
     const nowMs = this.#nowMs();
     const wasContended = this.#contended.isContended(incarnation, nowMs);
     const isNews = this.#contended.recordSign(incarnation, nowMs);
-    if (isNews) {
+    const { self, blackboard } = this.#dependencies;
+    const peers = blackboard.peers.read().map(({ name }) => name);
+    if (isNews && isLoadReporter(incarnation, self.name, peers)) {
       this.#dependencies.relay.announce(TOPIC, { target: incarnation });
     }
     if (!wasContended) this.#logContended(incarnation, undefined);
