Let a few daemons announce a registration that turns cold

Suspected cause, from the code: all daemons read the same registrations at the same moment, and each announced each target to all others. Change: six daemons by rendezvous hashing announce one target; all of a fleet of six or fewer.

Measured: 27 of 27 tests of cold targets and evacuations pass.

--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -136,6 +136,7 @@
     const pool = new TargetPool(blackboard, timer);
     this.#pool = pool;
     const coldTargets = new ColdTargetController({
+      self,
       blackboard,
       pool,
       relay,
--- a/packages/daemon/src/forwarding/knowledge/cold_target_controller.ts
+++ b/packages/daemon/src/forwarding/knowledge/cold_target_controller.ts
@@ -4,6 +4,7 @@
   coldLimit,
   type ColdTarget,
   ColdTargets,
+  isLoadReporter,
   MAX_COLD_MS,
   type RegisteredTarget,
   type TimerService,
@@ -12,7 +13,10 @@
 import { Controller } from "../../controllers/index.ts";
 import type { Logger } from "../../log/index.ts";
 import type { Metrics } from "../../metrics/index.ts";
-import type { ForwardingBlackboard } from "../forwarding_blackboard.ts";
+import type {
+  ForwardingBlackboard,
+  PeerDaemon,
+} from "../forwarding_blackboard.ts";
 import type { TargetPool } from "../target_pool.ts";
 import type { FleetRelay } from "./fleet_relay.ts";
 import type { RetainedFacts } from "./retained_facts.ts";
@@ -36,6 +40,7 @@
 
 /** Dependencies of a `ColdTargetController`. */
 export interface ColdTargetDependencies {
+  readonly self: PeerDaemon;
   readonly blackboard: ForwardingBlackboard;
   readonly pool: TargetPool;
   readonly relay: FleetRelay;
@@ -133,14 +138,21 @@
     for (const target of targets) {
       const change = this.#targets.recordRegistered(target, this.#nowMs());
       this.#apply(target.incarnation, change);
-      // Daemons that have not read the registration yet send without permits.
-      if (change === "turns") {
+      // Daemons that have not read the registration yet send without permits. All
+      // others read it at the same moment, so a few announce it.
+      if (change === "turns" && this.#isAnnouncer(target.incarnation)) {
         const { incarnation, coldLeftMs } = target;
         this.#announce({ target: incarnation, coldLeftMs });
       }
     }
   }
 
+  #isAnnouncer(incarnation: string): boolean {
+    const { self, blackboard } = this.#dependencies;
+    const peers = blackboard.peers.read().map(({ name }) => name);
+    return isLoadReporter(incarnation, self.name, peers);
+  }
+
   #announce(stated: ColdTarget): void {
     if (this.#configuredLimitOf(stated.target) === undefined) return;
     this.#dependencies.relay.announce(TOPIC, stated);
