--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -114,7 +114,7 @@
       `heartbeat_ms = ${HEARTBEAT_MS}`,
       `contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]`,
       `[zones]`,
-      ...zones.map((zone) => `${zone} = "r"`),
+      ...[...new Set(zones)].map((zone) => `${zone} = "r"`),
       `[listen]`,
       `front = "${this.host}:${this.front}"`,
       `ready = "${this.host}:${this.ready}"`,
