Read nothing more from a connection after an error response of the server

Cause: after an error response for a late or malformed request the server ended its sending side only. Its parser went on, so the rest of a late head or body completed the request, which was forwarded. After a freeze the event loop runs timers before it reads its sockets, so heads that had arrived in time were late. Ruled out: a body that the daemon finds too slow (the requests of the case have none) and a 408 of a target (requests reach targets 10 ms after it).

Change: ClientConnections, used by both interfaces, detaches the parser before an error response and closes the connection after 2 s at the latest. A head, a body or an idle connection is late only if nothing has come with the next read of the sockets. A late head no longer cuts an earlier request of its connection.

--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -11,17 +11,27 @@
   isTruncatedByEnd,
   RESET_DELAY_MS,
 } from "./abort_response.ts";
+import { discardInput } from "./discard_input.ts";
+
+/** The error of Node.js for a request whose head or body is late. */
+const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
+/** Time in which a client must read the last response of its connection. */
+const LINGER_MS = 2_000;
 
 /** Status lines for errors of the HTTP parser of Node.js. */
 const ERROR_STATUSES: ReadonlyMap<string | undefined, string> = new Map([
   ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
   ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
-  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
+  [REQUEST_TIMEOUT, "408 Request Timeout"],
 ]);
 
 interface Connection {
   /** The responses that have not been delivered yet. */
   readonly responses: Set<ServerResponse>;
+  /** The number of requests whose heads have arrived. */
+  requestCount: number;
+  /** Whether what arrives is dropped, and the connection ends. */
+  isInputDiscarded: boolean;
   idleSinceMs: number;
   /** Bytes received when the last response ended; undefined before that. */
   receivedBytesAtIdle: number | undefined;
@@ -35,6 +45,12 @@
   readonly onLimitClosed?: () => void;
 }
 
+/** Options of `ClientConnections`. */
+export interface ClientConnectionsOptions extends ConnectionLimitOptions {
+  /** Called before a connection is ended for a late or malformed request. */
+  readonly onRejected?: (error: NodeJS.ErrnoException, socket: Socket) => void;
+}
+
 /**
  * The client connections of an HTTP server. They are closed without cutting a
  * request: if the server closes a keep-alive connection, it may cut a request
@@ -44,28 +60,32 @@
  *
  * Where a response must be cut, its connection is reset if its end would make
  * the response look complete.
+ *
+ * A connection that gets an error response from here is read no further: a
+ * status such as 408 promises that the request never executes.
  */
 export class ClientConnections {
   readonly #server: Server;
   readonly #timer: TimerService;
   readonly #connections = new Map<Socket, Connection>();
   readonly #line: ConnectionLine<Socket>;
-  readonly #limit: ConnectionLimitOptions;
+  readonly #options: ClientConnectionsOptions;
   #isClosing = false;
 
   constructor(
     server: Server,
     timer: TimerService,
-    limit: ConnectionLimitOptions = {},
+    options: ClientConnectionsOptions = {},
   ) {
     this.#server = server;
     this.#timer = timer;
-    this.#limit = limit;
+    this.#options = options;
     this.#line = new ConnectionLine((socket) => this.#activityOf(socket));
     server.on("connection", (socket) => this.#track(socket));
     server.on("clientError", (error, socket) => {
-      this.#rejectMalformed(error, socket as Socket);
+      this.#onClientError(error, socket as Socket);
     });
+    server.on("timeout", (socket) => this.#closeIfQuiet(socket));
     // This listener runs before the application, while headers can still be set.
     server.prependListener("request", (request, response) => {
       this.#trackResponse(request, response);
@@ -139,6 +159,8 @@
     const receivedBytesAtIdle = undefined;
     this.#connections.set(socket, {
       responses,
+      requestCount: 0,
+      isInputDiscarded: false,
       idleSinceMs,
       receivedBytesAtIdle,
     });
@@ -159,7 +181,7 @@
    * serves a request.
    */
   #closeExcess(added: Socket): void {
-    const { maxConnections, onLimitClosed } = this.#limit;
+    const { maxConnections, onLimitClosed } = this.#options;
     if (maxConnections === undefined || this.#line.size <= maxConnections) {
       return;
     }
@@ -181,39 +203,100 @@
     return { phase: isIdle ? "idle" : "receiving", receivedBytes };
   }
 
+  /** Closes an idle connection, unless a request has arrived on it. */
+  #closeIfQuiet(socket: Socket): void {
+    const { bytesRead } = socket;
+    afterInput(() => {
+      const { responses } = this.#connections.get(socket) ?? {};
+      if (responses?.size === 0 && socket.bytesRead === bytesRead) {
+        socket.destroy();
+      }
+    });
+  }
+
+  #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (!connection || connection.isInputDiscarded) return;
+    if (error.code !== REQUEST_TIMEOUT) {
+      return this.#rejectMalformed(error, socket, connection);
+    }
+    const { requestCount } = connection;
+    const last = [...connection.responses].at(-1)?.req;
+    const lateBody = last?.complete === false ? last : undefined;
+    afterInput(() => {
+      const hasArrived = lateBody
+        ? lateBody.complete
+        : connection.requestCount > requestCount;
+      if (hasArrived || socket.destroyed) return;
+      this.#rejectLate(error, socket, connection);
+    });
+  }
+
+  /** Ends a connection whose request is late, after its earlier responses. */
+  #rejectLate(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+    connection: Connection,
+  ): void {
+    this.#options.onRejected?.(error, socket);
+    connection.isInputDiscarded = true;
+    discardInput(socket);
+    const pending = findPending(connection);
+    if (pending.length === 0) return this.#end(socket, error.code);
+    for (const response of pending) requestClose(response);
+  }
+
   /**
    * Ends a connection on which bytes arrived that are no request. They get an
    * error response only if no earlier request waits for its own.
    */
-  #rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  #rejectMalformed(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+    connection: Connection,
+  ): void {
+    this.#options.onRejected?.(error, socket);
     if (!socket.writable || error.code === "ECONNRESET") {
       socket.destroy();
       return;
     }
-    const { responses } = this.#connections.get(socket) ?? {};
-    const pending = [...responses ?? []].filter(isResponseToCompleteRequest);
+    connection.isInputDiscarded = true;
+    discardInput(socket);
+    const pending = findPending(connection);
     const running = pending.filter(({ writableEnded }) => !writableEnded);
     if (running.length > 0) {
       for (const response of running) abortResponse(response, this.#timer);
       return;
     }
     // What is buffered still arrives. An error could become a part of it.
-    if (pending.length > 0) return void socket.end();
-    const status = ERROR_STATUSES.get(error.code) ?? "400 Bad Request";
+    if (pending.length > 0) return this.#end(socket);
+    this.#end(socket, error.code ?? "");
+  }
+
+  /** Ends a connection, with the response to an error if its code is given. */
+  #end(socket: Socket, errorCode?: string): void {
+    const cancel = this.#timer.after(LINGER_MS, () => socket.destroy());
+    socket.once("close", cancel);
+    if (errorCode === undefined) return void socket.end();
+    const status = ERROR_STATUSES.get(errorCode) ?? "400 Bad Request";
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
   }
 
   #trackResponse(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(request.socket);
     if (!connection) return;
+    connection.requestCount += 1;
     connection.responses.add(response);
     if (this.#isClosing) requestClose(response);
     response.once("close", () => {
       connection.responses.delete(response);
       connection.idleSinceMs = this.#timer.nowMs();
       connection.receivedBytesAtIdle = request.socket.bytesRead;
-      if (!request.socket.destroyed) {
-        this.#line.observe(request.socket, connection.idleSinceMs);
+      if (request.socket.destroyed) return;
+      this.#line.observe(request.socket, connection.idleSinceMs);
+      const { isInputDiscarded } = connection;
+      if (isInputDiscarded && findPending(connection).length === 0) {
+        this.#end(request.socket);
       }
     });
   }
@@ -223,6 +306,19 @@
   }
 }
 
+/**
+ * Runs `action` after the input that has arrived by now. A timer that is due
+ * runs before such input, for example once a stopped process continues.
+ */
+function afterInput(action: () => void): void {
+  setImmediate(action);
+}
+
+/** The responses that requests which have arrived completely wait for. */
+function findPending({ responses }: Connection): ServerResponse[] {
+  return [...responses].filter(isResponseToCompleteRequest);
+}
+
 /** Whether bytes that follow on the connection are not a part of the request. */
 function isResponseToCompleteRequest(response: ServerResponse): boolean {
   return response.headersSent || response.req.complete;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,3 @@
-import type { Socket } from "node:net";
 import { createStepError, type StepError } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
@@ -65,15 +64,16 @@
   logger.event("daemonReady", { ports });
 
   const { server } = clientPort.value;
-  // Runs before the listener that ends the connection.
-  server.on("clientError", (_, socket) => flushOutputs(socket as Socket));
   const limit = createConnectionLimit({
     maxDescriptors: settings.maxDescriptors,
     timer,
     log: logger,
     metrics: assembly.metrics,
   });
-  const connections = new ClientConnections(server, timer, limit);
+  const connections = new ClientConnections(server, timer, {
+    ...limit,
+    onRejected: (_, socket) => flushOutputs(socket),
+  });
   const shutdown = new GracefulShutdown({
     lifecycle,
     timer,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -289,7 +289,10 @@
     this.#connections = new ClientConnections(
       this.#server.server,
       timer,
-      limit,
+      {
+        ...limit,
+        onRejected: (error, socket) => this.#server.onRejected(error, socket),
+      },
     );
     this.#createStatusServers(rpc);
   }
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import {
   type ClientLimits,
   findQuarantinedParts,
@@ -77,10 +78,6 @@
     this.server.on("request", (incoming, outgoing) => {
       this.#onRequest(incoming, outgoing);
     });
-    this.server.on("clientError", (error, socket) => {
-      this.#pending.flush(socket);
-      this.#onClientError(error);
-    });
     dependencies.blackboard.lifecycle.subscribe((phase) => {
       if (phase === "draining") {
         this.#drainingSinceMs = dependencies.timer.nowMs();
@@ -297,7 +294,12 @@
     response.reject(status, reason, headers);
   }
 
-  #onClientError({ code = "unknown" }: NodeJS.ErrnoException): void {
+  /** Called before a connection is ended for a late or malformed request. */
+  onRejected(
+    { code = "unknown" }: NodeJS.ErrnoException,
+    socket: Socket,
+  ): void {
+    this.#pending.flush(socket);
     this.#dependencies.metrics.count("client_errors_total");
     this.#dependencies.log.event("forwardingClientError", { code });
   }
