Call timer actions after the input that has arrived

Clients of a daemon that had been frozen got 504 though the response of their target had arrived, and their requests counted as failed.

Cause: the event loop runs timers before it reads its sockets once a stopped process continues, so a deadline ended what had arrived before it.

Change: SystemTimerService calls its actions in the check phase of the event loop, which follows a read of the sockets. Cancelling works until then.

--- a/packages/key-value/src/system_timer_service.ts
+++ b/packages/key-value/src/system_timer_service.ts
@@ -1,6 +1,11 @@
 import { type CancelTimer, TimerService } from "@coltsfootford/core";
 
-/** A timer service on the clocks and timers of the process. */
+/**
+ * A timer service on the clocks and timers of the process. Actions run after the
+ * input that has arrived by the time they are due: the event loop runs timers
+ * first, and a process that was stopped would end requests whose responses have
+ * arrived meanwhile.
+ */
 export class SystemTimerService extends TimerService {
   override nowMs(): number {
     return performance.now();
@@ -11,12 +16,24 @@
   }
 
   override every(periodMs: number, action: () => void): CancelTimer {
-    const handle = setInterval(action, periodMs);
-    return () => clearInterval(handle);
+    let immediate: NodeJS.Immediate | undefined;
+    const interval = setInterval(() => {
+      immediate = setImmediate(action);
+    }, periodMs);
+    return () => {
+      clearInterval(interval);
+      clearImmediate(immediate);
+    };
   }
 
   override after(delayMs: number, action: () => void): CancelTimer {
-    const handle = setTimeout(action, delayMs);
-    return () => clearTimeout(handle);
+    let immediate: NodeJS.Immediate | undefined;
+    const timeout = setTimeout(() => {
+      immediate = setImmediate(action);
+    }, delayMs);
+    return () => {
+      clearTimeout(timeout);
+      clearImmediate(immediate);
+    };
   }
 }
