Give each response to a client a length or chunks

Cause: such a stream was passed on in the target's framing, so that only the end of the client's connection marked its end. The kernel ends the connections of a killed process in the same way. Ruled out: a path of the daemon's exit (nothing runs on SIGKILL), and targets that had ended before.

Change: responses to clients have a length or chunks, on both interfaces. The last chunk follows the close of the target's connection after an event; a reset, an end inside an event, or a close before any event with data is a break, also in the rest of a resumed stream. A client of HTTP/1.0, which knows no chunks, gets a stream with its length once it is complete.

--- a/packages/daemon/src/entry/buffered_relay.ts
+++ b/packages/daemon/src/entry/buffered_relay.ts
@@ -147,8 +147,9 @@
   }
 
   /**
-   * Sends a response whose end proves it complete with a length. Any other one
-   * ends with the connection, as it did at the target, and may be truncated.
+   * Sends a response with the length of what has arrived, so that its client
+   * detects a truncated one. The outcome states whether the target has proved it
+   * complete.
    */
   #send(
     response: Dispatcher.ResponseData,
@@ -175,10 +176,7 @@
     }
     const outcome: Outcome = isProvenComplete ? "completed" : "unknown";
     this.#outgoing.setHeader("x-coltsfoot-outcome", outcome);
-    if (!isProvenComplete) {
-      this.#outgoing.useChunkedEncodingByDefault = false;
-      this.#outgoing.setHeader("connection", "close");
-    } else if (delimiter !== "none") {
+    if (delimiter !== "none") {
       this.#outgoing.setHeader("content-length", body.length);
     } else if (context.method === "HEAD") {
       const length = response.headers["content-length"];
--- a/packages/daemon/src/entry/buffered_relay_test.ts
+++ b/packages/daemon/src/entry/buffered_relay_test.ts
@@ -118,8 +118,9 @@
     });
   }
 
-  // Guards against a body that may be truncated, declared complete by a length
-  // and by the outcome.
+  // Guards against an outcome that declares complete what the target has not
+  // proved, and against a body that ends with the client's connection, which a
+  // killed daemon ends as well.
   it.each([
     [[]],
     [["Transfer-Encoding: identity"]],
@@ -127,9 +128,8 @@
     const response = await callService(lines, "a part");
     expect(await response.text()).toBe("a part");
     expect(response.headers.get("x-coltsfoot-outcome")).toBe("unknown");
-    expect(response.headers.get("content-length")).toBeNull();
+    expect(response.headers.get("content-length")).toBe("6");
     expect(response.headers.get("transfer-encoding")).toBeNull();
-    expect(response.headers.get("connection")).toBe("close");
   });
 
   it("reports a body with a length as completed", async () => {
--- a/packages/daemon/src/forwarding/classify_attempt_end.ts
+++ b/packages/daemon/src/forwarding/classify_attempt_end.ts
@@ -24,9 +24,8 @@
 }
 
 /**
- * The end of an attempt as the client may take it. It counts as broken where the
- * client would take a stream for complete of which the target has not proved the
- * end, and where another response takes the place of the rest of a stream.
+ * The end of an attempt as the client may take it. It counts as broken where
+ * another response takes the place of the rest of a stream.
  */
 export function requireUsableEnd(
   end: AttemptEnd,
@@ -36,8 +35,7 @@
     const cause = `status ${end.response.status} in place of a stream's rest`;
     return { kind: "broken", cause };
   }
-  if (end.kind !== "streamed" || client.canEndAfter(end.delimiter)) return end;
-  return { kind: "broken", cause: "nothing proves the end of the stream" };
+  return end;
 }
 
 /** What the end of an attempt says about the target's health. */
--- a/packages/daemon/src/forwarding/client_response.ts
+++ b/packages/daemon/src/forwarding/client_response.ts
@@ -2,16 +2,34 @@
 import {
   type BodyDelimiter,
   findBodyDelimiter,
-  provesCompleteBody,
   type TimerService,
 } from "@coltsfootford/core";
-import { type HeldBytes, ResponseWriter } from "../buffering/index.ts";
+import {
+  type HeldBytes,
+  PieceBuffer,
+  ResponseWriter,
+} from "../buffering/index.ts";
 import { abortResponse } from "../connections/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders } from "./request_codec.ts";
 import type { BufferedResponse, ResponseHead } from "./attempt_types.ts";
 
-/** The response to one client. Only the first response is written. */
+const STATUS_BAD_GATEWAY = 502;
+
+/** A stream for a client that does not understand chunks. */
+interface WithheldStream {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: PieceBuffer;
+}
+
+/**
+ * The response to one client. Only the first response is written.
+ *
+ * Its body has a length or is sent in chunks, and never ends with the
+ * connection: the kernel ends the connections of a killed daemon as if their
+ * responses were complete (RFC 9112, section 8).
+ */
 export class ClientResponse {
   readonly #outgoing: ServerResponse;
   readonly #method: string;
@@ -20,6 +38,7 @@
   /** Charged for what is buffered for the client; released at the end. */
   readonly held: HeldBytes;
   #hasStarted = false;
+  #withheld: WithheldStream | undefined;
   #delimiter: BodyDelimiter | undefined;
 
   constructor(
@@ -36,7 +55,7 @@
       this.abort();
     });
     held.onEvicted(() => {
-      if (this.#hasStarted) this.abort();
+      if (this.hasStarted) this.abort();
     });
   }
 
@@ -45,9 +64,9 @@
     return this.#delimiter;
   }
 
-  /** Whether a part of the response has been written. */
+  /** Whether a part of the response has been written, or is withheld. */
   get hasStarted(): boolean {
-    return this.#hasStarted;
+    return this.#hasStarted || this.#withheld !== undefined;
   }
 
   /** Calls `action` once if the client disconnects before the response ends. */
@@ -70,20 +89,11 @@
     ], [body]);
   }
 
-  /**
-   * Whether the end of a stream that the target delimited this way may end the
-   * response, which declares no more than the target proved.
-   */
-  canEndAfter(delimiter: BodyDelimiter): boolean {
-    return provesCompleteBody(delimiter) || this.#delimiter === "close";
-  }
-
   /** Relays a target's buffered response. */
   relayResponse(response: BufferedResponse): void {
     const { status, delimiter, contentLength, body } = response;
     const headers = [...response.metadata.headers];
-    if (!provesCompleteBody(delimiter)) this.#delimitByConnectionClose(headers);
-    else if (delimiter !== "none") {
+    if (delimiter !== "none") {
       headers.push("Content-Length", String(body.length));
     } else if (this.#method === "HEAD" && contentLength !== undefined) {
       headers.push("Content-Length", contentLength);
@@ -96,23 +106,30 @@
   /**
    * Sends the head of a streamed response, unless one has been sent. The stream
    * is sent in chunks, so that a client can tell a broken stream from a complete
-   * one, unless the target's own framing can't tell them apart.
+   * one. A client that does not understand chunks gets the complete stream with
+   * its length.
    */
   startStream(
     { status, metadata, delimiter, contentLength }: ResponseHead,
   ): void {
-    if (this.#hasStarted) return;
+    if (this.hasStarted) return;
     const headers = [...metadata.headers];
-    if (!provesCompleteBody(delimiter)) this.#delimitByConnectionClose(headers);
-    else if (contentLength !== undefined) {
+    if (contentLength !== undefined) {
       headers.push("Content-Length", contentLength);
+    } else if (
+      delimiter !== "none" && !this.#outgoing.useChunkedEncodingByDefault
+    ) {
+      this.#withheld = { status, headers, body: new PieceBuffer(this.held) };
+      return;
     }
     this.#writeHead(status, headers);
   }
 
   /** Writes events; returns false if the client reads too slowly. */
   write(bytes: Buffer): boolean {
-    return this.#writer.write(bytes);
+    if (!this.#withheld) return this.#writer.write(bytes);
+    this.#withheld.body.append(bytes);
+    return true;
   }
 
   /** Calls `action` once the write buffer is empty. */
@@ -122,7 +139,13 @@
 
   /** Ends a stream as complete. */
   end(): void {
-    this.#writer.end();
+    if (!this.#withheld) return this.#writer.end();
+    const { status, headers, body } = this.#withheld;
+    this.#withheld = undefined;
+    const { pieces, length } = body;
+    body.clear();
+    const framing = ["Content-Length", String(length)];
+    this.#sendBuffered(status, [...headers, ...framing], pieces);
   }
 
   /** Makes sure that a complete response arrives if the connection ends now. */
@@ -132,20 +155,15 @@
 
   /** Ends the connection, so that the client detects a truncated stream. */
   abort(): void {
+    if (this.#withheld) {
+      this.#withheld.body.clear();
+      this.#withheld = undefined;
+      return this.reject(STATUS_BAD_GATEWAY, "stream broken off");
+    }
     this.#writer.stop();
     abortResponse(this.#outgoing, this.#timer);
   }
 
-  /**
-   * Marks the end of the body by closing the connection. A target's body that
-   * was delimited this way may be truncated undetected; a length or a last chunk
-   * would declare it complete.
-   */
-  #delimitByConnectionClose(headers: string[]): void {
-    this.#outgoing.useChunkedEncodingByDefault = false;
-    headers.push("Connection", "close");
-  }
-
   #sendBuffered(
     status: number,
     headers: string[],
--- a/packages/daemon/src/forwarding/message_checks.ts
+++ b/packages/daemon/src/forwarding/message_checks.ts
@@ -3,7 +3,11 @@
   validateHeaderName,
   validateHeaderValue,
 } from "node:http";
-import { EventFramer } from "@coltsfootford/core";
+import {
+  type BodyDelimiter,
+  EventFramer,
+  provesCompleteBody,
+} from "@coltsfootford/core";
 import { type BodyBytes, bodyPieces } from "../buffering/index.ts";
 import { findHeader } from "./http_headers.ts";
 import type { RawHeaders, ResponseMetadata } from "./request_codec.ts";
@@ -49,6 +53,31 @@
   return undefined;
 }
 
+/** How a stream of events has ended. */
+export interface StreamEnd {
+  /** Whether the body is complete by its framing; `false` after a reset. */
+  readonly isReceived: boolean;
+  /** Whether the end is inside an event. */
+  readonly hasIncompleteEvent: boolean;
+  /** Whether the run has sent an event with data. */
+  readonly hasEvent: boolean;
+  readonly delimiter: BodyDelimiter;
+}
+
+/**
+ * Returns why the end of a stream is not that of a complete one. The close of
+ * the connection ends a stream without a length or chunks, but only after an
+ * event: a target that closes right after its head has sent nothing.
+ */
+export function findStreamEndError(
+  { isReceived, hasIncompleteEvent, hasEvent, delimiter }: StreamEnd,
+): string | undefined {
+  if (!isReceived) return "stream broken off";
+  if (hasIncompleteEvent) return "stream ended inside an event";
+  if (hasEvent || provesCompleteBody(delimiter)) return undefined;
+  return "stream ended with its connection, without an event";
+}
+
 /** Whether a route for streams gets one; the content type may be missing. */
 export function isStreamed(metadata: ResponseMetadata): boolean {
   const type = findHeader(metadata.headers, "content-type");
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -25,6 +25,7 @@
   endsInsideEvent,
   findHeadError,
   findResponseError,
+  findStreamEndError,
   isEventStream,
   isStreamed,
   readContentLength,
@@ -52,6 +53,8 @@
   #response: IncomingMessage | undefined;
   #isConnected = false;
   #hasEnded = false;
+  /** Whether the target has sent an event with data. */
+  #hasEvent = false;
   #cancelConnectTimer: () => void = () => {};
   readonly #body: PieceBuffer;
   readonly #pause: ReadPause;
@@ -241,14 +244,18 @@
     };
     const onEnd = () => {
       if (this.#hasEnded) return;
-      if (!response.complete) return this.#fail("stream broken off");
-      if (framer.hasIncompleteEvent) {
-        return this.#fail("stream ended inside an event");
-      }
+      const { delimiter } = head;
+      const error = findStreamEndError({
+        isReceived: response.complete,
+        hasIncompleteEvent: framer.hasIncompleteEvent,
+        hasEvent: this.#hasEvent,
+        delimiter,
+      });
+      if (error !== undefined) return this.#fail(error);
       if (framer.rest.length > 0) {
         this.#listener.onEvents(Buffer.from(framer.rest));
       }
-      this.#end({ kind: "streamed", delimiter: head.delimiter });
+      this.#end({ kind: "streamed", delimiter });
     };
     response.on("data", this.#contain(onData));
     response.on("end", this.#contain(onEnd));
@@ -262,6 +269,7 @@
     for (const frame of frames) {
       fault = events.record(frame);
       if (fault) break;
+      if (frame.hasData) this.#hasEvent = true;
       relayed.push(frame.bytes);
     }
     if (relayed.length === 0) return fault;
