Take an end during an upload for a reset

Cause: a clean end was taken for the end of the body although bytes of the request waited to be sent, which the target would answer with a reset. Ruled out: write errors that complete a body (resets with the bytes, 30 ms later and between two parts gave no success), and statuses out of range (000, 001, 099 gave 502 on both interfaces).

Change: CheckedSocket reports an end while bytes wait to be sent as a reset, on both interfaces. A response with a length or chunks is complete before that. Statuses from 600 to 999 stay as the target gave them; docs/design/answers.md says why.

--- a/packages/daemon/src/connections/checked_socket.ts
+++ b/packages/daemon/src/connections/checked_socket.ts
@@ -5,7 +5,7 @@
   type TcpSocketConnectOpts,
 } from "node:net";
 
-/** The peer has reset a connection. */
+/** The peer has reset a connection, or will do so. */
 export class ConnectionResetError extends Error {
   /** Not `ECONNRESET`, which some HTTP clients take for the end of a body. */
   readonly code = "ERR_CONNECTION_RESET";
@@ -16,7 +16,9 @@
 }
 
 /**
- * A TCP socket that reports each reset by its peer as an error.
+ * A TCP socket that reports each reset by its peer as an error, and each end
+ * while bytes wait to be sent: a peer that reads no more resets the connection
+ * with the next of them.
  *
  * The event loop of Node.js reports a reset that arrives together with the last
  * bytes as an end (libuv takes a hang-up after a partial read for one), and a
@@ -27,13 +29,15 @@
  */
 export class CheckedSocket extends Socket {
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk !== null || this.remoteAddress !== undefined) {
-      return super.push(chunk, encoding);
-    }
+    if (chunk !== null || !this.#isCut()) return super.push(chunk, encoding);
     this.destroy(new ConnectionResetError());
     return false;
   }
 
+  #isCut(): boolean {
+    return this.remoteAddress === undefined || this.writableLength > 0;
+  }
+
   override _destroy(
     error: Error | null,
     callback: (error?: Error | null) => void,
--- a/packages/daemon/src/forwarding/message_checks.ts
+++ b/packages/daemon/src/forwarding/message_checks.ts
@@ -6,6 +6,7 @@
 import {
   type BodyDelimiter,
   EventFramer,
+  findBodyDelimiter,
   provesCompleteBody,
 } from "@coltsfootford/core";
 import { type BodyBytes, bodyPieces } from "../buffering/index.ts";
@@ -15,6 +16,8 @@
 /** The statuses with three digits that are not of an interim response. */
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 999;
+const STATUS_OK = 200;
+const STATUS_MULTIPLE_CHOICES = 300;
 
 /**
  * Returns why a head is no HTTP response. The parser accepts heads that the
@@ -53,6 +56,23 @@
   return undefined;
 }
 
+export function isSuccess(status: number): boolean {
+  return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+}
+
+/** What marks the end of the response to a request with this method. */
+export function findResponseDelimiter(
+  { statusCode = 0, headers }: IncomingMessage,
+  method: string,
+): BodyDelimiter {
+  return findBodyDelimiter({
+    method,
+    status: statusCode,
+    transferEncoding: headers["transfer-encoding"],
+    contentLength: headers["content-length"],
+  });
+}
+
 /** How a stream of events has ended. */
 export interface StreamEnd {
   /** Whether the body is complete by its framing; `false` after a reset. */
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -1,11 +1,9 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import {
-  type BodyDelimiter,
   type EventFault,
   type EventFrame,
   EventFramer,
-  findBodyDelimiter,
   isOwnRejection,
   ResponseLimits,
   type TimerService,
@@ -24,10 +22,12 @@
 import {
   endsInsideEvent,
   findHeadError,
+  findResponseDelimiter,
   findResponseError,
   findStreamEndError,
   isEventStream,
   isStreamed,
+  isSuccess,
   readContentLength,
   withContentLength,
 } from "./message_checks.ts";
@@ -37,8 +37,6 @@
 
 /** Time in which the rest of a rejection must arrive. */
 const DISCARD_TIMEOUT_MS = 500;
-const STATUS_OK = 200;
-const STATUS_MULTIPLE_CHOICES = 300;
 /** Larger bodies are relayed before their end while memory is scarce. */
 const MAX_BUFFERED_IF_SCARCE_BYTES = 128 * 1024;
 
@@ -186,7 +184,8 @@
       findHeader(response.rawHeaders, "keep-alive"),
     );
     this.#plan.inFlight.hasResponse = true;
-    const head = { status, metadata, delimiter: this.#delimiterOf(response) };
+    const delimiter = findResponseDelimiter(response, this.#plan.method);
+    const head = { status, metadata, delimiter };
     this.#listener.onFirstByte(head);
     response.on("error", (error) => this.#fail(error.message));
     response.on("aborted", () => this.#fail("answer broken off"));
@@ -219,15 +218,6 @@
     });
   }
 
-  #delimiterOf({ statusCode = 0, headers }: IncomingMessage): BodyDelimiter {
-    return findBodyDelimiter({
-      method: this.#plan.method,
-      status: statusCode,
-      transferEncoding: headers["transfer-encoding"],
-      contentLength: headers["content-length"],
-    });
-  }
-
   #relayEvents(response: IncomingMessage, head: ResponseHead): void {
     const framer = new EventFramer();
     this.#limits.allowStream();
@@ -399,7 +389,3 @@
     this.#listener.onEnd(end);
   }
 }
-
-function isSuccess(status: number): boolean {
-  return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
-}
