--- a/packages/daemon/src/forwarding/message_checks.ts
+++ b/packages/daemon/src/forwarding/message_checks.ts
@@ -62,7 +62,7 @@
 }
 
 /** What marks the end of the response to a request with this method. */
-export function findResponseDelimiter(
+export function delimiterOfResponse(
   { statusCode = 0, headers }: IncomingMessage,
   method: string,
 ): BodyDelimiter {
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -20,9 +20,9 @@
 import { findHeader } from "./http_headers.ts";
 import { isServerError } from "./classify_attempt_end.ts";
 import {
+  delimiterOfResponse,
   endsInsideEvent,
   findHeadError,
-  findResponseDelimiter,
   findResponseError,
   findStreamEndError,
   isEventStream,
@@ -184,7 +184,7 @@
       findHeader(response.rawHeaders, "keep-alive"),
     );
     this.#plan.inFlight.hasResponse = true;
-    const delimiter = findResponseDelimiter(response, this.#plan.method);
+    const delimiter = delimiterOfResponse(response, this.#plan.method);
     const head = { status, metadata, delimiter };
     this.#listener.onFirstByte(head);
     response.on("error", (error) => this.#fail(error.message));
--- a/packages/key-value/src/system_timer_service.ts
+++ b/packages/key-value/src/system_timer_service.ts
@@ -16,24 +16,25 @@
   }
 
   override every(periodMs: number, action: () => void): CancelTimer {
-    let immediate: NodeJS.Immediate | undefined;
-    const interval = setInterval(() => {
-      immediate = setImmediate(action);
-    }, periodMs);
-    return () => {
-      clearInterval(interval);
-      clearImmediate(immediate);
-    };
+    return subscribe((onDue) => setInterval(onDue, periodMs), action);
   }
 
   override after(delayMs: number, action: () => void): CancelTimer {
-    let immediate: NodeJS.Immediate | undefined;
-    const timeout = setTimeout(() => {
-      immediate = setImmediate(action);
-    }, delayMs);
-    return () => {
-      clearTimeout(timeout);
-      clearImmediate(immediate);
-    };
+    return subscribe((onDue) => setTimeout(onDue, delayMs), action);
   }
 }
+
+/** Calls `action` in the check phase after each time that the timer is due. */
+function subscribe(
+  start: (onDue: () => void) => NodeJS.Timeout,
+  action: () => void,
+): CancelTimer {
+  let immediate: NodeJS.Immediate | undefined;
+  const timeout = start(() => {
+    immediate = setImmediate(action);
+  });
+  return () => {
+    clearTimeout(timeout);
+    clearImmediate(immediate);
+  };
+}
