--- a/packages/bench/src/untrusted_clients/crowd.ts
+++ b/packages/bench/src/untrusted_clients/crowd.ts
@@ -5,7 +5,9 @@
 /** A client that sends bytes and ignores its response, or reads it slowly. */
 export interface CrowdClient {
   /** The parts that it sends, one after another. */
-  readonly parts: () => Iterable<string | Buffer>;
+  readonly parts: () =>
+    | Iterable<string | Buffer>
+    | AsyncIterable<string | Buffer>;
   /** Whether it reads what it receives. */
   readonly isReading: boolean;
 }
@@ -49,7 +51,8 @@
       socket.once("close", () => resolve());
     });
     if (client.isReading) socket.resume();
-    for (const part of client.parts()) {
+    for await (const part of client.parts()) {
+      if (socket.destroyed) return;
       const written = new Promise<void>((resolve) => {
         socket.write(part, () => resolve());
       });
