Parse the input of each connection in slices, and take turns

Callers saw no answer, or a process that ended: 60 connections that send 2,000 small requests each without reading took more than 6,000 descriptors and all memory; 40 connections with 1 MB in chunks of a byte kept ordinary requests of both interfaces waiting for more than 20 s, also after the crowd had gone.

Cause, the same for both: the parser of Node.js handles all that one read returns, up to 64 KiB, before anything else runs. That is thousands of requests, each of which was forwarded at once, or 10,000 chunks with a call each. Node.js pauses a connection for unsent response bytes alone, so the limit of connections limited neither.

ClientInput takes over the bytes between a connection and its parser. It hands them on in slices that end with each message and are at most 4 KiB, unless a body has a length. It stops while two requests of a connection wait for their responses, and after 2 ms; the rest waits in a queue whose inputs take turns of 5 ms in a turn of the event loop, so that other connections are read in between. A connection with input left is not read, and what is held of it, the receive window included, is charged to the share of request bodies. serveInOrder begins a pipelined request once the response before it has ended: one connection takes no more of a daemon and its targets than without pipelining, and what is behind has not executed.

Two requests and not one are parsed, since malformed bytes behind a running request still cut it, as before.

--- a/packages/daemon/src/assemble_daemon.ts
+++ b/packages/daemon/src/assemble_daemon.ts
@@ -47,6 +47,7 @@
   readonly targetHealth: TargetHealthController;
   readonly targetClient: TargetClient;
   readonly entry: EntryServer;
+  readonly holdings: ByteHoldings;
 }
 
 /** Constructs the components of a daemon; it opens no port or connection. */
@@ -67,18 +68,15 @@
   const owners = new OwnershipController({ ...services, membership });
   const placement = new PlacementController(services);
   const targetClient = new TargetClient();
+  const holdings = new ByteHoldings({
+    memoryLimitBytes: settings.memoryLimitBytes,
+    timer: services.timer,
+    log: new LimitedLogger(logger, services.timer, MAX_EVICTION_EVENTS_PER_S),
+    metrics: services.metrics,
+  });
   const entry = new EntryServer(services.vm, {
     ...services,
-    holdings: new ByteHoldings({
-      memoryLimitBytes: settings.memoryLimitBytes,
-      timer: services.timer,
-      log: new LimitedLogger(
-        logger,
-        services.timer,
-        MAX_EVICTION_EVENTS_PER_S,
-      ),
-      metrics: services.metrics,
-    }),
+    holdings,
     guards,
     targetClient,
     placement,
@@ -97,7 +95,14 @@
     owners,
     placement,
   ];
-  return { ...services, controllers, targetHealth, targetClient, entry };
+  return {
+    ...services,
+    controllers,
+    targetHealth,
+    targetClient,
+    entry,
+    holdings,
+  };
 }
 
 function createServices(settings: Settings, logger: Logger): Services {
--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -11,13 +11,21 @@
   isTruncatedByEnd,
   RESET_DELAY_MS,
 } from "./abort_response.ts";
-import { discardInput } from "./discard_input.ts";
+import { HeldBytes } from "../buffering/index.ts";
+import { ClientInput, type ClientInputDependencies } from "./client_input.ts";
+import { InputQueue } from "./input_queue.ts";
 
 /** The error of Node.js for a request whose head or body is late. */
 const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 /** Time in which a client must read the last response of its connection. */
 const LINGER_MS = 2_000;
 
+/**
+ * Requests of one connection that are accepted at once. The second one shows
+ * malformed bytes behind the first; the rest waits on the connection.
+ */
+const MAX_PIPELINED_REQUESTS = 2;
+
 /** Status lines for errors of the HTTP parser of Node.js. */
 const ERROR_STATUSES: ReadonlyMap<string | undefined, string> = new Map([
   ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
@@ -26,6 +34,7 @@
 ]);
 
 interface Connection {
+  readonly input: ClientInput;
   /** The responses that have not been delivered yet. */
   readonly responses: Set<ServerResponse>;
   /** The number of requests whose heads have arrived. */
@@ -49,6 +58,8 @@
 export interface ClientConnectionsOptions extends ConnectionLimitOptions {
   /** Called before a connection is ended for a late or malformed request. */
   readonly onRejected?: (error: NodeJS.ErrnoException, socket: Socket) => void;
+  /** Opens a holding for input that waits; without it, such input is free. */
+  readonly openHolding?: () => HeldBytes;
 }
 
 /**
@@ -70,6 +81,7 @@
   readonly #connections = new Map<Socket, Connection>();
   readonly #line: ConnectionLine<Socket>;
   readonly #options: ClientConnectionsOptions;
+  readonly #inputs: ClientInputDependencies;
   #isClosing = false;
 
   constructor(
@@ -80,6 +92,12 @@
     this.#server = server;
     this.#timer = timer;
     this.#options = options;
+    this.#inputs = {
+      queue: new InputQueue(timer),
+      timer,
+      openHolding: options.openHolding ??
+        (() => new HeldBytes(undefined, "request", timer)),
+    };
     this.#line = new ConnectionLine((socket) => this.#activityOf(socket));
     server.on("connection", (socket) => this.#track(socket));
     server.on("clientError", (error, socket) => {
@@ -117,8 +135,9 @@
   /** Closes the connections that are idle for longer than the keep-alive timeout. */
   closeIdle(): void {
     const nowMs = this.#timer.nowMs();
-    for (const [socket, { responses, idleSinceMs }] of this.#connections) {
-      if (responses.size > 0) continue;
+    for (const [socket, connection] of this.#connections) {
+      const { input, responses, idleSinceMs } = connection;
+      if (responses.size > 0 || input.hasInput) continue;
       const idleMs = nowMs - idleSinceMs;
       if (idleMs > this.#server.keepAliveTimeout) socket.destroy();
     }
@@ -157,7 +176,12 @@
     const responses = new Set<ServerResponse>();
     const idleSinceMs = this.#timer.nowMs();
     const receivedBytesAtIdle = undefined;
+    const input = new ClientInput(socket, this.#inputs, {
+      canParse: () => responses.size < MAX_PIPELINED_REQUESTS,
+      onEvicted: () => this.#onInputEvicted(socket),
+    });
     this.#connections.set(socket, {
+      input,
       responses,
       requestCount: 0,
       isInputDiscarded: false,
@@ -194,11 +218,13 @@
 
   #activityOf(socket: Socket): ConnectionActivity {
     const { bytesRead: receivedBytes } = socket;
-    const { responses, receivedBytesAtIdle } = this.#connections.get(socket)!;
+    const { input, responses, receivedBytesAtIdle } = this.#connections.get(
+      socket,
+    )!;
     if ([...responses].some(isResponseToCompleteRequest)) {
       return { phase: "serving", receivedBytes };
     }
-    const isIdle = responses.size === 0 &&
+    const isIdle = responses.size === 0 && !input.hasInput &&
       receivedBytes === receivedBytesAtIdle;
     return { phase: isIdle ? "idle" : "receiving", receivedBytes };
   }
@@ -207,7 +233,8 @@
   #closeIfQuiet(socket: Socket): void {
     const { bytesRead } = socket;
     afterInput(() => {
-      const { responses } = this.#connections.get(socket) ?? {};
+      const { input, responses } = this.#connections.get(socket) ?? {};
+      if (input?.hasInput) return;
       if (responses?.size === 0 && socket.bytesRead === bytesRead) {
         socket.destroy();
       }
@@ -240,13 +267,31 @@
     connection: Connection,
   ): void {
     this.#options.onRejected?.(error, socket);
-    connection.isInputDiscarded = true;
-    discardInput(socket);
+    this.#discardInput(connection);
     const pending = findPending(connection);
     if (pending.length === 0) return this.#endWithError(socket, error);
     for (const response of pending) requestClose(response);
   }
 
+  /** Ends a connection that takes too much memory, after its responses. */
+  #onInputEvicted(socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (!connection || connection.isInputDiscarded) return;
+    const pending = findPending(connection);
+    if (pending.length === 0) {
+      socket.destroy();
+      return;
+    }
+    this.#discardInput(connection);
+    for (const response of pending) requestClose(response);
+  }
+
+  /** Nothing that still arrives on the connection becomes a request. */
+  #discardInput(connection: Connection): void {
+    connection.isInputDiscarded = true;
+    connection.input.discard();
+  }
+
   /**
    * Ends a connection on which bytes arrived that are no request. They get an
    * error response only if no earlier request waits for its own.
@@ -261,8 +306,7 @@
       socket.destroy();
       return;
     }
-    connection.isInputDiscarded = true;
-    discardInput(socket);
+    this.#discardInput(connection);
     const pending = findPending(connection);
     const running = pending.filter(({ writableEnded }) => !writableEnded);
     if (running.length > 0) {
@@ -292,6 +336,7 @@
     if (!connection) return;
     connection.requestCount += 1;
     connection.responses.add(response);
+    connection.input.onRequest(request);
     if (this.#isClosing) requestClose(response);
     response.once("close", () => {
       connection.responses.delete(response);
@@ -299,6 +344,7 @@
       connection.receivedBytesAtIdle = request.socket.bytesRead;
       if (request.socket.destroyed) return;
       this.#line.observe(request.socket, connection.idleSinceMs);
+      connection.input.continue();
       const { isInputDiscarded } = connection;
       if (isInputDiscarded && findPending(connection).length === 0) {
         this.#end(request.socket);
--- /dev/null
+++ b/packages/daemon/src/connections/client_input.ts
@@ -0,0 +1,192 @@
+import type { IncomingMessage } from "node:http";
+import { Socket } from "node:net";
+import { nextInputSlice, type TimerService } from "@coltsfootford/core";
+import type { HeldBytes } from "../buffering/index.ts";
+import type { InputQueue, QueuedInput } from "./input_queue.ts";
+
+/** Time that the input of one connection may take before others are read. */
+const MAX_SHARE_MS = 2;
+/** What Node.js and the kernel may hold of a connection that is not read. */
+const PAUSED_BYTES = 128 * 1024;
+/** Bytes of memory for each byte of a head that is not complete. */
+const HEAD_COST = 2;
+const NO_INPUT = Buffer.alloc(0);
+
+/** Dependencies of a `ClientInput`. */
+export interface ClientInputDependencies {
+  readonly queue: InputQueue;
+  readonly timer: TimerService;
+  /** Opens a holding for the input that is not parsed, if there is a budget. */
+  readonly openHolding: () => HeldBytes;
+}
+
+/** What a `ClientInput` asks the owner of its connection. */
+export interface ClientInputOwner {
+  /** Whether the connection has too few requests to stop its parser. */
+  readonly canParse: () => boolean;
+  /** Called if the memory budget takes back what is held of the input. */
+  readonly onEvicted: () => void;
+}
+
+/**
+ * The bytes that a client connection has received, on their way to the HTTP
+ * parser of Node.js. The parser would handle all that one read returns at once,
+ * up to thousands of requests or chunks. Here it gets slices: it stops between
+ * two messages while the connection has enough requests, and the connections
+ * with much input take turns. A connection with input left is not read.
+ */
+export class ClientInput implements QueuedInput {
+  readonly #socket: Socket;
+  readonly #dependencies: ClientInputDependencies;
+  readonly #owner: ClientInputOwner;
+  readonly #parse: (bytes: Buffer) => void;
+  #input: Buffer = NO_INPUT;
+  /** Whether Node.js wants no more input, since a body or response is full. */
+  #isParserPaused = false;
+  #isParsing = false;
+  #isDiscarded = false;
+  /** The latest request, until its body has been parsed. */
+  #request: IncomingMessage | undefined;
+  #declaredBytesLeft = 0;
+  /** Bytes of a head that is not complete. */
+  #headBytes = 0;
+  #held: HeldBytes | undefined;
+  #chargedBytes = 0;
+
+  /** Takes over the input of a connection of an HTTP server. */
+  constructor(
+    socket: Socket,
+    dependencies: ClientInputDependencies,
+    owner: ClientInputOwner,
+  ) {
+    this.#socket = socket;
+    this.#dependencies = dependencies;
+    this.#owner = owner;
+    const [parse] = socket.listeners("data");
+    this.#parse = parse as (bytes: Buffer) => void;
+    socket.off("data", this.#parse);
+    // Node.js detaches its parser from a socket that gets such a listener.
+    socket.on("data", (bytes) => this.#receive(bytes));
+    socket.pause = () => this.#setParserPaused(true);
+    socket.resume = () => this.#setParserPaused(false);
+    socket.once("close", () => this.#drop());
+  }
+
+  /** Whether bytes have arrived that were not parsed. */
+  get hasInput(): boolean {
+    return this.#input.length > 0;
+  }
+
+  /** Call it for each request, as soon as its head has been parsed. */
+  onRequest(request: IncomingMessage): void {
+    this.#request = request;
+    this.#headBytes = 0;
+    this.#declaredBytesLeft = Number(request.headers["content-length"] ?? 0);
+  }
+
+  /** Parses on if the owner allows it now. */
+  continue(): void {
+    if (this.#canAdvance()) this.#dependencies.queue.add(this);
+  }
+
+  /** Drops what has arrived and what still arrives. */
+  discard(): void {
+    this.#isDiscarded = true;
+    this.#drop();
+    this.#updateFlow();
+  }
+
+  /** Parses a share of the input. */
+  advance(): void {
+    if (this.#isParsing) return;
+    const { queue, timer } = this.#dependencies;
+    const endAtMs = timer.nowMs() + MAX_SHARE_MS;
+    this.#isParsing = true;
+    while (this.#canAdvance()) {
+      this.#parseSlice();
+      if (timer.nowMs() >= endAtMs) break;
+    }
+    this.#isParsing = false;
+    if (this.#canAdvance()) queue.add(this);
+    this.#updateFlow();
+    this.#updateCharge();
+  }
+
+  #receive(bytes: Buffer): void {
+    if (this.#isDiscarded) return;
+    if (this.hasInput) {
+      this.#input = Buffer.concat([this.#input, bytes]);
+      return this.#updateCharge();
+    }
+    this.#input = bytes;
+    this.advance();
+  }
+
+  #canAdvance(): boolean {
+    const { destroyed, writable } = this.#socket;
+    if (!this.hasInput || this.#isParserPaused || destroyed) return false;
+    // No request can be served after the last response of a connection.
+    if (this.#request === undefined && !writable) return false;
+    return this.#owner.canParse();
+  }
+
+  #parseSlice(): void {
+    const input = this.#input;
+    const sliceBytes = nextInputSlice(input, 0, this.#declaredBytesLeft);
+    this.#input = input.subarray(sliceBytes);
+    const isHead = this.#request === undefined;
+    if (isHead) this.#headBytes += sliceBytes;
+    else {this.#declaredBytesLeft -= Math.min(
+        sliceBytes,
+        this.#declaredBytesLeft,
+      );}
+    this.#parse(input.subarray(0, sliceBytes));
+    if (this.#request?.complete) this.#request = undefined;
+    if (this.#request === undefined) this.#declaredBytesLeft = 0;
+  }
+
+  #setParserPaused(isPaused: boolean): Socket {
+    this.#isParserPaused = isPaused;
+    if (this.#isParsing) return this.#socket;
+    this.continue();
+    this.#updateFlow();
+    return this.#socket;
+  }
+
+  /** Reads the connection unless something is left to parse. */
+  #updateFlow(): void {
+    const { pause, resume } = Socket.prototype;
+    const isPaused = !this.#isDiscarded &&
+      (this.#isParserPaused || this.hasInput);
+    (isPaused ? pause : resume).call(this.#socket);
+  }
+
+  #updateCharge(): void {
+    if (this.#socket.destroyed) return;
+    const inputBytes = this.hasInput ? this.#input.length + PAUSED_BYTES : 0;
+    const bytes = inputBytes + this.#headBytes * HEAD_COST;
+    if (bytes === 0) return this.#release();
+    if (this.#held === undefined) {
+      this.#held = this.#dependencies.openHolding();
+      this.#held.onEvicted(() => this.#owner.onEvicted());
+    }
+    const addedBytes = bytes - this.#chargedBytes;
+    this.#chargedBytes = bytes;
+    if (addedBytes > 0) this.#held.charge(addedBytes);
+    else this.#held.discharge(-addedBytes);
+  }
+
+  #release(): void {
+    this.#held?.release();
+    this.#held = undefined;
+    this.#chargedBytes = 0;
+  }
+
+  #drop(): void {
+    this.#input = NO_INPUT;
+    this.#request = undefined;
+    this.#headBytes = 0;
+    this.#dependencies.queue.delete(this);
+    this.#release();
+  }
+}
--- a/packages/daemon/src/connections/index.ts
+++ b/packages/daemon/src/connections/index.ts
@@ -3,3 +3,4 @@
 export * from "./checked_socket.ts";
 export * from "./client_connections.ts";
 export * from "./create_connection_limit.ts";
+export * from "./serve_in_order.ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,7 @@
 import {
   ClientConnections,
   createConnectionLimit,
+  serveInOrder,
 } from "./connections/index.ts";
 import type { Controller } from "./controllers/index.ts";
 import { flushOutputs } from "./entry/index.ts";
@@ -50,7 +51,7 @@
   const started = await startControllers(controllers);
   if (started.isErr()) return err(started.error);
   const clientPort = await listenRaw(
-    (incoming, outgoing) => void entry.handle(incoming, outgoing),
+    serveInOrder((incoming, outgoing) => void entry.handle(incoming, outgoing)),
     "listen",
     settings.listen,
   );
@@ -73,6 +74,7 @@
   const connections = new ClientConnections(server, timer, {
     ...limit,
     onRejected: (_, socket) => flushOutputs(socket),
+    openHolding: () => assembly.holdings.open("request", undefined),
   });
   const shutdown = new GracefulShutdown({
     lifecycle,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -265,6 +265,12 @@
       slots,
       random,
     });
+    const holdings = new ByteHoldings({
+      memoryLimitBytes: settings.memoryLimitBytes,
+      timer,
+      log,
+      metrics: this.#metrics,
+    });
     this.#server = new ForwardingServer({
       blackboard,
       codec: requestCodec,
@@ -272,12 +278,7 @@
       timer,
       log,
       metrics: this.#metrics,
-      holdings: new ByteHoldings({
-        memoryLimitBytes: settings.memoryLimitBytes,
-        timer,
-        log,
-        metrics: this.#metrics,
-      }),
+      holdings,
       random,
     });
     const limit = createConnectionLimit({
@@ -292,6 +293,7 @@
       {
         ...limit,
         onRejected: (error, socket) => this.#server.onRejected(error, socket),
+        openHolding: () => holdings.open("request", undefined),
       },
     );
     this.#createStatusServers(rpc);
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -16,6 +16,7 @@
 } from "@coltsfootford/core";
 import { ResultAsync } from "neverthrow";
 import { type ByteHoldings, PieceBuffer } from "../buffering/index.ts";
+import { serveInOrder } from "../connections/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ForwardingBlackboard } from "./forwarding_blackboard.ts";
@@ -75,9 +76,10 @@
       noDelay: true,
       keepAlive: true,
     });
-    this.server.on("request", (incoming, outgoing) => {
-      this.#onRequest(incoming, outgoing);
-    });
+    const onRequest = serveInOrder((incoming, outgoing) =>
+      this.#onRequest(incoming, outgoing)
+    );
+    this.server.on("request", onRequest);
     dependencies.blackboard.lifecycle.subscribe((phase) => {
       if (phase === "draining") {
         this.#drainingSinceMs = dependencies.timer.nowMs();
