--- a/packages/core/src/connections/connection_line_test.ts
+++ b/packages/core/src/connections/connection_line_test.ts
@@ -66,6 +66,18 @@
     expect(all).toContain(line.findNext(2 + QUIET_MS));
   });
 
+  // Guards against a crowd of slow requests, each making progress, that makes
+  // the daemon close each new connection.
+  it("closes the oldest of many that make progress, not a new one", () => {
+    const slow = [0, 1, 2].map((nowMs) => add("receiving", nowMs));
+    const nowMs = 2 + QUIET_MS;
+    add("receiving", nowMs);
+    for (const connection of slow) connection.receivedBytes += 1;
+    expect(line.findNext(nowMs)).toBe(slow[0]);
+    line.delete(slow[0]!);
+    expect(line.findNext(nowMs)).toBe(slow[1]);
+  });
+
   it("never closes a connection that serves a request", () => {
     const passedOn = add("receiving", 0);
     add("serving", 0);
