Limit connections by the memory that their windows may take

The account of bytes did not know what the kernel holds: 1,200 connections that send 120 KB at once held 89 MB in their receive windows, beside 133 MB of resident memory on a machine of 202 MB.

The limit of client connections now also follows from the memory: 0.45 of what is above the process itself, in windows of 64 KiB each, 64 connections at least. On the smallest machine in use (202 MB, 2,069 descriptors) that is 631 in place of 841. Idle connections are closed first, as before.

Since the parser is detached, each read is a buffer of its own; its bytes now count toward the garbage that is collected early.

--- a/packages/core/src/byte_budget/plan_byte_budget.ts
+++ b/packages/core/src/byte_budget/plan_byte_budget.ts
@@ -2,7 +2,7 @@
 
 const MIB = 1024 * 1024;
 /** What a daemon uses that holds nothing for clients: 60 to 110 MB. */
-const BASE_BYTES = 110_000_000;
+export const BASE_BYTES = 110_000_000;
 /**
  * The part of the rest that may be held. V8 collects buffers only after some 64
  * MB of garbage; 0.4 left no room for both shares in full at 202 MB.
--- a/packages/core/src/connections/connection_limit.ts
+++ b/packages/core/src/connections/connection_limit.ts
@@ -1,3 +1,5 @@
+import { BASE_BYTES } from "../byte_budget/index.ts";
+
 /** Descriptors of a daemon that are reserved for files. */
 export const RESERVED_FILE_DESCRIPTORS = 200;
 /**
@@ -6,14 +8,36 @@
  */
 export const CLIENT_DESCRIPTOR_SHARE = 0.45;
 
+/** What the kernel may hold of a connection that is not read: its window. */
+export const CONNECTION_WINDOW_BYTES = 64 * 1024;
+/** Share of the memory above that of the process which windows may take. */
+export const CONNECTION_MEMORY_SHARE = 0.45;
+/** Connections that a daemon keeps open whatever its memory is. */
+export const MIN_CONNECTIONS = 64;
+
+/** The limits of a machine; undefined where they are not known. */
+export interface MachineLimits {
+  readonly maxDescriptors?: number | undefined;
+  readonly memoryLimitBytes?: number | undefined;
+}
+
 /**
  * The number of client connections that a daemon keeps open, or undefined if
- * the number of its descriptors is not known.
+ * neither limit of its machine is known.
  */
 export function maxClientConnections(
-  maxDescriptors: number | undefined,
+  { maxDescriptors, memoryLimitBytes }: MachineLimits,
 ): number | undefined {
-  if (maxDescriptors === undefined) return undefined;
-  const descriptors = maxDescriptors - RESERVED_FILE_DESCRIPTORS;
-  return Math.max(1, Math.floor(descriptors * CLIENT_DESCRIPTOR_SHARE));
+  const limits: number[] = [];
+  if (maxDescriptors !== undefined) {
+    const descriptors = maxDescriptors - RESERVED_FILE_DESCRIPTORS;
+    limits.push(Math.max(1, Math.floor(descriptors * CLIENT_DESCRIPTOR_SHARE)));
+  }
+  if (memoryLimitBytes !== undefined) {
+    const windowBytes = (memoryLimitBytes - BASE_BYTES) *
+      CONNECTION_MEMORY_SHARE;
+    const connections = Math.floor(windowBytes / CONNECTION_WINDOW_BYTES);
+    limits.push(Math.max(MIN_CONNECTIONS, connections));
+  }
+  return limits.length === 0 ? undefined : Math.min(...limits);
 }
--- a/packages/core/src/connections/connection_line_test.ts
+++ b/packages/core/src/connections/connection_line_test.ts
@@ -91,12 +91,23 @@
 });
 
 describe("maxClientConnections", () => {
-  it("has no limit where the descriptors are not known", () => {
-    expect(maxClientConnections(undefined)).toBeUndefined();
+  it("has no limit where neither descriptors nor memory are known", () => {
+    expect(maxClientConnections({})).toBeUndefined();
   });
 
   it("leaves descriptors for files, targets and peers", () => {
-    expect(maxClientConnections(2_069)).toBe(841);
-    expect(maxClientConnections(100)).toBe(1);
+    expect(maxClientConnections({ maxDescriptors: 2_069 })).toBe(841);
+    expect(maxClientConnections({ maxDescriptors: 100 })).toBe(1);
+  });
+
+  // Guards against windows of open connections that take all of the memory.
+  it("leaves memory for the process beside what connections have received", () => {
+    const memoryLimitBytes = 202_000_000;
+    const connections = maxClientConnections({ memoryLimitBytes })!;
+    expect(connections).toBe(631);
+    expect(connections * 64 * 1024).toBeLessThan(memoryLimitBytes / 4);
+    expect(maxClientConnections({ memoryLimitBytes, maxDescriptors: 700 }))
+      .toBe(225);
+    expect(maxClientConnections({ memoryLimitBytes: 64_000_000 })).toBe(64);
   });
 });
--- a/packages/daemon/src/buffering/byte_holdings.ts
+++ b/packages/daemon/src/buffering/byte_holdings.ts
@@ -39,6 +39,11 @@
     }
   }
 
+  /** Call it for bytes that were read and soon are garbage. */
+  onReceived(bytes: number): void {
+    this.#garbage?.onAllocated(bytes);
+  }
+
   /** Opens a holding; `requestId` is for the log alone. */
   open(kind: ByteKind, requestId: string | undefined): HeldBytes {
     const { timer, log, metrics } = this.#dependencies;
--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -12,7 +12,11 @@
   RESET_DELAY_MS,
 } from "./abort_response.ts";
 import { HeldBytes } from "../buffering/index.ts";
-import { ClientInput, type ClientInputDependencies } from "./client_input.ts";
+import {
+  ClientInput,
+  type ClientInputDependencies,
+  type InputMemory,
+} from "./client_input.ts";
 import { InputQueue } from "./input_queue.ts";
 
 /** The error of Node.js for a request whose head or body is late. */
@@ -58,8 +62,8 @@
 export interface ClientConnectionsOptions extends ConnectionLimitOptions {
   /** Called before a connection is ended for a late or malformed request. */
   readonly onRejected?: (error: NodeJS.ErrnoException, socket: Socket) => void;
-  /** Opens a holding for input that waits; without it, such input is free. */
-  readonly openHolding?: () => HeldBytes;
+  /** The account of input; without it, input that waits is not limited. */
+  readonly memory?: InputMemory;
 }
 
 /**
@@ -95,8 +99,10 @@
     this.#inputs = {
       queue: new InputQueue(timer),
       timer,
-      openHolding: options.openHolding ??
-        (() => new HeldBytes(undefined, "request", timer)),
+      memory: options.memory ?? {
+        open: (kind) => new HeldBytes(undefined, kind, timer),
+        onReceived: () => {},
+      },
     };
     this.#line = new ConnectionLine((socket) => this.#activityOf(socket));
     server.on("connection", (socket) => this.#track(socket));
--- a/packages/daemon/src/connections/client_input.ts
+++ b/packages/daemon/src/connections/client_input.ts
@@ -12,12 +12,19 @@
 const HEAD_COST = 2;
 const NO_INPUT = Buffer.alloc(0);
 
+/** The account of the memory that input takes; see `ByteHoldings`. */
+export interface InputMemory {
+  /** Opens a holding for input that is not parsed. */
+  open(kind: "request", requestId: undefined): HeldBytes;
+  /** Counts bytes that were read. */
+  onReceived(bytes: number): void;
+}
+
 /** Dependencies of a `ClientInput`. */
 export interface ClientInputDependencies {
   readonly queue: InputQueue;
   readonly timer: TimerService;
-  /** Opens a holding for the input that is not parsed, if there is a budget. */
-  readonly openHolding: () => HeldBytes;
+  readonly memory: InputMemory;
 }
 
 /** What a `ClientInput` asks the owner of its connection. */
@@ -113,6 +120,7 @@
   }
 
   #receive(bytes: Buffer): void {
+    this.#dependencies.memory.onReceived(bytes.length);
     if (this.#isDiscarded) return;
     if (this.hasInput) {
       this.#input = Buffer.concat([this.#input, bytes]);
@@ -167,7 +175,7 @@
     const bytes = inputBytes + this.#headBytes * HEAD_COST;
     if (bytes === 0) return this.#release();
     if (this.#held === undefined) {
-      this.#held = this.#dependencies.openHolding();
+      this.#held = this.#dependencies.memory.open("request", undefined);
       this.#held.onEvicted(() => this.#owner.onEvicted());
     }
     const addedBytes = bytes - this.#chargedBytes;
--- a/packages/daemon/src/connections/create_connection_limit.ts
+++ b/packages/daemon/src/connections/create_connection_limit.ts
@@ -1,4 +1,8 @@
-import { maxClientConnections, type TimerService } from "@coltsfootford/core";
+import {
+  type MachineLimits,
+  maxClientConnections,
+  type TimerService,
+} from "@coltsfootford/core";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ConnectionLimitOptions } from "./client_connections.ts";
@@ -8,8 +12,7 @@
 
 /** What the limit of the open connections of clients depends on. */
 export interface ConnectionLimitDependencies {
-  /** Undefined for no limit. */
-  readonly maxDescriptors: number | undefined;
+  readonly machine: MachineLimits;
   readonly timer: TimerService;
   readonly log: Logger;
   readonly metrics: Metrics;
@@ -20,7 +23,7 @@
  * are counted, and their number is logged once a period.
  */
 export function createConnectionLimit(
-  { maxDescriptors, timer, log, metrics }: ConnectionLimitDependencies,
+  { machine, timer, log, metrics }: ConnectionLimitDependencies,
 ): ConnectionLimitOptions {
   let closedInPeriod = 0;
   const logClosed = () => {
@@ -28,7 +31,7 @@
     closedInPeriod = 0;
   };
   return {
-    maxConnections: maxClientConnections(maxDescriptors),
+    maxConnections: maxClientConnections(machine),
     onLimitClosed: () => {
       metrics.count("connection_limit_closed_total");
       closedInPeriod += 1;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -66,7 +66,7 @@
 
   const { server } = clientPort.value;
   const limit = createConnectionLimit({
-    maxDescriptors: settings.maxDescriptors,
+    machine: settings,
     timer,
     log: logger,
     metrics: assembly.metrics,
@@ -74,7 +74,7 @@
   const connections = new ClientConnections(server, timer, {
     ...limit,
     onRejected: (_, socket) => flushOutputs(socket),
-    openHolding: () => assembly.holdings.open("request", undefined),
+    memory: assembly.holdings,
   });
   const shutdown = new GracefulShutdown({
     lifecycle,
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -282,7 +282,7 @@
       random,
     });
     const limit = createConnectionLimit({
-      maxDescriptors: settings.maxDescriptors,
+      machine: settings,
       timer,
       log,
       metrics: this.#metrics,
@@ -293,7 +293,7 @@
       {
         ...limit,
         onRejected: (error, socket) => this.#server.onRejected(error, socket),
-        openHolding: () => holdings.open("request", undefined),
+        memory: holdings,
       },
     );
     this.#createStatusServers(rpc);
