Charge heads, and reject a long head before it is whole

Causes: the parser accepted heads and trailers of 128 KiB where the configuration says 16 KiB. Nothing of a head was charged. And the list of parts was decoded at once, to about 100 bytes for each part of four.

The parser's limit follows the configuration, with 8,000 bytes for the request line (RFC 9112, section 3). A connection that was opened under a lower limit than today's is closed after its next response.

A head at the limit is still served.

--- a/packages/daemon/src/connections/client_connections.ts
+++ b/packages/daemon/src/connections/client_connections.ts
@@ -18,6 +18,7 @@
   type InputMemory,
 } from "./client_input.ts";
 import { InputQueue } from "./input_queue.ts";
+import { maxHeadBytes } from "./max_head_bytes.ts";
 
 /** The error of Node.js for a request whose head or body is late. */
 const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
@@ -39,6 +40,8 @@
 
 interface Connection {
   readonly input: ClientInput;
+  /** The limit on heads that its parser has. */
+  readonly maxHeadBytes: number;
   /** The responses that have not been delivered yet. */
   readonly responses: Set<ServerResponse>;
   /** The number of requests whose heads have arrived. */
@@ -188,6 +191,7 @@
     });
     this.#connections.set(socket, {
       input,
+      maxHeadBytes: maxHeadBytes(this.#server),
       responses,
       requestCount: 0,
       isInputDiscarded: false,
@@ -343,7 +347,8 @@
     connection.requestCount += 1;
     connection.responses.add(response);
     connection.input.onRequest(request);
-    if (this.#isClosing) requestClose(response);
+    const isLimitRaised = connection.maxHeadBytes < maxHeadBytes(this.#server);
+    if (this.#isClosing || isLimitRaised) requestClose(response);
     response.once("close", () => {
       connection.responses.delete(response);
       connection.idleSinceMs = this.#timer.nowMs();
--- a/packages/daemon/src/entry/entry_server.ts
+++ b/packages/daemon/src/entry/entry_server.ts
@@ -8,7 +8,7 @@
   ConfigView,
 } from "../blackboard/index.ts";
 import { abortResponse } from "../connections/index.ts";
-import type { ByteHoldings } from "../buffering/index.ts";
+import { type ByteHoldings, headCostBytes } from "../buffering/index.ts";
 import { chatHandler } from "./chat_handler.ts";
 import { RequestDispatcher } from "./dispatcher.ts";
 import type { DispatcherDependencies } from "./dispatcher.ts";
@@ -143,6 +143,7 @@
       services.holdings,
       services.nextRequestId(),
     );
+    memory.body.held.charge(headCostBytes(incoming.rawHeaders));
     try {
       return await handler(services, incoming, outgoing, memory);
     } finally {
--- a/packages/daemon/src/forwarding/forwarding_server.ts
+++ b/packages/daemon/src/forwarding/forwarding_server.ts
@@ -15,8 +15,12 @@
   type TimerService,
 } from "@coltsfootford/core";
 import { ResultAsync } from "neverthrow";
-import { type ByteHoldings, PieceBuffer } from "../buffering/index.ts";
-import { serveInOrder } from "../connections/index.ts";
+import {
+  type ByteHoldings,
+  headCostBytes,
+  PieceBuffer,
+} from "../buffering/index.ts";
+import { serveInOrder, setMaxHeadBytes } from "../connections/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ForwardingBlackboard } from "./forwarding_blackboard.ts";
@@ -29,8 +33,12 @@
 import type { RequestCodec, RequestMetadata } from "./request_codec.ts";
 import { digestRequest } from "./request_digest.ts";
 
-/** Header bytes that the parser accepts; the configured limit is lower. */
-const PARSER_MAX_HEADER_BYTES = 128 * 1024;
+/** Limit on header bytes where no configuration is known yet. */
+const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
+/** Longest request line that a server should accept (RFC 9112, section 3). */
+const MAX_REQUEST_LINE_BYTES = 8_000;
+/** Memory of a decoded part of a prompt: an object, its id and its places. */
+const PROMPT_PART_COST_BYTES = 128;
 /** How often the server checks for clients that are too slow. */
 const SLOW_CLIENT_CHECK_MS = 500;
 /** Time for a client's body where no configuration is known yet. */
@@ -71,7 +79,7 @@
   constructor(dependencies: ForwardingServerDependencies) {
     this.#dependencies = dependencies;
     this.server = createServer({
-      maxHeaderSize: PARSER_MAX_HEADER_BYTES,
+      maxHeaderSize: DEFAULT_MAX_HEADER_BYTES + MAX_REQUEST_LINE_BYTES,
       connectionsCheckingInterval: SLOW_CLIENT_CHECK_MS,
       noDelay: true,
       keepAlive: true,
@@ -91,6 +99,10 @@
   }
 
   #applyLimits(limits: ClientLimits): void {
+    setMaxHeadBytes(
+      this.server,
+      limits.maxHeaderBytes + MAX_REQUEST_LINE_BYTES,
+    );
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
@@ -178,6 +190,7 @@
     }
     const { timer, holdings } = this.#dependencies;
     const held = holdings.open("request", metadata.requestId);
+    held.charge(headCostBytes(incoming.rawHeaders));
     const body = readRequestBody(incoming, new PieceBuffer(held), {
       maxBytes: limits.maxBodyBytes,
       timeoutMs: maxDurationMs,
@@ -203,6 +216,8 @@
   }
 
   #forward(accepted: AcceptedRequest): void {
+    const { parts: promptParts } = accepted.metadata.prompt;
+    accepted.body.held.charge(promptParts.length * PROMPT_PART_COST_BYTES);
     const quarantine = this.#dependencies.blackboard.quarantine.read();
     if (quarantine.size > 0 && quarantine.has(digestRequest(accepted))) {
       const { response, metadata, configVersion } = accepted;
