Limit what clients may do at the ports for the platform and peers

Anybody who reaches the ports for readiness, calls of other daemons, operators and (own interface) handshakes could end the daemon or take all of its descriptors: a call without an end was collected as text until memory ran out, and connections were not limited.

The status and admin servers now have what the port of clients has: slices of input, an account of what is held, requests of a connection one at a time, and a third of the connections each. Calls of other daemons are limited to 4 MiB and 5 s, requests of operators to 64 KiB. At most 128 connections of peers wait for their handshake; the oldest is dropped first.

--- a/packages/core/src/connections/connection_limit.ts
+++ b/packages/core/src/connections/connection_limit.ts
@@ -41,3 +41,18 @@
   }
   return limits.length === 0 ? undefined : Math.min(...limits);
 }
+
+/** The part of the limit for clients that each other port has. */
+const CONTROL_CONNECTION_SHARE = 1 / 3;
+
+/**
+ * The number of connections that a daemon keeps open at a port which only the
+ * platform, operators or other daemons call; undefined as for clients.
+ */
+export function maxControlConnections(
+  machine: MachineLimits,
+): number | undefined {
+  const connections = maxClientConnections(machine);
+  if (connections === undefined) return undefined;
+  return Math.max(1, Math.floor(connections * CONTROL_CONNECTION_SHARE));
+}
--- a/packages/daemon/src/admin/admin_app.ts
+++ b/packages/daemon/src/admin/admin_app.ts
@@ -1,5 +1,6 @@
 import { formatStepError } from "@coltsfootford/core";
 import { Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
 import { z } from "zod";
 import type { Blackboard } from "../blackboard/index.ts";
 import type { Controller } from "../controllers/index.ts";
@@ -18,6 +19,9 @@
   readonly targetHealth: TargetHealthController;
 }
 
+/** Largest request of an operator. */
+const MAX_BODY_BYTES = 64 * 1024;
+
 const drainSchema = z.strictObject({ target: z.string().min(1) });
 
 const STATUS_READY = 200;
@@ -28,6 +32,7 @@
 /** The app behind the admin port. */
 export function createAdminApp(dependencies: AdminDependencies): Hono {
   const app = new Hono();
+  app.use(bodyLimit({ maxSize: MAX_BODY_BYTES }));
   app.get("/healthz", (context) => {
     const phase = dependencies.blackboard.lifecycle.read();
     const isReady = phase === "serving" &&
--- a/packages/daemon/src/connections/create_connection_limit.ts
+++ b/packages/daemon/src/connections/create_connection_limit.ts
@@ -1,8 +1,4 @@
-import {
-  type MachineLimits,
-  maxClientConnections,
-  type TimerService,
-} from "@coltsfootford/core";
+import type { TimerService } from "@coltsfootford/core";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import type { ConnectionLimitOptions } from "./client_connections.ts";
@@ -10,20 +6,21 @@
 /** At most one log event in this time, since a crowd may be closed at once. */
 const LOG_PERIOD_MS = 1_000;
 
-/** What the limit of the open connections of clients depends on. */
+/** What the limit of open connections depends on. */
 export interface ConnectionLimitDependencies {
-  readonly machine: MachineLimits;
+  /** Undefined for no limit. */
+  readonly maxConnections: number | undefined;
   readonly timer: TimerService;
   readonly log: Logger;
   readonly metrics: Metrics;
 }
 
 /**
- * The limit of the open connections of clients. The connections closed for it
+ * The limit of the open connections of a port. The connections closed for it
  * are counted, and their number is logged once a period.
  */
 export function createConnectionLimit(
-  { machine, timer, log, metrics }: ConnectionLimitDependencies,
+  { maxConnections, timer, log, metrics }: ConnectionLimitDependencies,
 ): ConnectionLimitOptions {
   let closedInPeriod = 0;
   const logClosed = () => {
@@ -31,7 +28,7 @@
     closedInPeriod = 0;
   };
   return {
-    maxConnections: maxClientConnections(machine),
+    maxConnections,
     onLimitClosed: () => {
       metrics.count("connection_limit_closed_total");
       closedInPeriod += 1;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,9 @@
-import { createStepError, type StepError } from "@coltsfootford/core";
+import {
+  createStepError,
+  maxClientConnections,
+  maxControlConnections,
+  type StepError,
+} from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
 import { createAdminApp } from "./admin/index.ts";
 import { assembleDaemon } from "./assemble_daemon.ts";
@@ -48,6 +53,15 @@
   const adminApp = createAdminApp({ ...assembly, running: entry.running });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
+  new ClientConnections(admin.value.server, timer, {
+    ...createConnectionLimit({
+      maxConnections: maxControlConnections(settings),
+      timer,
+      log: logger,
+      metrics: assembly.metrics,
+    }),
+    memory: assembly.holdings,
+  });
   const started = await startControllers(controllers);
   if (started.isErr()) return err(started.error);
   const clientPort = await listenRaw(
@@ -66,7 +80,7 @@
 
   const { server } = clientPort.value;
   const limit = createConnectionLimit({
-    machine: settings,
+    maxConnections: maxClientConnections(settings),
     timer,
     log: logger,
     metrics: assembly.metrics,
--- /dev/null
+++ b/packages/daemon/src/forwarding/create_status_server.ts
@@ -0,0 +1,32 @@
+import { createServer, type Server } from "node:http";
+import {
+  ClientConnections,
+  createConnectionLimit,
+  serveInOrder,
+} from "../connections/index.ts";
+import {
+  createStatusListener,
+  type StatusListenerDependencies,
+} from "./status_listener.ts";
+
+/** Dependencies of a status server. */
+export interface StatusServerDependencies extends StatusListenerDependencies {
+  /** Connections that it keeps open; undefined for no limit. */
+  readonly maxConnections: number | undefined;
+}
+
+/**
+ * Creates a server for the platform and other daemons. Its connections are
+ * limited as those of clients are, since anybody may reach its port.
+ */
+export function createStatusServer(
+  dependencies: StatusServerDependencies,
+): Server {
+  const { timer, holdings } = dependencies;
+  const server = createServer(serveInOrder(createStatusListener(dependencies)));
+  new ClientConnections(server, timer, {
+    ...createConnectionLimit(dependencies),
+    memory: holdings,
+  });
+  return server;
+}
--- a/packages/daemon/src/forwarding/forwarding_daemon.ts
+++ b/packages/daemon/src/forwarding/forwarding_daemon.ts
@@ -1,6 +1,12 @@
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { JSONRPCServer } from "json-rpc-2.0";
-import { hash32, RetryShares, type TimerService } from "@coltsfootford/core";
+import {
+  hash32,
+  maxClientConnections,
+  maxControlConnections,
+  RetryShares,
+  type TimerService,
+} from "@coltsfootford/core";
 import type { KeyValueClient } from "@coltsfootford/key-value";
 import { ByteHoldings } from "../buffering/index.ts";
 import {
@@ -37,9 +43,13 @@
 } from "./knowledge/index.ts";
 import { listen } from "./listen_on_address.ts";
 import type { RequestCodec } from "./request_codec.ts";
-import type { ForwardingLimits, ForwardingSettings } from "./settings.ts";
+import type {
+  Address,
+  ForwardingLimits,
+  ForwardingSettings,
+} from "./settings.ts";
 import { shutDownGracefully } from "./shutdown.ts";
-import { createStatusListener } from "./status_listener.ts";
+import { createStatusServer } from "./create_status_server.ts";
 import { TargetPool } from "./target_pool.ts";
 
 /**
@@ -282,7 +292,7 @@
       random,
     });
     const limit = createConnectionLimit({
-      machine: settings,
+      maxConnections: maxClientConnections(settings),
       timer,
       log,
       metrics: this.#metrics,
@@ -296,7 +306,7 @@
         memory: holdings,
       },
     );
-    this.#createStatusServers(rpc);
+    this.#createStatusServers(rpc, holdings);
   }
 
   async start(): Promise<void> {
@@ -308,11 +318,8 @@
     for (const controller of this.#controllers) await controller.start();
     this.#stopForwarder = this.#forwarder.start();
     await listen(this.#server.server, settings.listen.clients);
-    const { readiness, peers, metrics } = settings.listen;
-    const addresses = [readiness, peers, metrics];
-    for (const [index, server] of this.#statusServers.entries()) {
-      const address = addresses.filter((one) => one !== undefined)[index];
-      if (address) await listen(server, address);
+    for (const [index, address] of listStatusAddresses(settings).entries()) {
+      await listen(this.#statusServers[index]!, address);
     }
     log.event("daemonReady", {});
   }
@@ -367,24 +374,30 @@
     void this.#dependencies.platform.store.close();
   }
 
-  #createStatusServers(rpc: JSONRPCServer): void {
-    const listener = createStatusListener({
-      blackboard: this.#blackboard,
-      metrics: this.#metrics,
-      controllers: this.#controllers,
-      rpc,
-      log: this.#dependencies.log,
-      readinessPath: this.#dependencies.platform.readinessPath,
-    });
-    const { peers, metrics } = this.#dependencies.settings.listen;
-    const count = 1 + Number(peers !== undefined) +
-      Number(metrics !== undefined);
-    for (let index = 0; index < count; index++) {
-      this.#statusServers.push(createServer(listener));
+  #createStatusServers(rpc: JSONRPCServer, holdings: ByteHoldings): void {
+    const { settings, platform, timer, log } = this.#dependencies;
+    for (const _ of listStatusAddresses(settings)) {
+      this.#statusServers.push(createStatusServer({
+        blackboard: this.#blackboard,
+        metrics: this.#metrics,
+        controllers: this.#controllers,
+        rpc,
+        holdings,
+        timer,
+        log,
+        readinessPath: platform.readinessPath,
+        maxConnections: maxControlConnections(settings),
+      }));
     }
   }
 }
 
+/** The addresses for the platform and for other daemons. */
+function listStatusAddresses({ listen }: ForwardingSettings): Address[] {
+  const { readiness, peers, metrics } = listen;
+  return [readiness, peers, metrics].filter((one) => one !== undefined);
+}
+
 function describeSelf(
   { vm, listen, availabilityZone }: ForwardingSettings,
 ): PeerDaemon {
--- a/packages/daemon/src/forwarding/status_listener.ts
+++ b/packages/daemon/src/forwarding/status_listener.ts
@@ -3,13 +3,15 @@
   RequestListener,
   ServerResponse,
 } from "node:http";
-import { text as readText } from "node:stream/consumers";
+import type { TimerService } from "@coltsfootford/core";
 import type { JSONRPCServer } from "json-rpc-2.0";
+import { type ByteHoldings, PieceBuffer } from "../buffering/index.ts";
 import type { Controller } from "../controllers/index.ts";
 import type { Logger } from "../log/index.ts";
 import type { Metrics } from "../metrics/index.ts";
 import { type ForwardingBlackboard, isReady } from "./forwarding_blackboard.ts";
 import { PEER_RPC_PATH } from "./knowledge/index.ts";
+import { readRequestBody } from "./read_request_body.ts";
 
 /** Dependencies of the status listener. */
 export interface StatusListenerDependencies {
@@ -17,6 +19,8 @@
   readonly metrics: Metrics;
   readonly controllers: readonly Controller[];
   readonly rpc: JSONRPCServer;
+  readonly holdings: ByteHoldings;
+  readonly timer: TimerService;
   readonly log: Logger;
   /** The path of the load balancer's readiness probes. */
   readonly readinessPath: string;
@@ -27,6 +31,11 @@
   outgoing: ServerResponse,
 ) => void | Promise<void>;
 
+/** Largest call of another daemon. */
+const MAX_RPC_BYTES = 4 * 1024 * 1024;
+/** Longest time in which a call arrives. */
+const RPC_BODY_TIMEOUT_MS = 5_000;
+
 const JSON_TYPE = "application/json";
 const TEXT_TYPE = "text/plain; charset=utf-8";
 
@@ -38,7 +47,7 @@
 export function createStatusListener(
   dependencies: StatusListenerDependencies,
 ): RequestListener {
-  const { blackboard, metrics, rpc, log, readinessPath } = dependencies;
+  const { blackboard, metrics, log, readinessPath } = dependencies;
   const handlers = new Map<string, Handler>([
     [`GET ${readinessPath}`, (_, outgoing) => {
       const ready = isReady(blackboard);
@@ -48,11 +57,10 @@
       send(outgoing, 200, TEXT_TYPE, metrics.renderText());
     }],
     ["GET /dump", (_, outgoing) => sendJson(outgoing, dump(dependencies))],
-    [`POST ${PEER_RPC_PATH}`, async (incoming, outgoing) => {
-      const response = await rpc.receiveJSON(await readText(incoming));
-      if (response) return sendJson(outgoing, response);
-      outgoing.writeHead(204).end();
-    }],
+    [
+      `POST ${PEER_RPC_PATH}`,
+      (incoming, outgoing) => answerCall(dependencies, incoming, outgoing),
+    ],
   ]);
   return (incoming, outgoing) => {
     const [path] = (incoming.url ?? "").split("?");
@@ -65,6 +73,30 @@
   };
 }
 
+/** Answers an RPC call, or rejects one that is too large or too slow. */
+async function answerCall(
+  { holdings, rpc, timer }: StatusListenerDependencies,
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+): Promise<void> {
+  const buffer = new PieceBuffer(holdings.open("request", undefined));
+  const body = await readRequestBody(incoming, buffer, {
+    maxBytes: MAX_RPC_BYTES,
+    timeoutMs: RPC_BODY_TIMEOUT_MS,
+    timer,
+  });
+  if (body.isErr()) {
+    outgoing.setHeader("connection", "close");
+    const status = body.error === "too-large" ? 413 : 503;
+    return send(outgoing, status, TEXT_TYPE, `call ${body.error}`);
+  }
+  const call = Buffer.concat(body.value.pieces).toString();
+  body.value.release();
+  const response = await rpc.receiveJSON(call);
+  if (response) return sendJson(outgoing, response);
+  outgoing.writeHead(204).end();
+}
+
 function dump(
   { blackboard, metrics, controllers }: StatusListenerDependencies,
 ) {
--- a/packages/daemon/src/peers/limits.ts
+++ b/packages/daemon/src/peers/limits.ts
@@ -4,6 +4,8 @@
 export const MAX_HANDSHAKE_LINE_BYTES = 2048;
 /** Timeout of the whole handshake, measured from the TCP connection. */
 export const HANDSHAKE_TIMEOUT_MS = 3000;
+/** Accepted connections whose peers are not authenticated yet. */
+export const MAX_PENDING_HANDSHAKES = 128;
 /** Timeout of the TCP connection attempt. */
 export const CONNECT_TIMEOUT_MS = 2000;
 /** Backoff after the first failed connection attempt; doubles per failure. */
--- a/packages/daemon/src/peers/peer_server.ts
+++ b/packages/daemon/src/peers/peer_server.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from "@coltsfootford/core";
 import type { PeerAddress } from "./peer_connection.ts";
 import type { Keyring } from "./keyring.ts";
+import { MAX_PENDING_HANDSHAKES } from "./limits.ts";
 import type { PeerEventListener } from "./peer_event.ts";
 import type { PeerHandlers } from "./peer_handlers.ts";
 import { ServerConnection } from "./server_connection.ts";
@@ -63,9 +64,22 @@
       onAuthenticated: (newest) => this.#dropOlderConnections(newest),
     });
     this.#connections.add(connection);
+    this.#dropExcessHandshakes();
     socket.once("close", () => this.#connections.delete(connection));
   }
 
+  /** Drops the oldest connection without a key if there are too many. */
+  #dropExcessHandshakes(): void {
+    const pending = [...this.#connections].filter(({ peerVm }) =>
+      peerVm === undefined
+    );
+    if (pending.length <= MAX_PENDING_HANDSHAKES) return;
+    const [oldest] = pending;
+    if (!oldest) return;
+    this.#connections.delete(oldest);
+    oldest.close();
+  }
+
   /** Drops a VM's older connections; it dials again only after losing them. */
   #dropOlderConnections(newest: ServerConnection): void {
     for (const other of this.#connections) {
