Charge the unfinished event of a stream

What had arrived of an event was limited to 256 KiB for each stream and charged nowhere.

It is now charged to the share of responses until the event is complete or the attempt ends. Streams whose events arrive whole charge nothing.

--- a/packages/daemon/src/connections/client_input.ts
+++ b/packages/daemon/src/connections/client_input.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { Socket } from "node:net";
 import { nextInputSlice, type TimerService } from "@coltsfootford/core";
-import type { HeldBytes } from "../buffering/index.ts";
+import { type HeldBytes, HeldPart } from "../buffering/index.ts";
 import type { InputQueue, QueuedInput } from "./input_queue.ts";
 
 /** Time that the input of one connection may take before others are read. */
@@ -35,6 +35,11 @@
   readonly onEvicted: () => void;
 }
 
+interface InputHolding {
+  readonly held: HeldBytes;
+  readonly part: HeldPart;
+}
+
 /**
  * The bytes that a client connection has received, on their way to the HTTP
  * parser of Node.js. The parser would handle all that one read returns at once,
@@ -57,8 +62,7 @@
   #declaredBytesLeft = 0;
   /** Bytes of a head that is not complete. */
   #headBytes = 0;
-  #held: HeldBytes | undefined;
-  #chargedBytes = 0;
+  #holding: InputHolding | undefined;
 
   /** Takes over the input of a connection of an HTTP server. */
   constructor(
@@ -174,20 +178,19 @@
     const inputBytes = this.hasInput ? this.#input.length + PAUSED_BYTES : 0;
     const bytes = inputBytes + this.#headBytes * HEAD_COST;
     if (bytes === 0) return this.#release();
-    if (this.#held === undefined) {
-      this.#held = this.#dependencies.memory.open("request", undefined);
-      this.#held.onEvicted(() => this.#owner.onEvicted());
-    }
-    const addedBytes = bytes - this.#chargedBytes;
-    this.#chargedBytes = bytes;
-    if (addedBytes > 0) this.#held.charge(addedBytes);
-    else this.#held.discharge(-addedBytes);
+    this.#holding ??= this.#openHolding();
+    this.#holding.part.resize(bytes);
+  }
+
+  #openHolding(): InputHolding {
+    const held = this.#dependencies.memory.open("request", undefined);
+    held.onEvicted(() => this.#owner.onEvicted());
+    return { held, part: new HeldPart(held) };
   }
 
   #release(): void {
-    this.#held?.release();
-    this.#held = undefined;
-    this.#chargedBytes = 0;
+    this.#holding?.held.release();
+    this.#holding = undefined;
   }
 
   #drop(): void {
--- a/packages/daemon/src/forwarding/target_attempt.ts
+++ b/packages/daemon/src/forwarding/target_attempt.ts
@@ -9,7 +9,7 @@
   type TimerService,
 } from "@coltsfootford/core";
 import { err, ok, type Result } from "neverthrow";
-import { bodyPieces, PieceBuffer } from "../buffering/index.ts";
+import { bodyPieces, HeldPart, PieceBuffer } from "../buffering/index.ts";
 import type {
   AttemptEnd,
   AttemptListener,
@@ -51,6 +51,7 @@
   #response: IncomingMessage | undefined;
   #isConnected = false;
   #hasEnded = false;
+  readonly #incompleteEvent: HeldPart;
   /** Whether the target has sent an event with data. */
   #hasEvent = false;
   #cancelConnectTimer: () => void = () => {};
@@ -86,6 +87,7 @@
     this.#listener = listener;
     this.#limits = new ResponseLimits(plan.maxOutputTokens);
     this.#body = new PieceBuffer(plan.held);
+    this.#incompleteEvent = new HeldPart(plan.held);
     this.#pause = new ReadPause(plan, timer);
     this.#request = this.#send();
   }
@@ -228,6 +230,7 @@
       this.#limits.recordBody(chunk.length);
       const frames = framer.push(chunk);
       for (const { id } of frames) this.#limits.recordEvent(id);
+      this.#incompleteEvent.resize(framer.rest.length);
       if (this.#checkLimits(framer.rest.length)) return;
       const fault = this.#relayFrames(frames);
       if (fault) this.#fail(fault);
@@ -386,6 +389,7 @@
     this.#cancelConnectTimer();
     this.#pause.end();
     if (end.kind !== "whole") this.#body.clear();
+    this.#incompleteEvent.resize(0);
     this.#listener.onEnd(end);
   }
 }
