Charge the unfinished event of a stream on the own interface

As on the platform's interface, what had arrived of an event was limited to 256 KiB for each stream and charged nowhere. It is now charged to the share of responses until the event is complete or the attempt ends.

--- a/packages/daemon/src/entry/held_bytes_test.ts
+++ b/packages/daemon/src/entry/held_bytes_test.ts
@@ -5,6 +5,7 @@
   type EntryFixture,
   startEntryFixture,
 } from "./testing/entry_fixture.ts";
+import { ENTRY_REQUESTS } from "./testing/entry_requests.ts";
 
 /** Three of them exceed either share of the smallest budget, 8 MiB. */
 const LARGE_BYTES = 3_900_000;
@@ -202,3 +203,34 @@
     await waitUntilNothingIsHeld();
   });
 });
+
+const UNFINISHED_EVENT_BYTES = 200_000;
+
+// Guards against events in progress that a crowd of streams collects without
+// limit.
+describe("a stream that stops within an event", () => {
+  it("is charged until its client has gone", async () => {
+    await fixture.close();
+    fixture = await startEntryFixture((incoming, outgoing) => {
+      const id = String(incoming.headers["x-request-id"]);
+      outgoing.setHeader("x-request-id", id);
+      outgoing.setHeader("content-type", "text/event-stream");
+      incoming.resume().on("end", () => {
+        outgoing.write(`data: ${"a".repeat(UNFINISHED_EVENT_BYTES)}`);
+      });
+    });
+    const [, path, body] = ENTRY_REQUESTS[2]!;
+    const client = new AbortController();
+    const response = fetch(`${fixture.baseUrl}${path}`, {
+      method: "POST",
+      headers: { "x-coltsfoot-team": "open" },
+      body,
+      signal: client.signal,
+    });
+    const ended = response.catch(() => undefined);
+    await waitUntil(() => readHeldBytes().response >= UNFINISHED_EVENT_BYTES);
+    client.abort();
+    await ended;
+    await waitUntilNothingIsHeld();
+  });
+});
--- a/packages/daemon/src/entry/stream_relay.ts
+++ b/packages/daemon/src/entry/stream_relay.ts
@@ -14,6 +14,7 @@
 import type { RequestContext } from "./request_context.ts";
 import { BufferedRelay } from "./buffered_relay.ts";
 import { ClientOutput } from "./client_output.ts";
+import { HeldPart } from "../buffering/index.ts";
 import type { RequestMemory } from "./request_memory.ts";
 import { UnreadTime } from "./unread_time.ts";
 
@@ -124,9 +125,12 @@
       let isSettled = false;
       let bytesAfterEnd = 0;
       let incompleteBytes = 0;
+      const held = this.#memory.openResponse();
+      const incompleteEvent = new HeldPart(held.held);
       const settle = (result: AttemptResult) => {
         if (isSettled) return;
         isSettled = true;
+        held.release();
         resolve(result);
       };
       body.on("data", (chunk: Uint8Array) => {
@@ -139,6 +143,7 @@
         incompleteBytes = events.length > 0
           ? 0
           : incompleteBytes + chunk.length;
+        incompleteEvent.resize(incompleteBytes);
         const result = incompleteBytes > MAX_EVENT_BYTES
           ? this.#createFailure("an event is too large")
           : this.#forwardEvents(events.splice(0), body, unread);
