--- a/packages/daemon/src/connections/client_input.ts
+++ b/packages/daemon/src/connections/client_input.ts
@@ -8,8 +8,8 @@
 const MAX_SHARE_MS = 2;
 /** What Node.js and the kernel may hold of a connection that is not read. */
 const PAUSED_BYTES = 128 * 1024;
-/** Bytes of memory for each byte of a head that is not complete. */
-const HEAD_COST = 2;
+/** Memory in bytes for each byte of a head that is not complete. */
+const HEAD_COST_PER_BYTE = 2;
 const NO_INPUT = Buffer.alloc(0);
 
 /** The account of the memory that input takes; see `ByteHoldings`. */
@@ -29,7 +29,7 @@
 
 /** What a `ClientInput` asks the owner of its connection. */
 export interface ClientInputOwner {
-  /** Whether the connection has too few requests to stop its parser. */
+  /** Whether the connection may have more requests than it has now. */
   readonly canParse: () => boolean;
   /** Called if the memory budget takes back what is held of the input. */
   readonly onEvicted: () => void;
@@ -43,9 +43,9 @@
 /**
  * The bytes that a client connection has received, on their way to the HTTP
  * parser of Node.js. The parser would handle all that one read returns at once,
- * up to thousands of requests or chunks. Here it gets slices: it stops between
- * two messages while the connection has enough requests, and the connections
- * with much input take turns. A connection with input left is not read.
+ * up to thousands of requests or chunks. Here it gets slices: it stops while the
+ * connection has enough requests, and the connections with much input take
+ * turns. A connection with input left is not read.
  */
 export class ClientInput implements QueuedInput {
   readonly #socket: Socket;
@@ -78,6 +78,8 @@
     socket.off("data", this.#parse);
     // Node.js detaches its parser from a socket that gets such a listener.
     socket.on("data", (bytes) => this.#receive(bytes));
+    // Node.js calls them where a body or a response is full, or has room again.
+    // It must not resume a connection that has input left.
     socket.pause = () => this.#setParserPaused(true);
     socket.resume = () => this.#setParserPaused(false);
     socket.once("close", () => this.#drop());
@@ -146,12 +148,8 @@
     const input = this.#input;
     const sliceBytes = nextInputSlice(input, 0, this.#declaredBytesLeft);
     this.#input = input.subarray(sliceBytes);
-    const isHead = this.#request === undefined;
-    if (isHead) this.#headBytes += sliceBytes;
-    else {this.#declaredBytesLeft -= Math.min(
-        sliceBytes,
-        this.#declaredBytesLeft,
-      );}
+    if (this.#request === undefined) this.#headBytes += sliceBytes;
+    this.#declaredBytesLeft = Math.max(0, this.#declaredBytesLeft - sliceBytes);
     this.#parse(input.subarray(0, sliceBytes));
     if (this.#request?.complete) this.#request = undefined;
     if (this.#request === undefined) this.#declaredBytesLeft = 0;
@@ -176,7 +174,7 @@
   #updateCharge(): void {
     if (this.#socket.destroyed) return;
     const inputBytes = this.hasInput ? this.#input.length + PAUSED_BYTES : 0;
-    const bytes = inputBytes + this.#headBytes * HEAD_COST;
+    const bytes = inputBytes + this.#headBytes * HEAD_COST_PER_BYTE;
     if (bytes === 0) return this.#release();
     this.#holding ??= this.#openHolding();
     this.#holding.part.resize(bytes);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -53,6 +53,7 @@
   const adminApp = createAdminApp({ ...assembly, running: entry.running });
   const admin = await listen(adminApp, "admin", settings.admin);
   if (admin.isErr()) return err(admin.error);
+  // Listens to the events of the server, for as long as it is open.
   new ClientConnections(admin.value.server, timer, {
     ...createConnectionLimit({
       maxConnections: maxControlConnections(settings),
--- a/packages/daemon/src/forwarding/create_status_server.ts
+++ b/packages/daemon/src/forwarding/create_status_server.ts
@@ -31,6 +31,7 @@
 ): Server {
   const { timer, holdings } = dependencies;
   const server = createServer(serveInOrder(createStatusListener(dependencies)));
+  // Listens to the events of the server, for as long as it is open.
   new ClientConnections(server, timer, {
     ...createConnectionLimit(dependencies),
     memory: holdings,
