Let the test of pipelined requests wait for conditions

It waited for 100 ms and failed once at a load average of 22, where two of its eight requests had not begun by then.

--- a/packages/daemon/src/connections/client_input_test.ts
+++ b/packages/daemon/src/connections/client_input_test.ts
@@ -60,9 +60,10 @@
   received: string;
 }
 
-/** Connects, sends `text`, and waits until the server has handled it. */
+/** Connects, waits until the server has accepted, and sends `text`. */
 async function send(text: string): Promise<Client> {
   const { port } = server.address() as AddressInfo;
+  const openCount = connections.openCount;
   const socket = connect({ host: HOST, port });
   const closed = new Promise<void>((resolve) => {
     socket.once("close", () => resolve());
@@ -70,8 +71,8 @@
   const client = { socket, closed, received: "" };
   socket.on("error", () => {});
   socket.on("data", (chunk) => client.received += chunk);
+  await waitUntil(() => connections.openCount > openCount);
   socket.write(text);
-  await sleep(SETTLE_MS);
   return client;
 }
 
@@ -84,17 +85,23 @@
     .join("");
 }
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(1);
+}
+
 describe("a connection with pipelined requests", () => {
   // Guards against one connection that takes as much as many clients.
   it("has one request at a time, and gets all responses in order", async () => {
     const client = await send(pipeline(REQUESTS));
     for (let index = 0; index < REQUESTS; index++) {
-      while (begun.length === index) await sleep(1);
+      await waitUntil(() => begun.length > index);
       expect(begun).toHaveLength(index + 1);
       expect(connections.pendingCount).toBeLessThanOrEqual(2);
       responses[index]!.end(`response ${index};`);
     }
-    await sleep(SETTLE_MS);
+    await waitUntil(() =>
+      client.received.includes(`response ${REQUESTS - 1};`)
+    );
     expect(client.received.match(/response \d+;/g)).toEqual(
       Array.from({ length: REQUESTS }, (_, index) => `response ${index};`),
     );
@@ -106,6 +113,7 @@
     const client = await send(
       `${request("/last", "Connection: close\r\n")}${pipeline(REQUESTS)}`,
     );
+    await waitUntil(() => begun.length > 0);
     responses[0]!.end("done");
     await client.closed;
     await sleep(SETTLE_MS);
@@ -114,26 +122,27 @@
 
   it("executes none behind a request whose client has gone", async () => {
     const client = await send(pipeline(2));
+    await waitUntil(() => begun.length > 0);
     client.socket.resetAndDestroy();
+    await waitUntil(() => connections.openCount === 0);
     await sleep(SETTLE_MS);
     expect(begun).toEqual(["/0"]);
-    expect(connections.openCount).toBe(0);
   });
 
   // Guards against waiting input that no account limits.
   it("is closed after its response once its input is evicted", async () => {
-    const clients = await Promise.all(
-      Array.from({ length: 8 }, () => send(pipeline(4_000))),
-    );
-    expect(budget.evictions("request")).toBeGreaterThan(0);
+    const clients: Client[] = [];
+    for (let index = 0; index < 8; index++) {
+      clients.push(await send(pipeline(4_000)));
+    }
+    const isCrowded = () => responses.length === clients.length;
+    await waitUntil(() => isCrowded() && budget.evictions("request") > 0);
     expect(budget.heldBytes("request")).toBeLessThanOrEqual(SHARE_BYTES);
     for (const response of responses.slice()) response.end("done");
-    await sleep(SETTLE_MS);
-    const answered = clients.filter(({ received }) =>
-      received.includes("done")
+    await waitUntil(() =>
+      clients.every(({ received }) => received.includes("done"))
     );
-    expect(answered).toHaveLength(clients.length);
-    expect(connections.openCount).toBeLessThan(clients.length);
+    await waitUntil(() => connections.openCount < clients.length);
   });
 });
 
@@ -148,9 +157,9 @@
   ])("of %s is received whole, and the next request too", async (...text) => {
     const [, line, body] = text;
     await send(`${request("/body", `${line}\r\n`)}${body}${request("/next")}`);
-    while (receivedBytes < BODY_BYTES) await sleep(1);
+    await waitUntil(() => receivedBytes >= BODY_BYTES);
     responses[0]!.end("done");
-    while (begun.length < 2) await sleep(1);
+    await waitUntil(() => begun.length > 1);
     expect(receivedBytes).toBe(BODY_BYTES);
     expect(begun).toEqual(["/body", "/next"]);
   });
@@ -162,6 +171,7 @@
   it("rejects a head before it is whole", async () => {
     setMaxHeadBytes(server, 4_000);
     const client = await send(longHead.slice(0, 5_000));
+    await client.closed;
     expect(client.received).toMatch(/^HTTP\/1\.1 431 /);
     expect(begun).toEqual([]);
   });
@@ -172,7 +182,7 @@
     const client = await send("");
     setMaxHeadBytes(server, 8_000);
     client.socket.write(request("/short"));
-    await sleep(SETTLE_MS);
+    await waitUntil(() => begun.length > 0);
     responses[0]!.end("done");
     await client.closed;
     expect(client.received).toMatch(/^connection: close/im);
