--- a/packages/core/src/connections/input_slice_test.ts
+++ b/packages/core/src/connections/input_slice_test.ts
@@ -5,14 +5,13 @@
 
 /** The slices in which an input is parsed. */
 function slices(text: string, declaredBytes = 0): string[] {
-  const input = Buffer.from(text);
   const parts: string[] = [];
   let declaredLeft = declaredBytes;
-  for (let start = 0; start < input.length;) {
-    const bytes = nextInputSlice(input, start, declaredLeft);
-    parts.push(text.slice(start, start + bytes));
+  for (let rest = text; rest !== "";) {
+    const bytes = nextInputSlice(Buffer.from(rest), declaredLeft);
+    parts.push(rest.slice(0, bytes));
     declaredLeft = Math.max(0, declaredLeft - bytes);
-    start += bytes;
+    rest = rest.slice(bytes);
   }
   return parts;
 }
@@ -27,6 +26,12 @@
     expect(slices(`GET /\n\n${HEAD}`)).toEqual(["GET /\n\n", HEAD]);
   });
 
+  it("takes a head and a short body in one slice", () => {
+    expect(slices(`${HEAD}a body`)).toEqual([`${HEAD}a body`]);
+    const long = "b".repeat(MAX_SLICE_BYTES);
+    expect(slices(`${HEAD}${long}`)[0]).toBe(HEAD);
+  });
+
   it("takes a body with a length in one slice", () => {
     const body = "\r\n\r\n".repeat(MAX_SLICE_BYTES);
     expect(slices(body, body.length)).toEqual([body]);
--- a/packages/daemon/src/connections/client_input.ts
+++ b/packages/daemon/src/connections/client_input.ts
@@ -1,6 +1,10 @@
 import type { IncomingMessage } from "node:http";
 import { Socket } from "node:net";
-import { nextInputSlice, type TimerService } from "@coltsfootford/core";
+import {
+  findEmptyLineEnd,
+  nextInputSlice,
+  type TimerService,
+} from "@coltsfootford/core";
 import { type HeldBytes, HeldPart } from "../buffering/index.ts";
 import type { InputQueue, QueuedInput } from "./input_queue.ts";
 
@@ -137,8 +141,9 @@
   }
 
   #canAdvance(): boolean {
+    if (!this.hasInput || this.#isParserPaused) return false;
     const { destroyed, writable } = this.#socket;
-    if (!this.hasInput || this.#isParserPaused || destroyed) return false;
+    if (destroyed) return false;
     // No request can be served after the last response of a connection.
     if (this.#request === undefined && !writable) return false;
     return this.#owner.canParse();
@@ -146,13 +151,23 @@
 
   #parseSlice(): void {
     const input = this.#input;
-    const sliceBytes = nextInputSlice(input, 0, this.#declaredBytesLeft);
-    this.#input = input.subarray(sliceBytes);
-    if (this.#request === undefined) this.#headBytes += sliceBytes;
+    const sliceBytes = nextInputSlice(input, this.#declaredBytesLeft);
+    const slice = sliceBytes < input.length
+      ? input.subarray(0, sliceBytes)
+      : input;
+    this.#input = slice === input ? NO_INPUT : input.subarray(sliceBytes);
+    const isHead = this.#request === undefined;
+    if (isHead) this.#headBytes += sliceBytes;
     this.#declaredBytesLeft = Math.max(0, this.#declaredBytesLeft - sliceBytes);
-    this.#parse(input.subarray(0, sliceBytes));
-    if (this.#request?.complete) this.#request = undefined;
-    if (this.#request === undefined) this.#declaredBytesLeft = 0;
+    this.#parse(slice);
+    if (!this.#request) return;
+    if (this.#request.complete) {
+      this.#request = undefined;
+      this.#declaredBytesLeft = 0;
+    } else if (isHead && this.#declaredBytesLeft > 0) {
+      // The slice may have the beginning of the body, too.
+      this.#declaredBytesLeft -= sliceBytes - findEmptyLineEnd(slice, 0);
+    }
   }
 
   #setParserPaused(isPaused: boolean): Socket {
--- a/packages/daemon/src/forwarding/status_listener.ts
+++ b/packages/daemon/src/forwarding/status_listener.ts
@@ -90,7 +90,9 @@
     const status = body.error === "too-large" ? 413 : 503;
     return send(outgoing, status, TEXT_TYPE, `call ${body.error}`);
   }
-  const call = Buffer.concat(body.value.pieces).toString();
+  const { pieces } = body.value;
+  const call = (pieces.length === 1 ? pieces[0]! : Buffer.concat(pieces))
+    .toString();
   body.value.release();
   const response = await rpc.receiveJSON(call);
   if (response) return sendJson(outgoing, response);
