--- a/packages/bench/src/untrusted_clients/misbehaving_clients_test.ts
+++ b/packages/bench/src/untrusted_clients/misbehaving_clients_test.ts
@@ -142,8 +142,8 @@
     return result?.isOwnAndComplete === true;
   }
 
-  /** Runs a crowd, and checks the daemon. */
-  async function expectSound(
+  /** Checks that a daemon serves others beside a crowd, within its machine. */
+  async function expectOthersServed(
     groups: readonly (readonly [number, CrowdClient])[],
     port: number,
   ): Promise<void> {
@@ -165,7 +165,7 @@
   for (const [name, group] of Object.entries(CROWDS)) {
     it(
       `${name} serves others within its machine`,
-      () => expectSound([group], daemon.clientPort),
+      () => expectOthersServed([group], daemon.clientPort),
       TEST_TIMEOUT_MS,
     );
   }
@@ -183,7 +183,7 @@
         ANNOUNCED,
         ENDLESS,
       ].map((client) => [15, client] as const);
-      await expectSound(groups, daemon.clientPort);
+      await expectOthersServed(groups, daemon.clientPort);
     },
     TEST_TIMEOUT_MS,
   );
@@ -191,7 +191,7 @@
   for (const [name, group] of Object.entries(ADMIN_CROWDS)) {
     it(
       `${name} at the admin port serves others within its machine`,
-      () => expectSound([group], Number(new URL(daemon.adminUrl).port)),
+      () => expectOthersServed([group], Number(new URL(daemon.adminUrl).port)),
       TEST_TIMEOUT_MS,
     );
   }
@@ -199,7 +199,7 @@
   for (const [name, group] of Object.entries(PEER_CROWDS)) {
     it(
       `${name} at the port of other daemons serves others`,
-      () => expectSound([group], daemon.peerPort),
+      () => expectOthersServed([group], daemon.peerPort),
       TEST_TIMEOUT_MS,
     );
   }
--- a/packages/core/src/connections/connection_limit.ts
+++ b/packages/core/src/connections/connection_limit.ts
@@ -15,6 +15,9 @@
 /** Connections that a daemon keeps open whatever its memory is. */
 export const MIN_CONNECTIONS = 64;
 
+/** The part of the limit for clients that each other port has. */
+const CONTROL_CONNECTION_SHARE = 1 / 3;
+
 /** The limits of a machine; undefined where they are not known. */
 export interface MachineLimits {
   readonly maxDescriptors?: number | undefined;
@@ -42,9 +45,6 @@
   return limits.length === 0 ? undefined : Math.min(...limits);
 }
 
-/** The part of the limit for clients that each other port has. */
-const CONTROL_CONNECTION_SHARE = 1 / 3;
-
 /**
  * The number of connections that a daemon keeps open at a port which only the
  * platform, operators or other daemons call; undefined as for clients.
