--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -213,6 +213,11 @@
  */
 export async function runCase(folder, play) {
   const one = new Case(folder);
+  process.once("uncaughtException", async (cause) => {
+    process.stdout.write(`could not run: ${cause.stack}\n`);
+    await one.close();
+    process.exit(2);
+  });
   let code = 2;
   try {
     const breaks = await play(one);
